--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Two commands do everything: `make demo` and `make test`.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test check unit spec bench clean
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/yokesill demo
+
+test: check unit
+
+check: $(VENV)/.installed
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+unit: $(VENV)/.installed
+	$(BIN)/pytest
+
+spec: $(VENV)/.installed
+	$(BIN)/python spec/check.py
+
+bench: $(VENV)/.installed
+	$(BIN)/python bench/run.py
+
+clean:
+	rm -rf $(VENV) build .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/src/yokesill/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP API: a controller a resource."""
--- /dev/null
+++ b/src/yokesill/admin/status.py
@@ -0,0 +1,93 @@
+"""The status resource: members, what each has in force, servers that are leaving; and the stop."""
+
+from typing import Any
+
+import anyio
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+
+from yokesill.frontend.http import JsonError, require
+from yokesill.node import Node
+from yokesill.replication.messages import STATUS, StatusReply, decode_status
+from yokesill.resources.documents import Role
+from yokesill.verdict import Failure
+
+SWEEP_TIMEOUT = 1.0
+SWEEP_AT_ONCE = 32
+
+
+class StatusController:
+    """Asks the members when an operator asks: at rest, status costs no traffic."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def get(self, request: Request) -> Response:
+        """Return the state of the cluster as this node can learn it now."""
+        node = self._node
+        grant = node.access.grant_of(request.headers.get("authorization"))
+        if grant is None or not grant.allows(grant.namespace, Role.VIEWER):
+            raise JsonError(403 if grant else 401, "forbidden", "a viewer's token is needed")
+        replies = await self._sweep()
+        own = node.own_status()
+        in_force = sum(1 for each in replies.values() if each and each.digest == own.digest)
+        members = [self._member(record.address, replies) for record in node.table.all()]
+        return JSONResponse(
+            {
+                "node": own.address,
+                "state": own.state,
+                "revision": own.revision,
+                "in_force": {"members": in_force, "of": len(node.table.serving())},
+                "isolated": node.isolated,
+                "zones_cut": sorted(node.table.cut_zones),
+                "members": sorted(members, key=lambda each: str(each["address"])),
+                "watchers": sorted(each.address for each in replies.values() if each and each.watcher),
+                "leaving_servers": sorted(node.leaving_servers),
+                "unusable": node.catalog.unusable,
+                "services": {str(name): each.revision for name, each in node.catalog.services.items()},
+            }
+        )
+
+    async def stop(self, request: Request) -> Response:
+        """Begin a planned stop of this node."""
+        require(self._node.access, request, "*", Role.ADMIN)
+        self._node.stop()
+        return JSONResponse({"state": "stopping"}, 202)
+
+    async def _sweep(self) -> dict[str, StatusReply | None]:
+        node = self._node
+        replies: dict[str, StatusReply | None] = {node.table.own.address: node.own_status()}
+        limiter = anyio.Semaphore(SWEEP_AT_ONCE)
+        frame = node.sealer.seal(b"")
+
+        async def ask(address: str) -> None:
+            async with limiter:
+                answer = await node.transport.request(address, STATUS, frame, SWEEP_TIMEOUT)
+            replies[address] = None if isinstance(answer, Failure) else _read(node, answer)
+
+        async with anyio.create_task_group() as task_group:
+            for peer in node.table.peers():
+                task_group.start_soon(ask, peer.address)
+        return replies
+
+    def _member(self, address: str, replies: dict[str, StatusReply | None]) -> dict[str, Any]:
+        node = self._node
+        record = node.table.get(address)
+        reply = replies.get(address)
+        return {
+            "address": address,
+            "zone": record.zone if record else "",
+            "region": record.region if record else "",
+            "status": record.status.name.lower() if record else "unknown",
+            "state": reply.state if reply else "no answer",
+            "revision": reply.revision if reply else None,
+            "in_force": bool(reply and reply.digest == node.replica.state.digest),
+        }
+
+
+def _read(node: Node, answer: bytes) -> StatusReply | None:
+    body = node.sealer.open(answer)
+    try:
+        return None if body is None else decode_status(body)
+    except (ValueError, TypeError):
+        return None
--- /dev/null
+++ b/src/yokesill/backends/connections.py
@@ -0,0 +1,62 @@
+"""A server's set of connections: our own, over httpcore connections.
+
+httpcore's pool looks at every connection for every request; here the last one used is taken
+first and the rest are not looked at. A connection whose request was cancelled or whose reply was
+not read to its end is closed, never used again.
+"""
+
+from collections.abc import Callable
+
+import httpcore
+
+ConnectionFactory = Callable[[httpcore.Origin], httpcore.AsyncConnectionInterface]
+
+
+def new_connection(origin: httpcore.Origin) -> httpcore.AsyncConnectionInterface:
+    """Return an httpcore connection that connects on first use."""
+    return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=30.0, retries=0)
+
+
+class ConnectionSet:
+    """Idle and busy connections to one server, at most ``maximum`` in all."""
+
+    def __init__(self, origin: httpcore.Origin, maximum: int, factory: ConnectionFactory) -> None:
+        self.origin = origin
+        self.opened = 0
+        self._maximum = maximum
+        self._factory = factory
+        self._idle: list[httpcore.AsyncConnectionInterface] = []
+        self._busy = 0
+
+    async def take(self) -> httpcore.AsyncConnectionInterface | None:
+        """Return a connection that is still open or new; ``None`` when all are busy."""
+        while self._idle:
+            connection = self._idle.pop()
+            # The server may have closed it meanwhile: notice before anything is written.
+            if not connection.has_expired() and not connection.is_closed():
+                self._busy += 1
+                return connection
+            await connection.aclose()
+        if self._busy >= self._maximum:
+            return None
+        self._busy += 1
+        self.opened += 1
+        return self._factory(self.origin)
+
+    async def give_back(self, connection: httpcore.AsyncConnectionInterface) -> None:
+        """Return a connection whose reply was read to its end."""
+        self._busy -= 1
+        if connection.is_closed() or not connection.is_available():
+            await connection.aclose()
+        else:
+            self._idle.append(connection)
+
+    async def drop(self, connection: httpcore.AsyncConnectionInterface) -> None:
+        """Close a connection whose reply was not read to its end."""
+        self._busy -= 1
+        await connection.aclose()
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
--- /dev/null
+++ b/src/yokesill/backends/http_backend.py
@@ -0,0 +1,137 @@
+"""The way to back ends over HTTP/1.1."""
+
+import anyio
+import httpcore
+
+from yokesill.backends.base import BackendClient
+from yokesill.backends.connections import ConnectionFactory, ConnectionSet, new_connection
+from yokesill.backends.wire import (
+    HEALTH_PATH,
+    HTTP_OK,
+    QUERY_PATH,
+    decode_health,
+    decode_reply,
+    encode_attempt,
+)
+from yokesill.charts.tables import transition_table
+from yokesill.comm.network import split_address
+from yokesill.routing.events import AttemptAnswered, AttemptFailed
+from yokesill.routing.messages import Attempt, ServerReport
+from yokesill.verdict import Failure, Reason, Verdict
+
+CONNECT_TIMEOUT = 1.0
+HEALTH_TIMEOUT = 1.0
+MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+VERDICT_OF_STATE = {
+    "never_sent": Verdict.NOT_RUN,
+    "declined": Verdict.NOT_RUN,
+    "in_doubt": Verdict.MAY_HAVE_RUN,
+    "answered": Verdict.RAN,
+}
+NETWORK_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+class HttpBackendClient(BackendClient):
+    """Sends attempts over per-server connection sets."""
+
+    def __init__(self, connections_a_server: int, factory: ConnectionFactory = new_connection) -> None:
+        self._maximum = connections_a_server
+        self._factory = factory
+        self._sets: dict[str, ConnectionSet] = {}
+        self._table = transition_table("attempt")
+
+    @property
+    def connections_opened(self) -> int:
+        """How many connections were opened so far."""
+        return sum(each.opened for each in self._sets.values())
+
+    async def call(self, attempt: Attempt) -> AttemptAnswered | AttemptFailed:
+        """See ``BackendClient.call``."""
+        connections = self._set_of(attempt.address)
+        connection = await connections.take()
+        if connection is None:
+            return self._failure(attempt, "connecting", Reason.CONNECT_FAILED, "all connections are busy")
+        remaining = attempt.deadline - anyio.current_time()
+        body = encode_attempt(attempt, remaining)
+        read_to_end = False
+        try:
+            status, content = await _exchange(
+                connection, connections.origin, b"POST", QUERY_PATH, body, remaining
+            )
+            read_to_end = True
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.ConnectionNotAvailable) as error:
+            return self._failure(attempt, "connecting", Reason.CONNECT_FAILED, repr(error))
+        except httpcore.TimeoutException as error:
+            return self._failure(attempt, "sent", Reason.TIMED_OUT, repr(error))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return self._failure(attempt, "sent", Reason.CONNECTION_LOST, repr(error))
+        finally:
+            # Also on cancellation: a reply that comes late has no connection left to come on.
+            with anyio.CancelScope(shield=True):
+                await (connections.give_back if read_to_end else connections.drop)(connection)
+        return decode_reply(attempt, status, content)
+
+    async def check(self, address: str) -> ServerReport | None:
+        """See ``BackendClient.check``."""
+        connections = self._set_of(address)
+        connection = await connections.take()
+        if connection is None:
+            return None
+        read_to_end = False
+        try:
+            status, content = await _exchange(
+                connection, connections.origin, b"GET", HEALTH_PATH, b"", HEALTH_TIMEOUT
+            )
+            read_to_end = True
+        except NETWORK_ERRORS:
+            return None
+        finally:
+            with anyio.CancelScope(shield=True):
+                await (connections.give_back if read_to_end else connections.drop)(connection)
+        return decode_health(content) if status == HTTP_OK else None
+
+    async def forget(self, addresses: set[str]) -> None:
+        """See ``BackendClient.forget``."""
+        for address in set(self._sets) - addresses:
+            await self._sets.pop(address).aclose()
+
+    def _set_of(self, address: str) -> ConnectionSet:
+        connections = self._sets.get(address)
+        if connections is None:
+            host, port = split_address(address)
+            origin = httpcore.Origin(b"http", host.encode(), port)
+            connections = self._sets[address] = ConnectionSet(origin, self._maximum, self._factory)
+        return connections
+
+    def _failure(self, attempt: Attempt, state: str, reason: Reason, detail: str) -> AttemptFailed:
+        verdict = VERDICT_OF_STATE[self._table[(state, "failed")]]
+        return AttemptFailed(attempt.attempt_id, Failure(reason, verdict, detail))
+
+
+async def _exchange(
+    connection: httpcore.AsyncConnectionInterface,
+    origin: httpcore.Origin,
+    method: bytes,
+    path: str,
+    body: bytes,
+    timeout: float,
+) -> tuple[int, bytes]:
+    """Send one request and read its reply to the end; ``timeout`` in seconds."""
+    host = origin.host + b":" + str(origin.port).encode()
+    headers = [(b"Host", host), (b"Content-Length", str(len(body)).encode())]
+    limit = max(0.001, timeout)
+    times = {"connect": min(limit, CONNECT_TIMEOUT), "read": limit, "write": limit, "pool": limit}
+    url = httpcore.URL(scheme=b"http", host=origin.host, port=origin.port, target=path.encode())
+    request = httpcore.Request(method, url, headers=headers, content=body, extensions={"timeout": times})
+    response = await connection.handle_async_request(request)
+    try:
+        chunks = []
+        size = 0
+        async for chunk in response.aiter_stream():
+            size += len(chunk)
+            if size > MAXIMUM_BODY_BYTES:
+                raise httpcore.RemoteProtocolError("the reply is too large")
+            chunks.append(chunk)
+    finally:
+        await response.aclose()
+    return response.status, b"".join(chunks)
--- /dev/null
+++ b/src/yokesill/backends/subsetting.py
@@ -0,0 +1,120 @@
+"""Deterministic subsetting: which replicas of a shard this node holds connections to.
+
+With few nodes every node uses every replica. As soon as the nodes would take more than half of a
+server's connections, each node uses ``size`` replicas of each shard: rendezvous hashing with a
+bounded load. Every node computes the same assignment from the same members, each server gets a
+near-equal number of nodes, and when a node comes or goes few others move.
+"""
+
+from dataclasses import dataclass, replace
+
+import anyio
+import anyio.lowlevel
+import numpy as np
+import numpy.typing as npt
+import xxhash
+
+from yokesill.membership.table import MemberTable
+from yokesill.replication.state import ReplicatedState
+from yokesill.resources.documents import Replica, ReplicaSet
+
+LOAD_BOUND = 1.05
+CONNECTION_SHARE = 0.5
+MIX_FIRST = np.uint64(0xBF58476D1CE4E5B9)
+MIX_SECOND = np.uint64(0x94D049BB133111EB)
+
+
+def assign(nodes: list[str], servers: list[str], size: int) -> dict[str, tuple[str, ...]]:
+    """Assign ``size`` of ``servers`` to each of ``nodes``, none to more than the bound's share.
+
+    The result depends on the names alone, not on their order.
+    """
+    if not nodes or not servers:
+        return {node: () for node in nodes}
+    nodes, servers = sorted(nodes), sorted(servers)
+    size = min(size, len(servers))
+    capacity = int(np.ceil(LOAD_BOUND * len(nodes) * size / len(servers)))
+    preference = np.argsort(_weights(nodes, servers), axis=1)
+    load = [0] * len(servers)
+    chosen: dict[str, tuple[str, ...]] = {}
+    # Nodes choose in the order of their hashes, which does not depend on who else is there.
+    for row in sorted(range(len(nodes)), key=lambda index: _hash(nodes[index])):
+        picks: list[int] = []
+        for column in preference[row].tolist():
+            if load[column] < capacity:
+                load[column] += 1
+                picks.append(column)
+                if len(picks) == size:
+                    break
+        chosen[nodes[row]] = tuple(servers[column] for column in picks)
+    return chosen
+
+
+def _weights(nodes: list[str], servers: list[str]) -> npt.NDArray[np.uint64]:
+    """Return a rendezvous weight for each pair, mixed from the names' hashes (splitmix64's finish)."""
+    node_hashes = np.array([_hash(each) for each in nodes], dtype=np.uint64)
+    server_hashes = np.array([_hash(each) for each in servers], dtype=np.uint64)
+    mixed = node_hashes[:, None] ^ server_hashes[None, :]
+    mixed = (mixed ^ (mixed >> np.uint64(30))) * MIX_FIRST
+    mixed = (mixed ^ (mixed >> np.uint64(27))) * MIX_SECOND
+    return mixed ^ (mixed >> np.uint64(31))
+
+
+def _hash(name: str) -> int:
+    return xxhash.xxh64_intdigest(name.encode())
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    replicas: tuple[Replica, ...]
+    size: int
+    chosen: tuple[Replica, ...]
+
+
+class SubsetPlanner:
+    """Keeps this node's choice for each replica set, planned again when members come or go."""
+
+    def __init__(self, table: MemberTable) -> None:
+        self._table = table
+        self._nodes: list[str] = self._members()
+        self._chosen: dict[str, _Choice] = {}
+
+    def choose(self, key: str, replica_set: ReplicaSet, size: int) -> tuple[Replica, ...]:
+        """Return the replicas of the set at ``key`` that this node uses."""
+        cached = self._chosen.get(key)
+        if cached is not None and (cached.replicas, cached.size) == (replica_set.replicas, size):
+            return cached.chosen
+        chosen = self._plan(replica_set.replicas, size)
+        self._chosen[key] = _Choice(replica_set.replicas, size, chosen)
+        return chosen
+
+    async def replan(self, state: ReplicatedState) -> bool:
+        """Follow the members, a shard at a time; return whether any choice may have changed."""
+        nodes = self._members()
+        if nodes == self._nodes:
+            return False
+        self._nodes = nodes
+        before, self._chosen = self._chosen, {}
+        for key, choice in before.items():
+            stored = state.get(key)
+            if stored is None or stored.deleted:
+                continue
+            self._chosen[key] = replace(choice, chosen=self._plan(choice.replicas, choice.size))
+            # Planning a shard takes milliseconds: let requests pass in between.
+            await anyio.lowlevel.checkpoint()
+        return any(self._chosen.get(key) != entry for key, entry in before.items())
+
+    def _plan(self, replicas: tuple[Replica, ...], size: int) -> tuple[Replica, ...]:
+        if not self._needed(replicas):
+            return replicas
+        own = self._table.own
+        assigned = assign(self._nodes, [each.address for each in replicas], size)
+        addresses = assigned.get(own.address, ())
+        return tuple(each for each in replicas if each.address in addresses)
+
+    def _needed(self, replicas: tuple[Replica, ...]) -> bool:
+        share = min((each.connections for each in replicas), default=0) * CONNECTION_SHARE
+        return len(self._nodes) > share
+
+    def _members(self) -> list[str]:
+        return sorted(each.address for each in self._table.serving())
--- /dev/null
+++ b/src/yokesill/charts/tables.py
@@ -0,0 +1,37 @@
+"""Hot charts, flattened: the same YAML files, read by sismic, as a transition table.
+
+sismic's interpreter needs about 200 us an event, too much for charts that step thousands of
+times a second. Only flat charts without guards or actions can be flattened; others are refused.
+"""
+
+from functools import cache
+from importlib import resources
+
+from sismic.io import import_from_yaml
+from sismic.model import Statechart
+
+TransitionTable = dict[tuple[str, str], str]
+
+
+def load_chart(name: str) -> Statechart:
+    """Read and check the chart ``name`` that ships with the package."""
+    text = resources.files("yokesill.charts").joinpath(f"{name}.yaml").read_text()
+    chart = import_from_yaml(text)
+    chart.validate()
+    return chart
+
+
+@cache
+def transition_table(name: str) -> TransitionTable:
+    """Return the chart ``name`` as ``{(state, event): next state}``.
+
+    Raises ``ValueError`` for a chart with guards, actions or nested states.
+    """
+    chart = load_chart(name)
+    root = chart.root
+    table: TransitionTable = {}
+    for transition in chart.transitions:
+        if transition.guard or transition.action or chart.parent_for(transition.source) != root:
+            raise ValueError(f"chart {name} is not flat at {transition.source}")
+        table[(transition.source, transition.event)] = transition.target
+    return table
--- /dev/null
+++ b/src/yokesill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ``yokesill`` command: one file a subcommand."""
--- /dev/null
+++ b/src/yokesill/cli/base.py
@@ -0,0 +1,145 @@
+"""What the subcommands share: exit codes, one-line errors, and calls to a node's API."""
+
+import enum
+import json
+import os
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.ui.table import Table
+
+from yokesill.comm.http_client import HttpClient
+from yokesill.resources.validation import DocumentError
+from yokesill.verdict import Failure
+
+CALL_TIMEOUT = 10.0
+TOKEN_VARIABLE = "YOKESILL_TOKEN"
+NODE_VARIABLE = "YOKESILL_NODE"
+DEFAULT_NODE = "127.0.0.1:7101"
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of every subcommand."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    REFUSED = 4
+    UNREACHABLE = 5
+    IN_DOUBT = 6
+
+
+@dataclass(frozen=True, slots=True)
+class ApiReply:
+    """A node's reply; ``body`` is the decoded JSON."""
+
+    status: int
+    headers: dict[str, str]
+    body: Any
+
+    @property
+    def ok(self) -> bool:
+        """Whether the call did what it was asked to."""
+        return self.status == 200
+
+
+class ApiClient:
+    """Calls one node's API with one token."""
+
+    def __init__(self, node: str, token: str) -> None:
+        self.node = node
+        self._token = token
+        self._client = HttpClient()
+
+    async def call(
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> ApiReply | Failure:
+        """Send one request; a failure means that no reply came."""
+        content = b"" if body is None else json.dumps(body).encode()
+        all_headers = {"Authorization": f"Bearer {self._token}", **(headers or {})}
+        reply = await self._client.call(
+            method, f"http://{self.node}{path}", CALL_TIMEOUT, content, all_headers
+        )
+        if isinstance(reply, Failure):
+            return reply
+        try:
+            decoded = json.loads(reply.body) if reply.body else None
+        except ValueError:
+            decoded = {"detail": reply.body.decode(errors="replace").strip()}
+        return ApiReply(reply.status, reply.headers, decoded)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+
+NODE_OPTIONS = [
+    option("node", None, f"IP:PORT of a node (or ${NODE_VARIABLE})", flag=False),
+    option("token", None, f"bearer token (or ${TOKEN_VARIABLE})", flag=False),
+    option("output", "o", "table or json", flag=False, default="table"),
+]
+
+
+class BaseCommand(Command):
+    """A subcommand; errors go to standard error on one line that says what to do."""
+
+    def client(self) -> ApiClient:
+        """Return a client of the node that was named by flag or environment."""
+        node = self.option("node") or os.environ.get(NODE_VARIABLE) or DEFAULT_NODE
+        token = self.option("token") or os.environ.get(TOKEN_VARIABLE) or ""
+        return ApiClient(node, token)
+
+    @property
+    def wants_json(self) -> bool:
+        """Whether the output is for programs."""
+        return bool(self.option("output") == "json")
+
+    def fail(self, code: ExitCode, message: str) -> int:
+        """Print a one-line error and return the exit code."""
+        self.line_error(f"<error>error:</error> {message}")
+        return int(code)
+
+    def fail_with_errors(self, source: str, errors: Sequence[DocumentError]) -> int:
+        """Print every error with its place."""
+        for each in errors:
+            self.line_error(f"<error>error:</error> {source}: {each}")
+        return int(ExitCode.INVALID)
+
+    def fail_unreachable(self, client: ApiClient, failure: Failure) -> int:
+        """Say that no reply came, and what can be done."""
+        message = f"node {client.node} does not answer ({failure.reason}); try another with --node"
+        return self.fail(ExitCode.UNREACHABLE, message)
+
+    def fail_with_reply(self, what: str, reply: ApiReply) -> int:
+        """Say what a node refused and why."""
+        body = reply.body if isinstance(reply.body, dict) else {}
+        for each in body.get("errors", []):
+            self.line_error(f"<error>error:</error> {what}: {each['place']}: {each['message']}")
+        if body.get("errors"):
+            return int(ExitCode.INVALID)
+        advice = ""
+        if body.get("retry_after_ms"):
+            advice = f"; try again in {body['retry_after_ms']} ms"
+        message = f"{what}: {body.get('reason', reply.status)}: {body.get('detail', '')}{advice}"
+        return self.fail(ExitCode.REFUSED, message)
+
+    def print_json(self, value: Any) -> None:
+        """Print a value for programs."""
+        self.line(json.dumps(value, indent=2, sort_keys=True))
+
+    def print_table(self, headers: list[str], rows: list[list[str]]) -> None:
+        """Print a table for people."""
+        table = Table(self.io)
+        table.set_headers(list(headers))
+        table.set_rows([list(row) for row in rows])
+        table.render()
+
+    @staticmethod
+    def run_async(main: Callable[[], Awaitable[int]]) -> int:
+        """Run ``main`` on asyncio's loop."""
+        return anyio.run(main)
--- /dev/null
+++ b/src/yokesill/cli/emulate.py
@@ -0,0 +1,67 @@
+"""``yokesill emulate``: run stand-ins for the platform and the back ends of a scenario."""
+
+import random
+import signal
+from pathlib import Path
+from typing import Any
+
+import anyio
+import yaml
+from cleo.helpers import argument, option
+
+from yokesill.cli.base import BaseCommand, ExitCode
+from yokesill.emulator.running import build_models, run_events, start_backends, start_store
+from yokesill.emulator.scenario import Scenario, documents_of, load_scenario, place_servers
+from yokesill.emulator.store_model import StoreModel
+
+DEFAULT_HOST = "127.0.0.1"
+
+
+class EmulateCommand(BaseCommand):
+    """Runs the platform's stand-in, the back ends' stand-ins, or both, until a signal."""
+
+    name = "emulate"
+    description = "Run stand-ins for the platform and a scenario's back ends"
+    arguments = [argument("scenario", "scenario file (YAML)")]
+    options = [
+        option("first-port", None, "port of the first back end", flag=False, default="7300"),
+        option("store-port", None, "port of the platform; 0: none", flag=False, default="7000"),
+        option("no-backends", None, "run the platform only"),
+        option("documents", None, "write the configuration documents to this file and exit", flag=False),
+        option("seed", None, "seed of service times and faults", flag=False, default="1"),
+    ]
+
+    def handle(self) -> int:
+        """Read the scenario and run it."""
+        scenario = load_scenario(Path(self.argument("scenario")))
+        if isinstance(scenario, list):
+            return self.fail_with_errors(self.argument("scenario"), scenario)
+        if self.option("documents"):
+            placed = place_servers(scenario, DEFAULT_HOST, int(self.option("first-port")))
+            text = dump_documents(documents_of(scenario, placed))
+            Path(self.option("documents")).write_text(text)
+            return int(ExitCode.OK)
+        return self.run_async(lambda: self._run(scenario))
+
+    async def _run(self, scenario: Scenario) -> int:
+        placed = place_servers(scenario, DEFAULT_HOST, int(self.option("first-port")))
+        async with anyio.create_task_group() as task_group:
+            if int(self.option("store-port")):
+                port = int(self.option("store-port"))
+                await start_store(StoreModel(), DEFAULT_HOST, port, task_group)
+            if not self.option("no-backends"):
+                models = build_models(placed, random.Random(int(self.option("seed"))))
+                await start_backends(scenario, models, task_group)
+                task_group.start_soon(run_events, scenario, placed, models)
+            self.line(f"{scenario.name}: stand-ins are up")
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                async for _ in signals:
+                    break
+            task_group.cancel_scope.cancel()
+        return int(ExitCode.OK)
+
+
+def dump_documents(documents: dict[str, dict[str, Any]]) -> str:
+    """Return a file of documents, as ``yokesill apply`` reads it."""
+    items = [{"key": key, **value} for key, value in documents.items()]
+    return yaml.safe_dump_all(items, sort_keys=False)
--- /dev/null
+++ b/src/yokesill/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Drives ``membership`` and ``replication`` over a transport and the platform's store."""
--- /dev/null
+++ b/src/yokesill/comm/network.py
@@ -0,0 +1,62 @@
+"""The real transport: UDP datagrams, and HTTP requests with CBOR bodies for everything larger.
+
+Requests arrive through the node's own HTTP server, under ``/internal/v1/{kind}``.
+"""
+
+import anyio
+import anyio.abc
+
+from yokesill.comm.base import Transport
+from yokesill.comm.http_client import HttpClient
+from yokesill.verdict import Failure, Reason, Verdict
+
+INTERNAL_PATH = "/internal/v1/"
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+MAXIMUM_PEER_CONNECTIONS = 64
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class NetworkTransport(Transport):
+    """Talks to peers over UDP and TCP at the same ``IP:PORT``."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address)
+        self._client = HttpClient(MAXIMUM_PEER_CONNECTIONS)
+        self._socket: anyio.abc.UDPSocket | None = None
+
+    async def run(self) -> None:
+        """Receive datagrams until cancelled."""
+        host, port = split_address(self.address)
+        async with await anyio.create_udp_socket(local_host=host, local_port=port) as self._socket:
+            async for data, _source in self._socket:
+                self.received(data)
+
+    async def send(self, address: str, datagram: bytes) -> None:
+        """Send a datagram; an unreachable peer shows by its silence."""
+        if self._socket is None:
+            return
+        host, port = split_address(address)
+        self.bytes_sent += len(datagram)
+        try:
+            await self._socket.sendto(datagram, host, port)
+        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+    async def request(self, address: str, kind: str, body: bytes, timeout: float) -> bytes | Failure:
+        """Send a request over HTTP."""
+        self.bytes_sent += len(body)
+        url = f"http://{address}{INTERNAL_PATH}{kind}"
+        reply = await self._client.call("POST", url, timeout, body)
+        if isinstance(reply, Failure):
+            return reply
+        self.bytes_received += len(reply.body)
+        if reply.status == HTTP_OK:
+            return reply.body
+        verdict = Verdict.NOT_RUN if reply.status == HTTP_UNAVAILABLE else Verdict.MAY_HAVE_RUN
+        return Failure(Reason.NOT_READY, verdict, f"{address} answered {reply.status} to {kind}")
--- /dev/null
+++ b/src/yokesill/emulator/server_model.py
@@ -0,0 +1,202 @@
+"""One back-end server: slots, a queue, service times, index versions, load reports and faults."""
+
+import itertools
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+
+from yokesill.emulator.faults import ServerFaults
+from yokesill.emulator.records import entries_in
+
+HTTP_OK, HTTP_BAD_REQUEST, HTTP_CONFLICT, HTTP_UNAVAILABLE = 200, 400, 409, 503
+COLD_SECONDS = 2.0
+LATENCY_SIGMA = 0.35
+LOAD_LAG = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """One line of a server's log: an attempt that ran, and whether it was cancelled midway."""
+
+    attempt_id: str
+    query_id: str
+    address: str
+    shard: str
+    request_class: str
+    repeatable: bool
+    started_at: float
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ModelReply:
+    """A reply; a ``lost`` one must not reach the caller although the attempt ran."""
+
+    status: int
+    body: dict[str, Any]
+    lost: bool = False
+
+
+@dataclass(slots=True)
+class ServerProfile:
+    """What a server is by nature; times in seconds."""
+
+    address: str
+    service: str
+    zone: str
+    slots: int = 3
+    queue_bound: int = 16
+    service_time: float = 0.004
+    records: int = 64
+    cold_penalty: float = 2.0
+
+
+@dataclass(slots=True)
+class ServerModel:
+    """A server's state; ``execute`` and ``health`` are what its wire offers."""
+
+    profile: ServerProfile
+    random_source: random.Random
+    holdings: set[tuple[int, int]]
+    incarnation: str = "1"
+    faults: ServerFaults = field(default_factory=ServerFaults)
+    executions: list[Execution] = field(default_factory=list)
+    active: int = 0
+    queued: int = 0
+    started_at: float = 0.0
+    leaving_since: float | None = None
+    _slots: anyio.Semaphore | None = None
+    _thawed: anyio.Event | None = None
+    _items: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+    _reported: tuple[float, int, int] = (float("-inf"), 0, 0)
+
+    def restart(self, incarnation: str) -> None:
+        """Come back empty-handed: cold, with a new incarnation and no faults."""
+        self.incarnation = incarnation
+        self.faults = ServerFaults()
+        self.started_at = anyio.current_time()
+        self.leaving_since = None
+
+    def set_faults(self, faults: ServerFaults) -> None:
+        """Change the faults; a drain starts its clock, a thaw wakes what waits."""
+        if faults.leaving and self.leaving_since is None:
+            self.leaving_since = anyio.current_time()
+        self.faults = faults
+        if self._thawed is not None and not faults.frozen:
+            self._thawed.set()
+
+    async def execute(self, request: Mapping[str, Any]) -> ModelReply:
+        """Serve one attempt."""
+        await self._while_frozen()
+        declined = self._declined(request)
+        if declined is not None:
+            return self._reply(request, HTTP_UNAVAILABLE, {"reason": declined})
+        if (request["epoch"], request["version"]) not in self.holdings:
+            return self._reply(request, HTTP_CONFLICT, {"reason": "snapshot_unavailable"})
+        if self._slots is None:
+            self._slots = anyio.Semaphore(self.profile.slots)
+        self.queued += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.queued -= 1
+        self.active += 1
+        try:
+            return await self._run(request)
+        finally:
+            self.active -= 1
+            self._slots.release()
+
+    async def health(self) -> ModelReply:
+        """Answer a health check."""
+        await self._while_frozen()
+        return ModelReply(HTTP_OK, self._status())
+
+    async def _run(self, request: Mapping[str, Any]) -> ModelReply:
+        self._log(request)
+        await anyio.sleep(self._draw_service_time())
+        await self._while_frozen()
+        entries = self._entries(request)
+        if self.faults.double_entries:
+            entries = entries + entries[:1]
+        version = request["version"] + (1 if self.faults.answer_other_version else 0)
+        body = {
+            "epoch": request["epoch"],
+            "version": version,
+            "range": request["range"],
+            "entries": entries,
+            "truncated": self.faults.answer_truncated,
+        }
+        lost = self.random_source.random() < self.faults.lose_reply_probability
+        return self._reply(request, HTTP_OK, body, lost)
+
+    def _declined(self, request: Mapping[str, Any]) -> str | None:
+        if self.faults.leaving and not self.faults.ignore_drain:
+            return "leaving"
+        shed = self.random_source.random() < self.faults.shed_probability
+        too_full = self.queued >= self.profile.queue_bound
+        too_late = (
+            self.queued * self.profile.service_time / self.profile.slots * 1000 > request["deadline_ms"]
+        )
+        return "shed" if shed or too_full or too_late else None
+
+    def _log(self, request: Mapping[str, Any]) -> None:
+        self.executions.append(
+            Execution(
+                attempt_id=request["attempt_id"],
+                query_id=request["attempt_id"].rpartition(".")[0],
+                address=self.profile.address,
+                shard=request["shard"],
+                request_class=request["class"],
+                repeatable=request["repeatable"],
+                started_at=anyio.current_time(),
+                leaving=self.leaving_since is not None,
+            )
+        )
+
+    def _entries(self, request: Mapping[str, Any]) -> list[dict[str, Any]]:
+        if not request["repeatable"]:
+            return [{"item": next(self._items), "server": self.profile.address}]
+        start, end = request["range"]
+        return entries_in(request["service"], self.profile.records, start, end, request["version"])
+
+    def _draw_service_time(self) -> float:
+        faults = self.faults
+        seconds = self.profile.service_time * self.random_source.lognormvariate(0, LATENCY_SIGMA)
+        seconds *= faults.slow_factor
+        if self.random_source.random() < faults.straggle_probability:
+            seconds *= faults.straggle_factor
+        if anyio.current_time() - self.started_at < COLD_SECONDS:
+            seconds *= self.profile.cold_penalty
+        return seconds
+
+    async def _while_frozen(self) -> None:
+        while self.faults.frozen or self.faults.dead:
+            self._thawed = anyio.Event()
+            await self._thawed.wait()
+
+    def _reply(
+        self, request: Mapping[str, Any], status: int, body: dict[str, Any], lost: bool = False
+    ) -> ModelReply:
+        attempt_id = request["attempt_id"] + ("x" if self.faults.answer_other_attempt else "")
+        return ModelReply(status, {"attempt_id": attempt_id, **self._status(), **body}, lost)
+
+    def _status(self) -> dict[str, Any]:
+        """What every reply tells besides; the load lags and may be a lie."""
+        now = anyio.current_time()
+        if now - self._reported[0] > LOAD_LAG:
+            self._reported = (now, self.active, self.queued)
+        _, active, queued = self._reported
+        return {
+            "incarnation": self.incarnation,
+            "holdings": sorted(self.holdings),
+            "load": {
+                "slots": self.profile.slots,
+                "active": int(active * self.faults.load_lie),
+                "queued": int(queued * self.faults.load_lie),
+            },
+            "leaving": self.faults.leaving,
+        }
--- /dev/null
+++ b/src/yokesill/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who the members are: a SWIM-style failure detector and member table, sans I/O."""
--- /dev/null
+++ b/src/yokesill/membership/detector.py
@@ -0,0 +1,275 @@
+"""The failure detector: SWIM-style probes, indirect probes, suspicion and refutation; sans I/O.
+
+Every probe interval one member is pinged, in a shuffled round. Without an ack, members in other
+zones are asked to ping it. Without any ack it is suspected, and unless it refutes that in time it
+is held for dead. When nobody in its zone has been heard of lately the zone is held for cut off
+instead: its members are not declared dead one by one, so a lost zone causes no storm of rumors
+and no reshuffle. The dead are still pinged now and then, so that a healed cut is noticed.
+"""
+
+import math
+import random
+from dataclasses import dataclass, replace
+
+from yokesill.membership.packets import Packet, PacketKind
+from yokesill.membership.records import MemberRecord, MemberStatus
+from yokesill.membership.rumors import RumorQueue
+from yokesill.membership.table import MemberTable
+
+
+@dataclass(frozen=True, slots=True)
+class DetectorOptions:
+    """Periods and bounds of the failure detector; times in seconds."""
+
+    probe_interval: float = 1.0
+    probe_timeout: float = 0.3
+    gossip_interval: float = 0.2
+    gossip_fanout: int = 3
+    indirect_probes: int = 3
+    suspicion_factor: float = 1.5
+    zone_silence: float = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class SendPacket:
+    """Send ``packet`` to the member at ``address``."""
+
+    address: str
+    packet: Packet
+
+
+@dataclass(slots=True)
+class _Probe:
+    target: str
+    sequence: int
+    sent_at: float
+    indirect: bool = False
+
+
+class FailureDetector:
+    """One node's part in the detection; driven by ``tick`` and ``on_packet``."""
+
+    def __init__(
+        self,
+        table: MemberTable,
+        rumors: RumorQueue,
+        options: DetectorOptions,
+        random_source: random.Random,
+    ) -> None:
+        self.table = table
+        self.config_digest = 0
+        self.false_suspicions = 0
+        self._rumors = rumors
+        self._options = options
+        self._random = random_source
+        self._round: list[str] = []
+        self._sequence = 0
+        self._probe: _Probe | None = None
+        self._next_probe = 0.0
+        self._next_gossip = 0.0
+        self._suspected_at: dict[str, float] = {}
+        self._heard: dict[str, float] = {}
+        self._zone_heard: dict[str, float] = {}
+        self._relays: dict[int, tuple[str, int, str]] = {}
+
+    # --- events ---
+
+    def tick(self, now: float) -> list[SendPacket]:
+        """Do what is due; call it several times a gossip interval."""
+        sends: list[SendPacket] = []
+        self._check_probe(now, sends)
+        self._check_suspects(now)
+        if now >= self._next_probe:
+            self._next_probe = now + self._options.probe_interval * (0.9 + 0.2 * self._random.random())
+            self._start_probe(now, sends)
+        if now >= self._next_gossip:
+            self._next_gossip = now + self._options.gossip_interval
+            self._gossip(sends)
+        return sends
+
+    def on_packet(self, packet: Packet, now: float) -> list[SendPacket]:
+        """Answer a packet; its rumors are the caller's to merge."""
+        self._hear(packet.sender, now)
+        if packet.kind is PacketKind.PING:
+            return [self._send(packet.sender, PacketKind.ACK, packet.sequence)]
+        if packet.kind is PacketKind.INDIRECT_PING:
+            return self._relay(packet)
+        if packet.kind is PacketKind.ACK:
+            return self._acknowledged(packet, now)
+        return []
+
+    def learn(self, record: MemberRecord, now: float) -> bool:
+        """Merge a record from a peer and pass it on if it is news; return whether it was."""
+        if record.address == self.table.own.address:
+            if self.table.refute(record, now):
+                self._rumors.add(self.table.own)
+            return False
+        if record.status is MemberStatus.DEAD and self.table.get(record.address) is None:
+            return False
+        if not self.table.merge(record, now):
+            return False
+        self._rumors.add(record)
+        if record.status is MemberStatus.SUSPECT:
+            self._suspected_at[record.address] = now
+        elif self._suspected_at.pop(record.address, None) is not None and record.serving:
+            self.false_suspicions += 1
+        return True
+
+    def leave(self, now: float) -> list[SendPacket]:
+        """Tell the others at once that this node is leaving."""
+        self.table.leave(now)
+        self._rumors.add(self.table.own)
+        sends: list[SendPacket] = []
+        self._gossip(sends)
+        return sends
+
+    def resumed(self, now: float) -> None:
+        """Forget open probes after a pause of this node: the silence was its own."""
+        self._probe = None
+        self._next_probe = now
+        for address in self._suspected_at:
+            self._suspected_at[address] = now
+        for zone in self._zone_heard:
+            self._zone_heard[zone] = now
+
+    def heard_since(self, moment: float, other_zone_only: bool) -> bool:
+        """Whether some peer (or one of another zone) was heard of at or after ``moment``."""
+        own_zone = self.table.own.zone
+        zones = self._zone_heard.items()
+        return any(at >= moment and not (other_zone_only and zone == own_zone) for zone, at in zones)
+
+    # --- probing ---
+
+    def _start_probe(self, now: float, sends: list[SendPacket]) -> None:
+        target = self._next_target()
+        if target is None:
+            return
+        self._sequence += 1
+        self._probe = _Probe(target, self._sequence, now)
+        sends.append(self._send(target, PacketKind.PING, self._sequence))
+        dead = self.table.dead()
+        if dead and self._random.random() < 0.2:
+            lost = self._random.choice(dead).address
+            sends.append(self._send(lost, PacketKind.PING, 0))
+
+    def _next_target(self) -> str | None:
+        while True:
+            if not self._round:
+                self._round = [each.address for each in self.table.peers()]
+                self._random.shuffle(self._round)
+                if not self._round:
+                    return None
+            address = self._round.pop()
+            record = self.table.get(address)
+            if record is not None and record.serving:
+                return address
+
+    def _check_probe(self, now: float, sends: list[SendPacket]) -> None:
+        probe = self._probe
+        if probe is None:
+            return
+        waited = now - probe.sent_at
+        if not probe.indirect and waited >= self._options.probe_timeout:
+            probe.indirect = True
+            for helper in self._helpers(probe.target):
+                sends.append(self._send(helper, PacketKind.INDIRECT_PING, probe.sequence, probe.target))
+        if waited >= 3 * self._options.probe_timeout:
+            self._probe = None
+            self._suspect(probe.target, now)
+
+    def _helpers(self, target: str) -> list[str]:
+        """Choose who pings ``target`` for this node: one member a zone, as far as they go."""
+        others = [
+            each for each in self.table.reachable() if each.address not in (target, self.table.own.address)
+        ]
+        self._random.shuffle(others)
+        first_of_zone = {each.zone: each for each in others}
+        chosen = list(first_of_zone.values()) + [
+            each for each in others if first_of_zone[each.zone] is not each
+        ]
+        return [each.address for each in chosen[: self._options.indirect_probes]]
+
+    def _suspect(self, address: str, now: float) -> None:
+        record = self.table.get(address)
+        if record is None or record.status is not MemberStatus.ALIVE:
+            return
+        if self._zone_silent(record.zone, now):
+            self.table.cut_zones.add(record.zone)
+            return
+        suspect = replace(record, status=MemberStatus.SUSPECT)
+        self.table.merge(suspect, now)
+        self._suspected_at[address] = now
+        self._rumors.add(suspect)
+
+    def _zone_silent(self, zone: str, now: float) -> bool:
+        """Whether a zone of several members, not this node's own, has been silent for long."""
+        if zone == self.table.own.zone:
+            return False
+        if sum(1 for each in self.table.serving() if each.zone == zone) < 2:
+            return False
+        return now - self._zone_heard.get(zone, now) > self._options.zone_silence
+
+    def _check_suspects(self, now: float) -> None:
+        members = len(self.table.serving())
+        patience = self._options.suspicion_factor * math.log(members + 2) * self._options.probe_interval
+        for address, since in list(self._suspected_at.items()):
+            if now - since < patience:
+                continue
+            del self._suspected_at[address]
+            record = self.table.get(address)
+            if record is None or record.status is not MemberStatus.SUSPECT:
+                continue
+            if self._zone_silent(record.zone, now):
+                self.table.cut_zones.add(record.zone)
+                continue
+            dead = replace(record, status=MemberStatus.DEAD)
+            self.table.merge(dead, now)
+            self._rumors.add(dead)
+
+    # --- packets ---
+
+    def _relay(self, packet: Packet) -> list[SendPacket]:
+        self._sequence += 1
+        self._relays = dict(list(self._relays.items())[-32:])
+        self._relays[self._sequence] = (packet.sender, packet.sequence, packet.target)
+        return [self._send(packet.target, PacketKind.PING, self._sequence)]
+
+    def _acknowledged(self, packet: Packet, now: float) -> list[SendPacket]:
+        relay = self._relays.pop(packet.sequence, None)
+        if relay is not None:
+            asker, sequence, target = relay
+            return [self._send(asker, PacketKind.ACK, sequence, target)]
+        probe = self._probe
+        if probe is None or probe.sequence != packet.sequence:
+            return []
+        if probe.target in (packet.sender, packet.target):
+            self._probe = None
+            self._hear(probe.target, now)
+        return []
+
+    def _hear(self, address: str, now: float) -> None:
+        record = self.table.get(address)
+        if record is None:
+            return
+        self._heard[address] = now
+        self._zone_heard[record.zone] = now
+        self.table.cut_zones.discard(record.zone)
+
+    def _gossip(self, sends: list[SendPacket]) -> None:
+        peers = self.table.peers()
+        for peer in self._random.sample(peers, min(self._options.gossip_fanout, len(peers))):
+            if not len(self._rumors):
+                return
+            sends.append(self._send(peer.address, PacketKind.GOSSIP, 0))
+
+    def _send(self, address: str, kind: PacketKind, sequence: int, target: str = "") -> SendPacket:
+        packet = Packet(
+            kind=kind,
+            sender=self.table.own.address,
+            sequence=sequence,
+            target=target,
+            config_digest=self.config_digest,
+            member_digest=self.table.digest,
+            rumors=self._rumors.take(len(self.table.serving())),
+        )
+        return SendPacket(address, packet)
--- /dev/null
+++ b/src/yokesill/membership/table.py
@@ -0,0 +1,101 @@
+"""The member table: the newest record of each member, and zones that cannot be reached."""
+
+from dataclasses import replace
+
+import xxhash
+
+from yokesill.membership.records import MemberRecord, MemberStatus
+from yokesill.resources.hashing import rendezvous_weight
+
+DEAD_RETENTION = 600.0
+
+
+class MemberTable:
+    """All members that this node knows, itself included."""
+
+    def __init__(self, own: MemberRecord) -> None:
+        self.own = own
+        self.version = 0
+        self.cut_zones: set[str] = set()
+        self._records: dict[str, MemberRecord] = {own.address: own}
+        self._changed_at: dict[str, float] = {}
+        self._digest = _record_hash(own)
+
+    @property
+    def digest(self) -> int:
+        """A hash of the table that is equal at members with equal tables."""
+        return self._digest
+
+    def get(self, address: str) -> MemberRecord | None:
+        """Return the record of the member at ``address``."""
+        return self._records.get(address)
+
+    def all(self) -> list[MemberRecord]:
+        """Return every record."""
+        return list(self._records.values())
+
+    def serving(self) -> list[MemberRecord]:
+        """Return the members that take part, this node included."""
+        return [each for each in self._records.values() if each.serving]
+
+    def reachable(self) -> list[MemberRecord]:
+        """Return the serving members outside of cut-off zones."""
+        return [each for each in self.serving() if each.zone not in self.cut_zones]
+
+    def peers(self) -> list[MemberRecord]:
+        """Return the serving members other than this node."""
+        return [each for each in self.serving() if each.address != self.own.address]
+
+    def dead(self) -> list[MemberRecord]:
+        """Return the members held for dead."""
+        return [each for each in self._records.values() if each.status is MemberStatus.DEAD]
+
+    def merge(self, record: MemberRecord, now: float) -> bool:
+        """Take ``record`` in if it is newer; return whether it was."""
+        known = self._records.get(record.address)
+        if known is not None and not record.outranks(known):
+            return False
+        self._store(record, now)
+        return True
+
+    def refute(self, said: MemberRecord, now: float) -> bool:
+        """Outrank what ``said`` claims of this node, unless it is true; return whether it did."""
+        if not said.outranks(self.own):
+            return False
+        self._store(replace(self.own, incarnation=said.incarnation + 1), now)
+        return True
+
+    def leave(self, now: float) -> None:
+        """Mark this node as leaving."""
+        self._store(replace(self.own, status=MemberStatus.LEAVING), now)
+
+    def expire(self, now: float) -> None:
+        """Forget members that have been dead for long."""
+        for record in self.dead():
+            if now - self._changed_at.get(record.address, now) > DEAD_RETENTION:
+                self._digest ^= _record_hash(record)
+                del self._records[record.address]
+
+    def rank(self, subject: str, members: list[MemberRecord]) -> list[MemberRecord]:
+        """Return ``members`` by rendezvous weight for ``subject``, the highest first."""
+        return sorted(members, key=lambda each: rendezvous_weight(each.address, subject), reverse=True)
+
+    def _store(self, record: MemberRecord, now: float) -> None:
+        known = self._records.get(record.address)
+        if known is not None:
+            self._digest ^= _record_hash(known)
+        self._digest ^= _record_hash(record)
+        self._records[record.address] = record
+        self._changed_at[record.address] = now
+        if record.address == self.own.address:
+            self.own = record
+        if known is None or known.serving != record.serving:
+            self.version += 1
+
+
+def _record_hash(record: MemberRecord) -> int:
+    """Hash what members must agree on: suspicion is passing, and the dead are forgotten."""
+    if record.status is MemberStatus.DEAD:
+        return 0
+    status = MemberStatus.LEAVING if record.status is MemberStatus.LEAVING else MemberStatus.ALIVE
+    return xxhash.xxh64_intdigest(f"{record.address}\x00{record.incarnation}\x00{status}".encode())
--- /dev/null
+++ b/src/yokesill/node.py
@@ -0,0 +1,341 @@
+"""Wires one node together; the only place that knows every part."""
+
+import itertools
+import random
+
+import anyio
+
+from yokesill.access import Access
+from yokesill.backends.base import BackendClient
+from yokesill.backends.health import HealthChecker
+from yokesill.backends.subsetting import SubsetPlanner
+from yokesill.charts.lifecycle import Lifecycle
+from yokesill.cluster.gossip import Gossip
+from yokesill.cluster.sync import Synchroniser
+from yokesill.cluster.watcher import StoreWatcher
+from yokesill.comm.base import Transport
+from yokesill.comm.sealing import Sealer
+from yokesill.logs import get_logger
+from yokesill.membership.records import MemberRecord, MemberStatus
+from yokesill.membership.rumors import ServerNotice
+from yokesill.membership.table import MemberTable
+from yokesill.metrics import Metrics
+from yokesill.query.calls import QueryCall
+from yokesill.query.driver import FinalAnswer, QueryDriver
+from yokesill.query.owned import OwnedQueries
+from yokesill.replication import messages as msg
+from yokesill.replication.catalog import Catalog
+from yokesill.replication.replica import ConfigurationReplica
+from yokesill.resources.documents import WhenIsolated
+from yokesill.resources.hashing import hash_key
+from yokesill.resources.keys import ServiceName
+from yokesill.resources.objects import StoredObject
+from yokesill.routing.events import AnnounceLeaving, Refuse, ServerLeaving, ServiceInstalled, ServiceRemoved
+from yokesill.routing.messages import QueryRequest
+from yokesill.routing.router import Router
+from yokesill.settings import Settings
+from yokesill.store.base import Store
+from yokesill.verdict import Failure, Reason, Verdict
+
+RETRY_AFTER_MS = 1000
+BARRIER_PAUSE = 0.3
+IDLE_CHECK = 0.02
+SERVING_STATES = frozenset({"serving", "lame_duck"})
+
+
+class Node:
+    """One node, from its settings and its ways to the outside."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        transport: Transport,
+        backends: BackendClient,
+        random_source: random.Random,
+        incarnation: int,
+    ) -> None:
+        own = settings.node
+        self.settings = settings
+        self.store = store
+        self.lifecycle = Lifecycle("node")
+        self.metrics = Metrics()
+        self.transport = transport
+        self.sealer = Sealer([bytes.fromhex(each) for each in settings.cluster.keys])
+        record = MemberRecord(own.address, own.zone, own.region, incarnation, MemberStatus.ALIVE)
+        self.table = MemberTable(record)
+        self.replica = ConfigurationReplica()
+        self.subsets = SubsetPlanner(self.table)
+        self.catalog = Catalog(self.replica.state, self.subsets.choose)
+        self.access = Access(self.catalog, settings.administration.token_sha256)
+        self.gossip = Gossip(
+            transport, self.sealer, self.table, self.replica, random_source, settings.detector()
+        )
+        self.sync = Synchroniser(transport, self.sealer, self.gossip, self.replica, random_source)
+        self.watcher = StoreWatcher(store, self.gossip, self.table, random_source)
+        self.router = Router(settings.routing.options(own.zone), random_source)
+        self.driver = QueryDriver(self.router, backends, self._announce_leaving_server)
+        self.health = HealthChecker(
+            self.router, backends, self.driver, settings.routing.health_interval_seconds
+        )
+        self.owned = OwnedQueries(self.table, transport, self.sealer, self._execute)
+        self.leaving_servers: dict[str, str] = {}
+        self._backends = backends
+        self._random = random_source
+        self._query_ids = itertools.count(1)
+        self._query_prefix = f"{own.address}-{incarnation:x}"
+        self._requests_in_flight = 0
+        self._resync_wanted = anyio.Event()
+        self._stop_wanted = anyio.Event()
+        self._stopped = anyio.Event()
+        self._log = get_logger("node")
+        self.gossip.on_change = self._configuration_changed
+        self.gossip.on_server = self._server_leaving
+        self.gossip.on_pause = self._paused
+        transport.serve(self.gossip.received, self._peer_request)
+
+    # --- life cycle ---
+
+    async def run(self) -> None:
+        """Start, pass the barrier and serve; returns once a planned stop is complete."""
+        async with anyio.create_task_group() as task_group:
+            for part in (
+                self.transport.run,
+                self.driver.run,
+                self.gossip.run,
+                self._barrier,
+                self._resynchronise_when_wanted,
+                self._follow_membership,
+            ):
+                task_group.start_soon(part)
+            await self._stop_wanted.wait()
+            await self._drain()
+            task_group.cancel_scope.cancel()
+        self._stopped.set()
+
+    def stop(self) -> None:
+        """Begin a planned stop; ``run`` returns when it is complete."""
+        self._stop_wanted.set()
+
+    @property
+    def accepting(self) -> bool:
+        """Whether new requests are taken."""
+        return self.lifecycle.state in SERVING_STATES
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should come here: serving and not about to stop."""
+        return self.lifecycle.state == "serving"
+
+    async def _barrier(self) -> None:
+        """Learn the configuration from peers of several zones, and from the store, before serving."""
+        seeds = list(self.settings.node.seeds)
+        while True:
+            loaded = await self.watcher.load()
+            if loaded:
+                await self._learn_machines(seeds)
+            answered = await self.sync.barrier(seeds) if seeds else 0
+            if answered or loaded:
+                break
+            self._log.info("barrier_waits", reason="neither the store nor a peer answered")
+            await anyio.sleep(BARRIER_PAUSE)
+        self.gossip.rumors.add(self.table.own)
+        self._configuration_changed()
+        self._enter("synchronised")
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self.sync.run)
+            task_group.start_soon(self.watcher.run)
+            task_group.start_soon(self.health.run)
+
+    async def _learn_machines(self, seeds: list[str]) -> None:
+        """Take further seeds from the platform's machine list."""
+        machines = await self.store.machines()
+        if isinstance(machines, Failure):
+            return
+        known = {self.table.own.address, *seeds}
+        nodes = [each.address for each in machines if each.kind == "node" and not each.leaving]
+        seeds.extend(address for address in nodes if address not in known)
+
+    async def _drain(self) -> None:
+        """Lame duck, then drain: nothing in flight is cut off."""
+        limits = self.settings.limits
+        if self._enter("stop") == "lame_duck":
+            await self.gossip.announce_leaving()
+            await anyio.sleep(limits.lame_duck_seconds)
+            self._enter("announced")
+        with anyio.move_on_after(limits.drain_seconds) as bound:
+            while self._requests_in_flight or self.router.queries_in_flight:
+                await anyio.sleep(IDLE_CHECK)
+        self._enter("drain_time_over" if bound.cancelled_caught else "idle")
+
+    def _enter(self, event: str) -> str:
+        before = self.lifecycle.state
+        state = self.lifecycle.handle(event)
+        if state != before:
+            self._log.info("state", node=self.table.own.address, before=before, state=state)
+        return state
+
+    def _paused(self) -> None:
+        """After a pause the configuration is confirmed before new requests are taken."""
+        self._enter("paused")
+        self._resync_wanted.set()
+
+    async def _resynchronise_when_wanted(self) -> None:
+        while True:
+            await self._resync_wanted.wait()
+            self._resync_wanted = anyio.Event()
+            alone = not self.table.peers()
+            while not await self.sync.barrier([], 1) and not await self.watcher.load() and not alone:
+                await anyio.sleep(BARRIER_PAUSE)
+            self._enter("synchronised")
+
+    async def _follow_membership(self) -> None:
+        """Choose subsets anew when members came or went."""
+        seen = self.table.version
+        while True:
+            await anyio.sleep(1.0)
+            self.table.expire(anyio.current_time())
+            if self.table.version == seen:
+                continue
+            seen = self.table.version
+            if await self.subsets.replan(self.replica.state):
+                self._install(self.catalog.recompile_all())
+
+    # --- configuration ---
+
+    def _configuration_changed(self) -> None:
+        self._install(self.catalog.refresh(self.replica.take_changed()))
+
+    def _install(self, names: list[ServiceName]) -> None:
+        for name in names:
+            service = self.catalog.services.get(name)
+            self.driver.feed(ServiceRemoved(name) if service is None else ServiceInstalled(service))
+        for address, incarnation in self.leaving_servers.items():
+            self.driver.feed(ServerLeaving(address, incarnation))
+
+    async def take_into_force(self, stored: StoredObject) -> list[str]:
+        """Take a committed object into force here and hand it to peers; return who has it."""
+        if self.gossip.merge_objects([stored], anyio.current_time()):
+            self._configuration_changed()
+        return await self.sync.push([stored])
+
+    def reached_another_zone(self, addresses: list[str]) -> bool:
+        """Whether some address is of another zone, or there is no other zone to reach."""
+        own_zone = self.table.own.zone
+        others = {each.address for each in self.table.peers() if each.zone != own_zone}
+        return not others or bool(others.intersection(addresses))
+
+    @property
+    def isolated(self) -> bool:
+        """Whether nobody outside this zone (or nobody at all) confirmed freshness lately."""
+        since = anyio.current_time() - self.settings.cluster.isolation_seconds
+        if self.watcher.confirmed_at >= since:
+            return False
+        peers = self.table.peers()
+        if not peers:
+            return True
+        other_zones = any(each.zone != self.table.own.zone for each in peers)
+        return not self.gossip.detector.heard_since(since, other_zones)
+
+    # --- leaving servers ---
+
+    def _announce_leaving_server(self, action: AnnounceLeaving) -> None:
+        self._server_leaving(ServerNotice(action.address, action.incarnation))
+
+    def _server_leaving(self, notice: ServerNotice) -> None:
+        """Give a leaving server no new work, and pass it on the first time."""
+        if self.leaving_servers.get(notice.address) == notice.incarnation:
+            return
+        self.leaving_servers[notice.address] = notice.incarnation
+        self.gossip.spread([notice])
+        self.driver.feed(ServerLeaving(notice.address, notice.incarnation))
+
+    # --- queries ---
+
+    async def query(self, call: QueryCall) -> FinalAnswer:
+        """Answer a caller's request, or refuse it at once."""
+        query_id = self._next_query_id()
+        if not self.accepting:
+            detail = f"the node is {self.lifecycle.state}"
+            return Refuse(query_id, Failure(Reason.NOT_READY, Verdict.NOT_RUN, detail, RETRY_AFTER_MS))
+        started = anyio.current_time()
+        self._requests_in_flight += 1
+        try:
+            if call.idempotency_key is not None:
+                final = await self.owned.handle(call, query_id)
+            else:
+                final = await self._execute(call, query_id)
+        finally:
+            self._requests_in_flight -= 1
+        self._count(call, final, anyio.current_time() - started)
+        return final
+
+    async def _execute(self, call: QueryCall, query_id: str) -> FinalAnswer:
+        service = self.catalog.services.get(call.service)
+        if service is not None and service.when_isolated is WhenIsolated.REFUSE and self.isolated:
+            detail = "the node cannot confirm that its configuration is fresh"
+            return Refuse(query_id, Failure(Reason.ISOLATED, Verdict.NOT_RUN, detail, RETRY_AFTER_MS))
+        query = QueryRequest(
+            query_id=query_id,
+            service=call.service,
+            request_class=call.request_class,
+            payload=call.payload,
+            size=call.size,
+            deadline=anyio.current_time() + call.deadline_ms / 1000,
+            repeatable=call.repeatable,
+            key_hash=None if call.key is None else hash_key(call.key),
+            minimum_coverage=call.minimum_coverage,
+        )
+        return await self.driver.execute(query)
+
+    def _next_query_id(self) -> str:
+        return f"{self._query_prefix}-{next(self._query_ids)}"
+
+    def _count(self, call: QueryCall, final: FinalAnswer, seconds: float) -> None:
+        # Unknown names come from callers: they get no time series of their own.
+        known = self.catalog.services.get(call.service)
+        request_class = call.request_class if known and call.request_class in known.policies else "unknown"
+        service = call.service if known else ServiceName("unknown", "unknown")
+        end, reason = "answered", ""
+        if isinstance(final, Refuse):
+            end, reason = final.failure.verdict.label, final.failure.reason.value
+        names = (service.namespace, service.service, request_class)
+        self.metrics.queries.labels(*names, end, reason).inc()
+        self.metrics.latency.labels(*names).observe(seconds)
+
+    # --- peers ---
+
+    async def _peer_request(self, kind: str, frame: bytes) -> bytes | Failure:
+        body = self.sealer.open(frame)
+        if body is None:
+            return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, "a forged frame")
+        answer = self._answer_status() if kind == msg.STATUS else self.sync.answer(kind, body)
+        if answer is None:
+            answer = await self._peer_query(kind, body)
+        if isinstance(answer, Failure):
+            return answer
+        return self.sealer.seal(answer)
+
+    async def _peer_query(self, kind: str, body: bytes) -> bytes | Failure:
+        if not self.accepting:
+            return Failure(Reason.NOT_READY, Verdict.NOT_RUN, f"the node is {self.lifecycle.state}")
+        self._requests_in_flight += 1
+        try:
+            answer = await self.owned.answer(kind, body)
+        except (ValueError, TypeError) as error:
+            return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, str(error))
+        finally:
+            self._requests_in_flight -= 1
+        if answer is None:
+            return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, f"unknown request {kind!r}")
+        return answer
+
+    def own_status(self) -> msg.StatusReply:
+        """Return what this node has in force."""
+        own, state = self.table.own, self.replica.state
+        return msg.StatusReply(
+            own.address, own.zone, self.lifecycle.state, state.digest, state.revision, self.watcher.watching
+        )
+
+    def _answer_status(self) -> bytes:
+        return msg.encode_status(self.own_status())
--- /dev/null
+++ b/src/yokesill/query/__init__.py
@@ -0,0 +1,1 @@
+"""Drives ``routing`` over real I/O: attempts, timers, answers, idempotent repeats."""
--- /dev/null
+++ b/src/yokesill/query/idempotency.py
@@ -0,0 +1,71 @@
+"""Records of requests with an idempotency key, kept in memory by two nodes.
+
+The first two members by rendezvous rank of a key keep its record: the owner, which runs the
+request, and the backup, where the owner reserves the key before anything is sent. Whichever one
+member is lost, restarted or joins between a request and its repeat, the repeat meets a record.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import anyio
+
+from yokesill.routing.events import Answer, Refuse
+
+RETENTION = 600.0
+MAXIMUM_RECORDS = 100_000
+
+RecordKey = tuple[str, str, str]
+
+
+@dataclass(slots=True)
+class Record:
+    """One key's request: running until ``final`` is set."""
+
+    fingerprint: bytes
+    created_at: float
+    nonce: str
+    final: Answer | Refuse | None = None
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+    def settle(self, final: Answer | Refuse) -> None:
+        """Set the outcome, for this and every later repeat."""
+        self.final = final
+        self.done.set()
+
+
+class IdempotencyTable:
+    """The records that this node keeps, the oldest first."""
+
+    def __init__(self) -> None:
+        self._records: OrderedDict[RecordKey, Record] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, key: RecordKey, now: float) -> Record | None:
+        """Return a record that has not expired."""
+        self._expire(now)
+        return self._records.get(key)
+
+    def create(self, key: RecordKey, fingerprint: bytes, nonce: str, now: float) -> Record | None:
+        """Add a running record; ``None`` when the table is full of records that are still needed."""
+        self._expire(now)
+        if len(self._records) >= MAXIMUM_RECORDS:
+            return None
+        record = self._records[key] = Record(fingerprint, now, nonce)
+        return record
+
+    def release(self, key: RecordKey, nonce: str) -> None:
+        """Drop the record of a request that has not run, so that a repeat may run."""
+        record = self._records.get(key)
+        if record is not None and record.nonce == nonce:
+            record.done.set()
+            del self._records[key]
+
+    def _expire(self, now: float) -> None:
+        while self._records:
+            oldest = next(iter(self._records.values()))
+            if now - oldest.created_at < RETENTION or (oldest.final is None and not oldest.done.is_set()):
+                return
+            self._records.popitem(last=False)
--- /dev/null
+++ b/src/yokesill/query/owned.py
@@ -0,0 +1,194 @@
+"""Requests with an idempotency key: routed to the key's owner, reserved at its backup, run once."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import cbor2
+
+from yokesill.comm.base import Transport
+from yokesill.comm.sealing import Sealer
+from yokesill.membership.table import MemberTable
+from yokesill.query.calls import QueryCall, decode_call, decode_final, encode_call, encode_final
+from yokesill.query.idempotency import IdempotencyTable, Record, RecordKey
+from yokesill.routing.events import Answer, Refuse
+from yokesill.verdict import Failure, Reason, Verdict
+
+OWNED_QUERY, RESERVE, SETTLE = "owned-query", "reserve", "settle"
+RESERVE_TIMEOUT = 0.5
+FORWARD_MARGIN = 0.5
+RETRY_AFTER_MS = 1000
+
+Execute = Callable[[QueryCall, str], Awaitable[Answer | Refuse]]
+
+
+class OwnedQueries:
+    """Runs keyed requests at most once; ``execute`` runs one that is new."""
+
+    def __init__(self, table: MemberTable, transport: Transport, sealer: Sealer, execute: Execute) -> None:
+        self.records = IdempotencyTable()
+        self._members = table
+        self._transport = transport
+        self._sealer = sealer
+        self._execute = execute
+
+    async def handle(self, call: QueryCall, query_id: str) -> Answer | Refuse:
+        """Answer a caller's keyed request, here or at its owner."""
+        owner, backup = self._owners(call)
+        if owner != self._members.own.address:
+            return await self._forward(call, query_id, owner)
+        return await self._run_as_owner(call, query_id, backup)
+
+    async def answer(self, kind: str, body: bytes) -> bytes | None:
+        """Answer a peer's opened request; ``None`` when the kind is not this part's."""
+        if kind == OWNED_QUERY:
+            query_id, encoded = cbor2.loads(body)
+            call = decode_call(encoded)
+            _, backup = self._owners(call)
+            return encode_final(await self._run_as_owner(call, query_id, backup))
+        if kind == RESERVE:
+            return self._reserved(body)
+        if kind == SETTLE:
+            self._settled(body)
+            return b"\x80"
+        return None
+
+    # --- the caller's node ---
+
+    async def _forward(self, call: QueryCall, query_id: str, owner: str) -> Answer | Refuse:
+        body = cbor2.dumps([query_id, encode_call(call)])
+        timeout = call.deadline_ms / 1000 + FORWARD_MARGIN
+        reply = await self._transport.request(owner, OWNED_QUERY, self._sealer.seal(body), timeout)
+        if isinstance(reply, Failure):
+            detail = f"owner {owner} of the key: {reply.detail}"
+            return _refusal(query_id, Reason.OWNER_UNREACHABLE, reply.verdict, detail)
+        opened = self._sealer.open(reply)
+        if opened is None:
+            return _refusal(query_id, Reason.OWNER_UNREACHABLE, Verdict.MAY_HAVE_RUN, "a forged answer")
+        return decode_final(opened)
+
+    def _owners(self, call: QueryCall) -> tuple[str, str | None]:
+        """Return the key's owner and backup: the same on both sides of a cut, so both can't run it."""
+        ranked = self._members.rank("/".join(_record_key(call)), self._members.serving())
+        addresses = [each.address for each in ranked]
+        if not addresses:
+            return self._members.own.address, None
+        return addresses[0], addresses[1] if len(addresses) > 1 else None
+
+    # --- the owner ---
+
+    async def _run_as_owner(self, call: QueryCall, query_id: str, backup: str | None) -> Answer | Refuse:
+        key, fingerprint = _record_key(call), call.fingerprint()
+        now = anyio.current_time()
+        record = self.records.get(key, now)
+        if record is not None:
+            return await self._join(call, record, query_id)
+        record = self.records.create(key, fingerprint, query_id, now)
+        if record is None:
+            return _refusal(query_id, Reason.OVERLOADED, Verdict.NOT_RUN, "too many idempotency keys")
+        final: Answer | Refuse | None = None
+        try:
+            final = await self._reserve_at(backup, key, fingerprint, query_id)
+            if final is None:
+                final = await self._execute(call, query_id)
+        finally:
+            # A cancelled run is in doubt; only what surely did not run frees the key.
+            await self._close(key, record, query_id, final, backup, _frees_key(call, final))
+        return final
+
+    async def _join(self, call: QueryCall, record: Record, query_id: str) -> Answer | Refuse:
+        """Give a repeat the first request's outcome."""
+        if record.fingerprint != call.fingerprint():
+            detail = "the idempotency key was used for another request"
+            return _refusal(query_id, Reason.KEY_REUSED, Verdict.NOT_RUN, detail)
+        with anyio.move_on_after(call.deadline_ms / 1000):
+            await record.done.wait()
+        if record.final is not None:
+            return record.final
+        return _refusal(query_id, Reason.DUPLICATE_IN_DOUBT, Verdict.MAY_HAVE_RUN, "the first is not settled")
+
+    async def _reserve_at(
+        self, backup: str | None, key: RecordKey, fingerprint: bytes, nonce: str
+    ) -> Answer | Refuse | None:
+        """Reserve the key at its backup; return what ends the request, or ``None`` to run it."""
+        if backup is None:
+            return None
+        body = cbor2.dumps([list(key), fingerprint, nonce])
+        reply = await self._transport.request(backup, RESERVE, self._sealer.seal(body), RESERVE_TIMEOUT)
+        opened = None if isinstance(reply, Failure) else self._sealer.open(reply)
+        if opened is None:
+            detail = f"backup {backup} of the key does not answer"
+            return _refusal(nonce, Reason.OWNER_UNREACHABLE, Verdict.NOT_RUN, detail)
+        state, encoded = cbor2.loads(opened)
+        if state == "done":
+            return decode_final(encoded)
+        if state == "reused":
+            return _refusal(nonce, Reason.KEY_REUSED, Verdict.NOT_RUN, "used for another request")
+        if state == "running":
+            detail = "an earlier request with the key is not settled"
+            return _refusal(nonce, Reason.DUPLICATE_IN_DOUBT, Verdict.MAY_HAVE_RUN, detail)
+        return None
+
+    async def _close(
+        self,
+        key: RecordKey,
+        record: Record,
+        nonce: str,
+        final: Answer | Refuse | None,
+        backup: str | None,
+        frees_key: bool,
+    ) -> None:
+        if frees_key:
+            self.records.release(key, nonce)
+        elif final is not None:
+            record.settle(final)
+        else:
+            record.done.set()
+        if backup is not None and final is not None:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(RESERVE_TIMEOUT):
+                body = cbor2.dumps([list(key), nonce, None if frees_key else encode_final(final)])
+                await self._transport.request(backup, SETTLE, self._sealer.seal(body), RESERVE_TIMEOUT)
+
+    # --- the backup ---
+
+    def _reserved(self, body: bytes) -> bytes:
+        key, fingerprint, nonce = cbor2.loads(body)
+        record_key: RecordKey = (key[0], key[1], key[2])
+        now = anyio.current_time()
+        record = self.records.get(record_key, now)
+        if record is None or record.nonce == nonce:
+            created = self.records.create(record_key, fingerprint, nonce, now)
+            return cbor2.dumps(["new" if created is not None else "running", b""])
+        if record.fingerprint != fingerprint:
+            return cbor2.dumps(["reused", b""])
+        if record.final is not None:
+            return cbor2.dumps(["done", encode_final(record.final)])
+        return cbor2.dumps(["running", b""])
+
+    def _settled(self, body: bytes) -> None:
+        key, nonce, encoded = cbor2.loads(body)
+        record_key: RecordKey = (key[0], key[1], key[2])
+        record = self.records.get(record_key, anyio.current_time())
+        if record is None or record.nonce != nonce:
+            return
+        if encoded is None:
+            self.records.release(record_key, nonce)
+        else:
+            record.settle(decode_final(encoded))
+
+
+def _record_key(call: QueryCall) -> RecordKey:
+    return (call.service.namespace, call.service.service, call.idempotency_key or "")
+
+
+def _frees_key(call: QueryCall, final: Answer | Refuse | None) -> bool:
+    """Whether a repeat may run: the request surely did not, or does no harm twice, or is kept elsewhere."""
+    if not isinstance(final, Refuse):
+        return False
+    failure = final.failure
+    if failure.verdict is Verdict.NOT_RUN or call.repeatable:
+        return True
+    return failure.reason is Reason.DUPLICATE_IN_DOUBT
+
+
+def _refusal(query_id: str, reason: Reason, verdict: Verdict, detail: str) -> Refuse:
+    return Refuse(query_id, Failure(reason, verdict, detail, RETRY_AFTER_MS))
--- /dev/null
+++ b/src/yokesill/resources/objects.py
@@ -0,0 +1,44 @@
+"""Stored objects: a document's bytes with the revision that the store gave it."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One revision of one object.
+
+    ``revision`` is the store's, and rises with every change to any object. ``change_id`` is the
+    writer's own, so that it can recognise its write. ``value`` is the document, ``None`` in a
+    tombstone.
+    """
+
+    key: str
+    revision: int
+    change_id: str
+    value: dict[str, Any] | None
+
+    @property
+    def deleted(self) -> bool:
+        """Whether this is a tombstone."""
+        return self.value is None
+
+    def to_wire(self) -> list[Any]:
+        """Return the form in which peers exchange it."""
+        return [self.key, self.revision, self.change_id, self.value]
+
+    def size(self) -> int:
+        """Return the approximate size on the wire, in bytes."""
+        return len(json.dumps(self.value)) + len(self.key) + len(self.change_id) + 16
+
+
+def object_from_wire(item: Any) -> StoredObject | None:
+    """Read ``to_wire``'s form; ``None`` when it is malformed."""
+    if not isinstance(item, list) or len(item) != 4:
+        return None
+    key, revision, change_id, value = item
+    shapes_hold = isinstance(key, str) and isinstance(revision, int) and isinstance(change_id, str)
+    if not shapes_hold or not (value is None or isinstance(value, dict)):
+        return None
+    return StoredObject(key, revision, change_id, value)
--- /dev/null
+++ b/src/yokesill/resources/validation.py
@@ -0,0 +1,49 @@
+"""Checks of documents: every error at once, each with its place."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
+
+from yokesill.resources.documents import AnyDocument, Namespace, ReplicaSet, Service, Token
+from yokesill.resources.keys import ObjectKey
+
+_ADAPTERS: dict[str, TypeAdapter[Any]] = {
+    "namespace": TypeAdapter(Namespace),
+    "token": TypeAdapter(Token),
+    "service": TypeAdapter(Service),
+    "replicaset": TypeAdapter(ReplicaSet),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentError:
+    """One error in a document; ``place`` is a dotted path into it."""
+
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.message}"
+
+
+def parse_document(key: ObjectKey, value: Any) -> AnyDocument | list[DocumentError]:
+    """Check ``value`` against the schema of the kind that lives at ``key``.
+
+    Returns the document, or every error found. Policies' expressions are checked by
+    ``policy.compiler``, on top of this.
+    """
+    try:
+        document: AnyDocument = _ADAPTERS[key.kind].validate_python(value)
+    except ValidationError as error:
+        return [_describe(each) for each in error.errors()]
+    return document
+
+
+def _describe(error: Any) -> DocumentError:
+    place = ".".join(str(part) for part in error["loc"] if not _is_union_tag(part))
+    return DocumentError(place or "(document)", str(error["msg"]).removeprefix("Value error, "))
+
+
+def _is_union_tag(part: object) -> bool:
+    return part in ("Serve", "Refuse")
--- /dev/null
+++ b/src/yokesill/routing/admission.py
@@ -0,0 +1,44 @@
+"""Admission: refuse at once what could only be answered too late.
+
+A refusal here has run nowhere and says when to come back: by then the queue that stands now has
+been served.
+"""
+
+from yokesill.routing.messages import QueryRequest
+from yokesill.routing.options import RoutingOptions
+from yokesill.routing.waiting import ShardKey, WaitingRoom
+from yokesill.verdict import Failure, Reason, Verdict
+
+HIGHEST_PRIORITY = 9
+MINIMUM_RETRY_AFTER_MS = 50
+
+
+def queue_delay(waiting: WaitingRoom, keys: list[ShardKey], now: float) -> float:
+    """Return the longest expected wait among the shards, in seconds."""
+    return max((waiting.delay(key, now) for key in keys), default=0.0)
+
+
+def admit(
+    query: QueryRequest,
+    priority: int,
+    delay: float,
+    typical_latency: float,
+    longest_queue: int,
+    options: RoutingOptions,
+    now: float,
+) -> Failure | None:
+    """Return why the query is refused, or ``None`` to admit it.
+
+    A queue may be filled to its bound only by the highest priority; each lower one stops
+    earlier, so that what matters least is refused first.
+    """
+    if query.deadline <= now:
+        return Failure(Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN, "the deadline had passed on arrival")
+    bound = options.waiting_bound * (priority + 1) / (HIGHEST_PRIORITY + 1)
+    too_long = longest_queue >= bound
+    too_late = delay > 0.0 and now + delay + typical_latency > query.deadline
+    if not too_long and not too_late:
+        return None
+    retry_after_ms = max(MINIMUM_RETRY_AFTER_MS, int(delay * 1000))
+    detail = f"{longest_queue} waiting, {delay * 1000:.0f} ms expected"
+    return Failure(Reason.OVERLOADED, Verdict.NOT_RUN, detail, retry_after_ms)
--- /dev/null
+++ b/src/yokesill/routing/progress.py
@@ -0,0 +1,52 @@
+"""One shard's progress within a query."""
+
+from dataclasses import dataclass, field
+
+from yokesill.resources.hashing import HashRange
+from yokesill.routing.messages import Partial
+from yokesill.routing.servers import ServerState
+from yokesill.routing.waiting import Waiter
+from yokesill.verdict import Reason, Verdict
+
+
+@dataclass(slots=True)
+class LiveAttempt:
+    """An attempt that has not ended; ``sent_at`` in seconds."""
+
+    attempt_id: str
+    server: ServerState
+    sent_at: float
+    hedge: bool
+
+
+@dataclass(slots=True)
+class ShardProgress:
+    """What happened to one shard of one query under its pinned snapshot."""
+
+    shard_id: str
+    range: HashRange
+    servers: tuple[ServerState, ...]
+    tried: list[str] = field(default_factory=list)
+    live: dict[str, LiveAttempt] = field(default_factory=dict)
+    waiter: Waiter | None = None
+    partial: Partial | None = None
+    exhausted: bool = False
+    retry_due: bool = False
+    verdict: Verdict = Verdict.NOT_RUN
+    last_reason: Reason | None = None
+
+    @property
+    def open(self) -> bool:
+        """Whether the shard may still contribute."""
+        return self.partial is None and not self.exhausted
+
+    @property
+    def sent(self) -> bool:
+        """Whether anything was sent for it."""
+        return bool(self.tried)
+
+    def verdict_now(self) -> Verdict:
+        """Return the join over ended attempts and the live ones, which may have run."""
+        if self.partial is not None:
+            return Verdict.RAN
+        return max(self.verdict, Verdict.MAY_HAVE_RUN) if self.live else self.verdict
--- /dev/null
+++ b/src/yokesill/routing/router.py
@@ -0,0 +1,269 @@
+"""The router: the one interface through which a node's data path is driven."""
+
+import random
+
+from yokesill.policy.facts import Facts
+from yokesill.resources import documents
+from yokesill.resources.keys import ServiceName
+from yokesill.routing import events as ev
+from yokesill.routing.admission import admit, queue_delay
+from yokesill.routing.compiled import CompiledService
+from yokesill.routing.context import RoutingContext
+from yokesill.routing.messages import QueryRequest, ServerReport, Snapshot
+from yokesill.routing.options import RoutingOptions
+from yokesill.routing.query import DEFAULT_RETRY_AFTER_MS, QueryMachine
+from yokesill.routing.servers import ServerState, ServerTable
+from yokesill.routing.service import ServiceState
+from yokesill.routing.waiting import ShardKey
+from yokesill.verdict import Failure, Reason, Verdict
+
+SERVER_FAULTS = frozenset(
+    {
+        Reason.CONNECT_FAILED,
+        Reason.CONNECTION_LOST,
+        Reason.TIMED_OUT,
+        Reason.MALFORMED_REPLY,
+        Reason.FOREIGN_REPLY,
+        Reason.BACKEND_ERROR,
+    }
+)
+
+
+class Router:
+    """Routes all queries of a node; ``on_event`` is its whole interface."""
+
+    def __init__(self, options: RoutingOptions, random_source: random.Random) -> None:
+        self._context = RoutingContext(options, random_source, ServerTable(options))
+        self._services: dict[ServiceName, ServiceState] = {}
+        self._queries: dict[str, QueryMachine] = {}
+
+    # --- what others may look at ---
+
+    @property
+    def servers(self) -> ServerTable:
+        """The servers that this node knows."""
+        return self._context.servers
+
+    @property
+    def queries_in_flight(self) -> int:
+        """How many queries have no final answer yet."""
+        return len(self._queries)
+
+    def service(self, name: ServiceName) -> ServiceState | None:
+        """Return a service's state."""
+        return self._services.get(name)
+
+    def services(self) -> list[ServiceState]:
+        """Return every service's state."""
+        return list(self._services.values())
+
+    # --- the interface ---
+
+    def on_event(self, event: ev.Event, now: float) -> list[ev.Action]:
+        """Take one event at ``now`` (seconds) and return what is to be done, in order."""
+        actions: list[ev.Action] = []
+        match event:
+            case ev.QueryArrived(query):
+                self._query_arrived(query, now, actions)
+            case ev.AttemptAnswered():
+                self._attempt_answered(event, now, actions)
+            case ev.AttemptFailed():
+                self._attempt_failed(event, now, actions)
+            case ev.TimerFired(query_id, kind):
+                machine = self._queries.get(query_id)
+                if machine is not None:
+                    machine.timer(kind, now, actions)
+                    self._forget_if_finished(machine)
+            case ev.CallerLeft(query_id):
+                machine = self._queries.pop(query_id, None)
+                if machine is not None:
+                    machine.abandon(now, actions)
+            case ev.ServerObserved(address, report):
+                self._server_observed(address, report, now, actions)
+            case ev.ServerLeaving(address, incarnation):
+                self._server_leaving(address, incarnation, now)
+            case ev.ServiceInstalled(service):
+                self._install(service)
+            case ev.ServiceRemoved(name):
+                self._services.pop(name, None)
+                self._rebuild_shards()
+        self._serve_waiters(now, actions)
+        return actions
+
+    # --- queries ---
+
+    def _query_arrived(self, query: QueryRequest, now: float, actions: list[ev.Action]) -> None:
+        failure = self._start(query, now, actions)
+        if failure is not None:
+            actions.append(ev.Refuse(query.query_id, failure))
+
+    def _start(self, query: QueryRequest, now: float, actions: list[ev.Action]) -> Failure | None:
+        service = self.service(query.service)
+        if service is None:
+            return Failure(Reason.UNKNOWN_SERVICE, Verdict.NOT_RUN, f"no service {query.service}")
+        policy = service.compiled.policies.get(query.request_class)
+        if policy is None:
+            known = ", ".join(sorted(service.compiled.policies))
+            detail = f"no class {query.request_class!r}; known: {known}"
+            return Failure(Reason.UNKNOWN_CLASS, Verdict.NOT_RUN, detail)
+        snapshot = service.pin(self.servers)
+        if snapshot is None:
+            detail = "no replica has told yet which snapshots it holds"
+            return Failure(Reason.NO_SNAPSHOT, Verdict.NOT_RUN, detail, DEFAULT_RETRY_AFTER_MS)
+        keys = self._asked_keys(query, service, snapshot)
+        delay = queue_delay(self._context.waiting, keys, now)
+        facts = _facts(query, policy.priority, service, delay, now)
+        outcome = policy.evaluate(facts).outcome
+        if isinstance(outcome, documents.Refuse):
+            return Failure(Reason.POLICY_REFUSED, Verdict.NOT_RUN, outcome.refuse, outcome.retry_after_ms)
+        refusal = self._admission(query, service, policy.priority, keys, delay, now)
+        if refusal is not None:
+            return refusal
+        machine = QueryMachine(query, service, policy, outcome, facts, self._context, now)
+        self._queries[query.query_id] = machine
+        machine.start(snapshot, now, actions)
+        self._forget_if_finished(machine)
+        return None
+
+    def _asked_keys(self, query: QueryRequest, service: ServiceState, snapshot: Snapshot) -> list[ShardKey]:
+        shard_map = service.compiled.maps[snapshot.epoch]
+        key_hash = query.key_hash
+        shards = shard_map.shards if key_hash is None else (shard_map.shard_of(key_hash),)
+        return [(query.service, shard.id) for shard in shards]
+
+    def _admission(
+        self,
+        query: QueryRequest,
+        service: ServiceState,
+        priority: int,
+        keys: list[ShardKey],
+        delay: float,
+        now: float,
+    ) -> Failure | None:
+        typical = service.latency_of(query.request_class).quantile(0.5, now) or 0.0
+        longest = max((self._context.waiting.length(key) for key in keys), default=0)
+        return admit(query, priority, delay, typical, longest, self._context.options, now)
+
+    def _forget_if_finished(self, machine: QueryMachine) -> None:
+        if machine.finished:
+            self._queries.pop(machine.query.query_id, None)
+
+    # --- attempts ---
+
+    def _attempt_answered(self, event: ev.AttemptAnswered, now: float, actions: list[ev.Action]) -> None:
+        machine, server, sent_at = self._end_attempt(event.attempt_id)
+        if machine is None or server is None:
+            return
+        self._observe(server, event.report, now, actions)
+        if server.answered(now - sent_at, now):
+            self.servers.generation += 1
+        machine.service.count_shed(False)
+        machine.answered(event.partial, now, actions)
+        self._forget_if_finished(machine)
+
+    def _attempt_failed(self, event: ev.AttemptFailed, now: float, actions: list[ev.Action]) -> None:
+        machine, server, _ = self._end_attempt(event.attempt_id)
+        if machine is None or server is None:
+            return
+        self._observe(server, event.report, now, actions)
+        reason = event.failure.reason
+        machine.service.count_shed(reason is Reason.SHED)
+        if reason is Reason.SHED:
+            server.shed(now)
+        elif reason in SERVER_FAULTS and server.failed(now):
+            self.servers.generation += 1
+        machine.failed(event.attempt_id, event.failure, now, actions)
+        self._forget_if_finished(machine)
+
+    def _end_attempt(self, attempt_id: str) -> tuple[QueryMachine | None, ServerState | None, float]:
+        machine = self._context.attempt_owners.get(attempt_id)
+        if machine is None:
+            return None, None, 0.0
+        attempt = machine.live_attempt(attempt_id)
+        self._context.release(attempt_id, attempt.server)
+        return machine, attempt.server, attempt.sent_at
+
+    # --- servers ---
+
+    def _observe(
+        self, server: ServerState, report: ServerReport | None, now: float, actions: list[ev.Action]
+    ) -> None:
+        if report is None:
+            return
+        was_leaving = server.state == "leaving"
+        if server.observe(report, now):
+            self.servers.generation += 1
+        if report.leaving and not was_leaving:
+            actions.append(ev.AnnounceLeaving(server.address, report.incarnation))
+
+    def _server_observed(
+        self, address: str, report: ServerReport | None, now: float, actions: list[ev.Action]
+    ) -> None:
+        server = self.servers.get(address)
+        if server is None:
+            return
+        if report is None:
+            if server.failed(now):
+                self.servers.generation += 1
+            return
+        self._observe(server, report, now, actions)
+        self._context.freed.append(server)
+
+    def _server_leaving(self, address: str, incarnation: str, now: float) -> None:
+        server = self.servers.get(address)
+        if server is None or (incarnation and server.incarnation and incarnation != server.incarnation):
+            return
+        if server.handle("leaving", now):
+            self.servers.generation += 1
+
+    def _install(self, compiled: CompiledService) -> None:
+        service = self._services.get(compiled.name)
+        if service is None:
+            service = ServiceState.create(compiled, self._context.options)
+            self._services[compiled.name] = service
+        service.install(compiled, self.servers)
+        self._rebuild_shards()
+
+    def _rebuild_shards(self) -> None:
+        for server in self.servers.all():
+            server.shards.clear()
+        for service in self._services.values():
+            for shard_map in service.compiled.maps.values():
+                for shard in shard_map.shards:
+                    for server in service.servers_of(shard_map.epoch, shard.id):
+                        server.shards.add((service.compiled.name, shard.id))
+        self.servers.discard_unused()
+        self.servers.generation += 1
+
+    # --- waiters ---
+
+    def _serve_waiters(self, now: float, actions: list[ev.Action]) -> None:
+        """Hand freed slots to whoever's turn it is."""
+        freed = self._context.freed
+        while freed:
+            server = freed.pop()
+            while server.may_take(now):
+                turn = self._context.waiting.next(server.shards, now)
+                if turn is None:
+                    break
+                machine = self._queries[turn[1].query_id]
+                before = server.in_flight
+                machine.slot_freed(turn[1].shard_id, now, actions)
+                self._forget_if_finished(machine)
+                if server.in_flight == before:
+                    # The waiter could not use this server (another snapshot, say): try no further.
+                    break
+
+
+def _facts(query: QueryRequest, priority: int, service: ServiceState, delay: float, now: float) -> Facts:
+    return Facts(
+        request_class=query.request_class,
+        namespace=query.service.namespace,
+        keyed=query.key_hash is not None,
+        size=query.size,
+        deadline_ms=(query.deadline - now) * 1000,
+        priority=priority,
+        repeatable=query.repeatable,
+        queue_delay_ms=delay * 1000,
+        shed_rate=service.shed_rate,
+    )
--- /dev/null
+++ b/src/yokesill/routing/selection.py
@@ -0,0 +1,49 @@
+"""Chooses the server of an attempt: power of two choices on expected cost."""
+
+import random
+from collections.abc import Iterable, Sequence
+
+from yokesill.routing.messages import Snapshot
+from yokesill.routing.options import RoutingOptions
+from yokesill.routing.servers import EJECTED, LEAVING, ServerState
+
+
+def choose_server(
+    servers: Sequence[ServerState],
+    snapshot: Snapshot,
+    tried: Iterable[str],
+    options: RoutingOptions,
+    random_source: random.Random,
+    now: float,
+) -> ServerState | None:
+    """Return the server to ask, or ``None`` when none may take a request now.
+
+    Servers that hold the snapshot and were not tried come first. Ejected ones are asked when
+    nothing else is left (the floor of ejection), so a shard is never given up on suspicion.
+    """
+    holding = [each for each in servers if each.state != LEAVING and snapshot in each.holdings]
+    fresh = [each for each in holding if each.address not in tried]
+    if not options.load_aware:
+        return random_source.choice(fresh) if fresh else None
+    ready = [each for each in fresh if each.may_take(now)]
+    healthy = [each for each in ready if each.state != EJECTED]
+    candidates = healthy or ready or _last_resort(fresh)
+    if not candidates:
+        return None
+    if len(candidates) > 2:
+        candidates = random_source.sample(candidates, 2)
+    return min(candidates, key=lambda each: each.cost(now))
+
+
+def _last_resort(servers: list[ServerState]) -> list[ServerState]:
+    """All servers, when every one of them is ejected and idle: better a doubtful try than none."""
+    if servers and all(each.state == EJECTED for each in servers):
+        return [each for each in servers if each.in_flight == 0]
+    return []
+
+
+def any_left(servers: Sequence[ServerState], snapshot: Snapshot, tried: Iterable[str]) -> bool:
+    """Whether some untried server holds the snapshot, busy or not."""
+    return any(
+        each.state != LEAVING and snapshot in each.holdings and each.address not in tried for each in servers
+    )
--- /dev/null
+++ b/src/yokesill/routing/servers.py
@@ -0,0 +1,178 @@
+"""What one node knows of each server: limit, latency, load, holdings and life-cycle state."""
+
+from collections.abc import Iterable
+
+from yokesill.charts.tables import transition_table
+from yokesill.resources.documents import Replica
+from yokesill.resources.keys import ServiceName
+from yokesill.routing.messages import LoadReport, ServerReport, Snapshot
+from yokesill.routing.options import RoutingOptions
+
+LATENCY_WEIGHT = 0.2
+LIMIT_DECREASE = 0.7
+DECREASE_INTERVAL = 0.1
+INITIAL_LATENCY = 0.005
+COLD_PENALTY = 3.0
+WARM_ANSWERS = 20
+
+COLD, ACTIVE, EJECTED, LEAVING = "cold", "active", "ejected", "leaving"
+
+
+class ServerState:
+    """One server, as this node sees it."""
+
+    def __init__(self, replica: Replica, options: RoutingOptions) -> None:
+        self.address = replica.address
+        self.zone = replica.zone
+        self.state = COLD
+        self.incarnation = ""
+        self.holdings: frozenset[Snapshot] = frozenset()
+        self.in_flight = 0
+        self.limit = options.initial_limit
+        self.latency = INITIAL_LATENCY
+        self.heard_at = float("-inf")
+        self.shards: set[tuple[ServiceName, str]] = set()
+        self._options = options
+        self._table = transition_table("server")
+        self._load: LoadReport | None = None
+        self._load_at = 0.0
+        self._since = 0.0
+        self._answers = 0
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until = 0.0
+        self._decreased_at = 0.0
+
+    def handle(self, event: str, now: float) -> bool:
+        """Step the life-cycle chart; return whether the state changed."""
+        target = self._table.get((self.state, event))
+        if target is None:
+            return False
+        self.state = target
+        self._since = now
+        self._answers = 0
+        return True
+
+    @property
+    def usable(self) -> bool:
+        """Whether the server counts for choosing a snapshot: neither leaving nor ejected."""
+        return self.state in (COLD, ACTIVE)
+
+    def may_take(self, now: float) -> bool:
+        """Whether one more request may be sent now."""
+        if self.state == LEAVING:
+            return False
+        if not self._options.limits:
+            return True
+        if self.state == EJECTED:
+            return self.in_flight == 0 and now >= self._ejected_until
+        return self.in_flight < max(1, int(self.limit))
+
+    def cost(self, now: float) -> float:
+        """Return the expected cost of one more request, in seconds; lower is better."""
+        waiting = self.in_flight + self._reported_wait(now)
+        cost = self.latency * (1.0 + waiting)
+        if self.state == COLD:
+            age = min(1.0, (now - self._since) / self._options.slow_start)
+            cost *= 1.0 + COLD_PENALTY * (1.0 - age)
+        if self.zone != self._options.zone:
+            cost += self._options.remote_zone_penalty
+        return cost
+
+    def _reported_wait(self, now: float) -> float:
+        """The reported queue, halved every half-life: reports lag, so they fade."""
+        if self._load is None or self._load.slots < 1:
+            return 0.0
+        age = now - self._load_at
+        faded = 0.5 ** (age / self._options.load_report_half_life)
+        return float((self._load.queued + self._load.active) / self._load.slots * faded)
+
+    def answered(self, latency: float, now: float) -> bool:
+        """Count an answer; return whether the state changed."""
+        self._failures = 0
+        self._ejections = max(0, self._ejections - 1) if self.state == ACTIVE else self._ejections
+        self.latency += LATENCY_WEIGHT * (latency - self.latency)
+        if self.in_flight + 1 >= int(self.limit):
+            self.limit = min(self._options.maximum_limit, self.limit + 1.0 / self.limit)
+        changed = self.handle("answered", now)
+        self._answers += 1
+        if self.state == COLD and self._answers >= WARM_ANSWERS:
+            changed |= self.handle("warmed", now)
+        return changed
+
+    def outrun(self, elapsed: float) -> None:
+        """Count an attempt that lost to its hedge after ``elapsed``: at least that slow."""
+        if elapsed > self.latency:
+            self.latency += LATENCY_WEIGHT * (elapsed - self.latency)
+
+    def shed(self, now: float) -> None:
+        """Count a refusal for load: lower the limit, at most once an interval."""
+        if now - self._decreased_at < DECREASE_INTERVAL:
+            return
+        self._decreased_at = now
+        self.limit = max(1.0, self.limit * LIMIT_DECREASE)
+
+    def failed(self, now: float) -> bool:
+        """Count a failure of the server itself; return whether the state changed."""
+        self._failures += 1
+        if self.state == EJECTED:
+            self._eject(now)
+            return False
+        if not self._options.ejection or self._failures < self._options.ejection_failures:
+            return False
+        if not self.handle("failing", now):
+            return False
+        self._eject(now)
+        return True
+
+    def _eject(self, now: float) -> None:
+        pause = self._options.ejection_base * 2.0**self._ejections
+        self._ejected_until = now + min(self._options.ejection_ceiling, pause)
+        self._ejections = min(self._ejections + 1, 10)
+
+    def observe(self, report: ServerReport, now: float) -> bool:
+        """Take in what the server said of itself; return whether routing must look again."""
+        changed = False
+        self.heard_at = now
+        if report.incarnation != self.incarnation:
+            self.incarnation = report.incarnation
+            changed = self.handle("returned", now)
+        if report.leaving:
+            changed |= self.handle("leaving", now)
+        if report.load is not None:
+            self._load, self._load_at = report.load, now
+        if report.holdings is not None and report.holdings != self.holdings:
+            self.holdings = report.holdings
+            changed = True
+        return changed
+
+
+class ServerTable:
+    """All servers by address; ``generation`` rises with every change that routing must see."""
+
+    def __init__(self, options: RoutingOptions) -> None:
+        self.generation = 0
+        self._options = options
+        self._servers: dict[str, ServerState] = {}
+
+    def get(self, address: str) -> ServerState | None:
+        """Return the server at ``address``, if a service names it."""
+        return self._servers.get(address)
+
+    def all(self) -> Iterable[ServerState]:
+        """Return every server."""
+        return self._servers.values()
+
+    def require(self, replica: Replica) -> ServerState:
+        """Return the replica's server, adding it cold when it is new."""
+        server = self._servers.get(replica.address)
+        if server is None:
+            server = ServerState(replica, self._options)
+            self._servers[replica.address] = server
+        return server
+
+    def discard_unused(self) -> None:
+        """Drop servers that no shard names any more and that have nothing in flight."""
+        unused = [each for each in self._servers.values() if not each.shards and each.in_flight == 0]
+        for server in unused:
+            del self._servers[server.address]
--- /dev/null
+++ b/src/yokesill/routing/service.py
@@ -0,0 +1,75 @@
+"""What the router keeps for each service between queries."""
+
+from dataclasses import dataclass, field
+
+from yokesill.routing.budget import AttemptBudget
+from yokesill.routing.compiled import CompiledService
+from yokesill.routing.latency import LatencyWindow
+from yokesill.routing.messages import Snapshot
+from yokesill.routing.options import RoutingOptions
+from yokesill.routing.servers import ServerState, ServerTable
+from yokesill.routing.snapshots import choose_snapshot
+
+SHED_WEIGHT = 0.05
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """A service's configuration with its live figures."""
+
+    compiled: CompiledService
+    options: RoutingOptions
+    budget: AttemptBudget
+    shed_rate: float = 0.0
+    first_attempts: int = 0
+    extra_attempts: int = 0
+    latencies: dict[str, LatencyWindow] = field(default_factory=dict)
+    _pinned: Snapshot | None = None
+    _pinned_generation: int = -1
+    _servers_of: dict[tuple[int, str], tuple[ServerState, ...]] = field(default_factory=dict)
+
+    @classmethod
+    def create(cls, compiled: CompiledService, options: RoutingOptions) -> "ServiceState":
+        """Return the state of a service that is new at this node."""
+        return cls(compiled, options, AttemptBudget(compiled.extra_load_budget, options.budget_burst))
+
+    def install(self, compiled: CompiledService, servers: ServerTable) -> None:
+        """Swap the configuration in, whole, and resolve its replicas."""
+        self.compiled = compiled
+        self.budget.ratio = compiled.extra_load_budget
+        self._pinned_generation = -1
+        self._servers_of = {
+            (shard_map.epoch, shard.id): tuple(servers.require(each) for each in shard.replicas)
+            for shard_map in compiled.maps.values()
+            for shard in shard_map.shards
+        }
+
+    def servers_of(self, epoch: int, shard_id: str) -> tuple[ServerState, ...]:
+        """Return the servers of a shard in an epoch."""
+        return self._servers_of.get((epoch, shard_id), ())
+
+    def pin(self, servers: ServerTable) -> Snapshot | None:
+        """Return the snapshot for a new query; cached until a server's state changes."""
+        if self._pinned_generation != servers.generation:
+            self._pinned = choose_snapshot(self.compiled, servers)
+            self._pinned_generation = servers.generation
+        return self._pinned
+
+    def latency_of(self, request_class: str) -> LatencyWindow:
+        """Return the latency window of a request class."""
+        window = self.latencies.get(request_class)
+        if window is None:
+            window = self.latencies[request_class] = LatencyWindow()
+        return window
+
+    def count_shed(self, shed: bool) -> None:
+        """Fold one attempt's end into the share of attempts that are shed."""
+        self.shed_rate += SHED_WEIGHT * ((1.0 if shed else 0.0) - self.shed_rate)
+
+    def count_attempt(self, extra: bool) -> None:
+        """Count an attempt; first attempts earn budget for extra ones."""
+        if extra:
+            self.extra_attempts += 1
+        else:
+            self.first_attempts += 1
+            self.budget.earn()
--- /dev/null
+++ b/src/yokesill/routing/waiting.py
@@ -0,0 +1,90 @@
+"""Shards of queries that wait for a server's free slot, in a fair order.
+
+When a slot frees, the highest priority goes first; within a priority the namespace that had
+least of its share; within a namespace the earliest deadline.
+"""
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+
+from yokesill.resources.keys import ServiceName
+
+ShardKey = tuple[ServiceName, str]
+DELAY_WEIGHT = 0.2
+
+
+@dataclass(order=True, slots=True)
+class Waiter:
+    """One shard of one query, waiting since ``since`` (seconds)."""
+
+    order: tuple[int, float, int]
+    query_id: str = field(compare=False)
+    shard_id: str = field(compare=False)
+    since: float = field(compare=False)
+    abandoned: bool = field(default=False, compare=False)
+
+
+class WaitingRoom:
+    """All waiters of a node, and how long waiting took lately."""
+
+    def __init__(self) -> None:
+        self._queues: dict[ShardKey, list[Waiter]] = {}
+        self._counts: dict[ShardKey, int] = {}
+        self._served: dict[str, float] = {}
+        self._sequence = itertools.count()
+        self._delays: dict[ShardKey, float] = {}
+
+    def enter(self, key: ShardKey, query_id: str, priority: int, deadline: float, now: float) -> Waiter:
+        """Add a waiter for the shard ``key``."""
+        order = (-priority, deadline, next(self._sequence))
+        waiter = Waiter(order, query_id, key[1], now)
+        heapq.heappush(self._queues.setdefault(key, []), waiter)
+        self._counts[key] = self._counts.get(key, 0) + 1
+        return waiter
+
+    def leave(self, key: ShardKey, waiter: Waiter) -> None:
+        """Take a waiter out before its turn."""
+        if not waiter.abandoned:
+            waiter.abandoned = True
+            self._counts[key] -= 1
+
+    def length(self, key: ShardKey) -> int:
+        """Return how many wait for the shard."""
+        return self._counts.get(key, 0)
+
+    def delay(self, key: ShardKey, now: float) -> float:
+        """Return the expected wait for the shard in seconds: recent waits, or the oldest one's."""
+        head = self._head(key)
+        if head is None:
+            return 0.0
+        return max(self._delays.get(key, 0.0), now - head.since)
+
+    def next(self, keys: set[ShardKey], now: float) -> tuple[ShardKey, Waiter] | None:
+        """Take out whoever's turn it is among the waiters for ``keys``."""
+        heads = [(key, head) for key in keys if (head := self._head(key)) is not None]
+        if not heads:
+            return None
+        key, waiter = min(heads, key=lambda each: self._turn(*each))
+        heapq.heappop(self._queues[key])
+        self._counts[key] -= 1
+        delay = self._delays.get(key, 0.0)
+        self._delays[key] = delay + DELAY_WEIGHT * (now - waiter.since - delay)
+        return key, waiter
+
+    def count_served(self, name: ServiceName, share: float) -> None:
+        """Charge a namespace for one attempt; a larger share makes it cheaper."""
+        floor = min(self._served.values(), default=0.0)
+        current = max(self._served.get(name.namespace, floor), floor)
+        self._served[name.namespace] = current + 1.0 / share
+
+    def _turn(self, key: ShardKey, waiter: Waiter) -> tuple[int, float, float]:
+        return (waiter.order[0], self._served.get(key[0].namespace, 0.0), waiter.order[1])
+
+    def _head(self, key: ShardKey) -> Waiter | None:
+        queue = self._queues.get(key)
+        while queue:
+            if not queue[0].abandoned:
+                return queue[0]
+            heapq.heappop(queue)
+        return None
--- /dev/null
+++ b/src/yokesill/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Whole clusters in one process, in virtual time: the real node code over in-memory edges."""
--- /dev/null
+++ b/src/yokesill/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API: where configuration is kept and committed."""
--- /dev/null
+++ b/src/yokesill/verdict.py
@@ -0,0 +1,71 @@
+"""Verdicts and failures: what a request that did not get its answer may have done.
+
+A verdict says whether a request may have run on a back end. Verdicts form a lattice
+``NOT_RUN < MAY_HAVE_RUN < RAN``; the verdict of a whole request is the join (maximum) of the
+verdicts of its attempts. Failures are values, not exceptions: each holds a sentinel reason.
+"""
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+
+class Verdict(enum.IntEnum):
+    """Whether a request may have run on some back end; ordered, joined by maximum."""
+
+    NOT_RUN = 0
+    MAY_HAVE_RUN = 1
+    RAN = 2
+
+    @property
+    def label(self) -> str:
+        """The verdict's name on the wire: ``not_run``, ``may_have_run`` or ``ran``."""
+        return self.name.lower()
+
+
+def join(verdicts: Iterable[Verdict]) -> Verdict:
+    """Return the least verdict that covers all of ``verdicts``; ``NOT_RUN`` for none."""
+    return max(verdicts, default=Verdict.NOT_RUN)
+
+
+class Reason(enum.StrEnum):
+    """Sentinels for every way a request or an attempt can fail."""
+
+    # Attempts: what one back end, or the way to it, did.
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LOST = "connection_lost"
+    TIMED_OUT = "timed_out"
+    SHED = "shed"
+    BACKEND_LEAVING = "backend_leaving"
+    SNAPSHOT_UNAVAILABLE = "snapshot_unavailable"
+    MALFORMED_REPLY = "malformed_reply"
+    FOREIGN_REPLY = "foreign_reply"
+    BACKEND_ERROR = "backend_error"
+    CANCELLED = "cancelled"
+    # Requests: why the whole was given up.
+    OVERLOADED = "overloaded"
+    POLICY_REFUSED = "policy_refused"
+    NO_SNAPSHOT = "no_snapshot"
+    NO_REPLICA = "no_replica"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    COVERAGE_TOO_LOW = "coverage_too_low"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_CLASS = "unknown_class"
+    NOT_READY = "not_ready"
+    ISOLATED = "isolated"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    DUPLICATE_IN_DOUBT = "duplicate_in_doubt"
+    KEY_REUSED = "key_reused"
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A failed attempt or a refused request.
+
+    ``retry_after_ms`` is when the caller may come back, in milliseconds from now.
+    """
+
+    reason: Reason
+    verdict: Verdict
+    detail: str = ""
+    retry_after_ms: int = 0
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,81 @@
+"""Shared fixtures: virtual time, seeded clusters, and the scenario that most tests use."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import pytest
+import trio.testing
+import yaml
+
+from yokesill.emulator.scenario import Scenario
+from yokesill.simulation.cluster import SimulatedCluster
+
+SCENARIO = """
+name: test
+namespace: lima
+zones: [z1, z2, z3]
+services:
+  - name: hours
+    shards: 8
+    replicas: 3
+    slots: 4
+    records: 64
+    classes:
+      search: {rules: [{then: {wait_ms: 1000, hedge: {quantile: 0.9}}}]}
+      partial:
+        rules:
+          - then: {wait_ms: 300, minimum_coverage: 0.5, soft_wait_ms: 100, soft_minimum_coverage: 0.8}
+      picky:
+        rules:
+          - when: "deadline_ms < 100.0"
+            then: {refuse: "too short", retry_after_ms: 1500}
+          - then: {wait_ms: 500}
+  - name: bank
+    shards: 1
+    replicas: 3
+    classes:
+      next: {priority: 9, rules: [{then: {wait_ms: 1000}}]}
+"""
+
+
+def make_scenario(**changes: Any) -> Scenario:
+    return Scenario.model_validate({**yaml.safe_load(SCENARIO), **changes})
+
+
+def run_virtual(main: Callable[[], Awaitable[Any]]) -> Any:
+    """Run ``main`` in virtual time: sleeping costs nothing and every run takes the same course."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+
+def run_cluster(
+    body: Callable[[SimulatedCluster], Awaitable[Any]],
+    nodes: int = 3,
+    seed: int = 1,
+    scenario: Scenario | None = None,
+    settings: dict[str, dict[str, Any]] | None = None,
+) -> Any:
+    """Run ``body`` against a settled cluster in virtual time and return what it returns."""
+
+    async def main() -> Any:
+        async with anyio.create_task_group() as task_group:
+            cluster = SimulatedCluster(
+                scenario or make_scenario(),
+                task_group,
+                random.Random(seed),
+                settings_changes=settings or {},
+            )
+            await cluster.start(nodes)
+            result = await body(cluster)
+            task_group.cancel_scope.cancel()
+        return result
+
+    return run_virtual(main)
+
+
+@pytest.fixture
+def outcome() -> dict[str, Any]:
+    """What the steps of one scenario hand to each other."""
+    return {}
