A planned stop resets no connection that was made before its listener closed

Ruled out: a longer lame duck alone (callers that do not watch readiness keep coming); keeping the listener open while draining (the same race, later).

Change: at the start of draining the listener is closed through a duplicate, from which whatever had connected is accepted and served; open connections then get a second for their last request.

What connects in the microseconds between the last accept and the close can still be reset; nothing of it has been read by then.

--- a/src/yokesill/cli/serve.py
+++ b/src/yokesill/cli/serve.py
@@ -18,6 +18,9 @@
 from yokesill.settings import Settings, load_settings
 from yokesill.store.http_store import HttpStore
 
+CONNECTION_GRACE = 1.0
+STOP_POLL = 0.01
+
 
 class ServeCommand(BaseCommand):
     """Runs a node until SIGTERM or SIGINT, which begin a planned stop."""
@@ -47,14 +50,15 @@
     node = build_node(settings)
     host, port = split_address(settings.node.address)
     server = create_server(create_app(node), host, port)
+    node.close_listener = server.close_listener
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(_stop_on_signal, node)
         task_group.start_soon(server.serve)
         await node.run()
-        # The listener closes now; replies that are being written are finished first.
+        await server.finish_connections(CONNECTION_GRACE)
         server.should_exit = True
-        while server.servers and not server.force_exit and server.server_state.connections:
-            await anyio.sleep(0.01)
+        while server.server_state.connections:
+            await anyio.sleep(STOP_POLL)
         task_group.cancel_scope.cancel()
     return int(ExitCode.OK)
 
--- a/src/yokesill/node.py
+++ b/src/yokesill/node.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -80,6 +81,7 @@
         )
         self.owned = OwnedQueries(self.table, transport, self.sealer, self._execute)
         self.leaving_servers: dict[str, str] = {}
+        self.close_listener: Callable[[], Awaitable[None]] = _nothing_to_close
         self._backends = backends
         self._random = random_source
         self._query_ids = itertools.count(1)
@@ -163,6 +165,7 @@
             await self.gossip.announce_leaving()
             await anyio.sleep(limits.lame_duck_seconds)
             self._enter("announced")
+        await self.close_listener()
         with anyio.move_on_after(limits.drain_seconds) as bound:
             while self._requests_in_flight or self.router.queries_in_flight:
                 await anyio.sleep(IDLE_CHECK)
@@ -339,3 +342,7 @@
 
     def _answer_status(self) -> bytes:
         return msg.encode_status(self.own_status())
+
+
+async def _nothing_to_close() -> None:
+    """The listener of a node without one, as in simulations."""
