--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -64,16 +64,19 @@
         self._set_timers(actions)
         self._plan(snapshot, now, actions)
 
+    def defect(self, partial: Partial) -> Reason | None:
+        """Return why a part must not be merged, or ``None`` when it is what was asked for."""
+        if partial.truncated:
+            return Reason.MALFORMED_REPLY
+        progress = self._shard_of_attempt[partial.attempt_id]
+        if partial.snapshot != self._snapshot or partial.range != progress.range:
+            return Reason.FOREIGN_REPLY
+        return None
+
     def answered(self, partial: Partial, now: float, actions: list[Action]) -> None:
-        """Take a server's part, if it is what was asked for; anything else does not count."""
-        progress = self._shard_of_attempt.get(partial.attempt_id)
-        if progress is None or not progress.open:
-            return
+        """Merge a part without defect; its shard is done."""
+        progress = self._shard_of_attempt[partial.attempt_id]
         attempt = self._end_attempt(progress, partial.attempt_id)
-        reason = self._defect(progress, partial)
-        if reason is not None:
-            self._after_failure(progress, Failure(reason, Verdict.RAN), now, actions)
-            return
         self.service.latency_of(self.query.request_class).record(now - attempt.sent_at, now)
         progress.partial = partial
         progress.verdict = Verdict.RAN
@@ -82,9 +85,7 @@
 
     def failed(self, attempt_id: str, failure: Failure, now: float, actions: list[Action]) -> None:
         """Take an attempt's failure: re-plan, retry, or give the shard up."""
-        progress = self._shard_of_attempt.get(attempt_id)
-        if progress is None or not progress.open:
-            return
+        progress = self._shard_of_attempt[attempt_id]
         self._end_attempt(progress, attempt_id)
         if failure.reason is Reason.SNAPSHOT_UNAVAILABLE and self._replan(now, actions):
             return
@@ -239,14 +240,6 @@
 
     # --- failures, retries, hedges ---
 
-    def _defect(self, progress: ShardProgress, partial: Partial) -> Reason | None:
-        """Return why a part must not be merged, or ``None`` when it is what was asked for."""
-        if partial.truncated:
-            return Reason.MALFORMED_REPLY
-        if partial.snapshot != self._snapshot or partial.range != progress.range:
-            return Reason.FOREIGN_REPLY
-        return None
-
     def _after_failure(
         self, progress: ShardProgress, failure: Failure, now: float, actions: list[Action]
     ) -> None:
--- a/src/yokesill/routing/router.py
+++ b/src/yokesill/routing/router.py
@@ -155,10 +155,16 @@
         if machine is None or server is None:
             return
         self._observe(server, event.report, now, actions)
-        if server.answered(now - sent_at, now):
-            self.servers.generation += 1
         machine.service.count_shed(False)
-        machine.answered(event.partial, now, actions)
+        # A part that must not be merged is the server's fault, however quickly it came.
+        defect = machine.defect(event.partial)
+        changed = server.answered(now - sent_at, now) if defect is None else server.failed(now)
+        if changed:
+            self.servers.generation += 1
+        if defect is None:
+            machine.answered(event.partial, now, actions)
+        else:
+            machine.failed(event.attempt_id, Failure(defect, Verdict.RAN), now, actions)
         self._forget_if_finished(machine)
 
     def _attempt_failed(self, event: ev.AttemptFailed, now: float, actions: list[ev.Action]) -> None:
--- a/src/yokesill/simulation/edges.py
+++ b/src/yokesill/simulation/edges.py
@@ -119,7 +119,10 @@
         with anyio.move_on_after(self._timeout + extra):
             try:
                 await anyio.sleep(0.001)
-                return await operation()
+                result = await operation()
+                if not self.reachable:
+                    return Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "the store was lost")
+                return result
             except StoreDownError:
                 return Failure(Reason.BACKEND_ERROR, Verdict.NOT_RUN, "the store is down")
             except AnswerLostError:
