--- a/src/yokesill/emulator/server_model.py
+++ b/src/yokesill/emulator/server_model.py
@@ -70,6 +70,7 @@
     leaving_since: float | None = None
     _slots: anyio.Semaphore | None = None
     _thawed: anyio.Event | None = None
+    _unread: list[Mapping[str, Any]] = field(default_factory=list)
     _items: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
     _reported: tuple[float, int, int] = (float("-inf"), 0, 0)
 
@@ -85,12 +86,17 @@
         if faults.leaving and self.leaving_since is None:
             self.leaving_since = anyio.current_time()
         self.faults = faults
-        if self._thawed is not None and not faults.frozen:
+        if faults.frozen or faults.dead:
+            return
+        if self._thawed is not None:
             self._thawed.set()
+        unread, self._unread = self._unread, []
+        for request in unread:
+            self._log(request)
 
     async def execute(self, request: Mapping[str, Any]) -> ModelReply:
         """Serve one attempt."""
-        await self._while_frozen()
+        await self._read_when_thawed(request)
         declined = self._declined(request)
         if declined is not None:
             return self._reply(request, HTTP_UNAVAILABLE, {"reason": declined})
@@ -119,10 +125,10 @@
         self._log(request)
         await anyio.sleep(self._draw_service_time())
         await self._while_frozen()
-        entries = self._entries(request)
+        version = request["version"] + (1 if self.faults.answer_other_version else 0)
+        entries = self._entries(request, version)
         if self.faults.double_entries:
             entries = entries + entries[:1]
-        version = request["version"] + (1 if self.faults.answer_other_version else 0)
         body = {
             "epoch": request["epoch"],
             "version": version,
@@ -157,11 +163,11 @@
             )
         )
 
-    def _entries(self, request: Mapping[str, Any]) -> list[dict[str, Any]]:
+    def _entries(self, request: Mapping[str, Any], version: int) -> list[dict[str, Any]]:
         if not request["repeatable"]:
             return [{"item": next(self._items), "server": self.profile.address}]
         start, end = request["range"]
-        return entries_in(request["service"], self.profile.records, start, end, request["version"])
+        return entries_in(request["service"], self.profile.records, start, end, version)
 
     def _draw_service_time(self) -> float:
         faults = self.faults
@@ -173,6 +179,15 @@
             seconds *= self.profile.cold_penalty
         return seconds
 
+    async def _read_when_thawed(self, request: Mapping[str, Any]) -> None:
+        """A frozen server cannot notice that its caller left: it will read and run the request."""
+        try:
+            await self._while_frozen()
+        except BaseException:
+            if self.faults.frozen:
+                self._unread.append(request)
+            raise
+
     async def _while_frozen(self) -> None:
         while self.faults.frozen or self.faults.dead:
             self._thawed = anyio.Event()
--- a/src/yokesill/membership/detector.py
+++ b/src/yokesill/membership/detector.py
@@ -202,12 +202,19 @@
         self._rumors.add(suspect)
 
     def _zone_silent(self, zone: str, now: float) -> bool:
-        """Whether a zone of several members, not this node's own, has been silent for long."""
+        """Whether a zone has been silent for long."""
+        silence = now - self._zone_heard.get(zone, now)
+        return self._may_be_cut(zone) and silence > self._options.zone_silence
+
+    def _zone_unheard(self, zone: str, since: float) -> bool:
+        """Whether no member of a zone that may be cut off was heard of after ``since``."""
+        return self._may_be_cut(zone) and self._zone_heard.get(zone, since) <= since
+
+    def _may_be_cut(self, zone: str) -> bool:
+        """Whether a zone's silence tells more than that one member is lost."""
         if zone == self.table.own.zone:
             return False
-        if sum(1 for each in self.table.serving() if each.zone == zone) < 2:
-            return False
-        return now - self._zone_heard.get(zone, now) > self._options.zone_silence
+        return sum(1 for each in self.table.serving() if each.zone == zone) >= 2
 
     def _check_suspects(self, now: float) -> None:
         members = len(self.table.serving())
@@ -219,8 +226,11 @@
             record = self.table.get(address)
             if record is None or record.status is not MemberStatus.SUSPECT:
                 continue
-            if self._zone_silent(record.zone, now):
-                self.table.cut_zones.add(record.zone)
+            if self._zone_unheard(record.zone, since):
+                # The zone may be cut off as a whole: wait until that is clear.
+                self._suspected_at[address] = since
+                if self._zone_silent(record.zone, now):
+                    self.table.cut_zones.add(record.zone)
                 continue
             dead = replace(record, status=MemberStatus.DEAD)
             self.table.merge(dead, now)
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -22,6 +22,7 @@
 
 DEFAULT_RETRY_AFTER_MS = 200
 FULL_COVERAGE = 1.0
+FREE_RETRY_REASONS = frozenset({Reason.CONNECT_FAILED, Reason.SNAPSHOT_UNAVAILABLE, Reason.BACKEND_LEAVING})
 
 
 class QueryMachine:
@@ -141,12 +142,27 @@
         self._arm_hedge(now, actions)
         self._finish_if_hopeless(now, actions)
 
+    def _newest_snapshot(self) -> Snapshot | None:
+        servers, key_hash = self._context.servers, self.query.key_hash
+        if key_hash is not None:
+            return self.service.pin_for_key(servers, key_hash)
+        return self.service.pin(servers)
+
+    def _fully_held(self, snapshot: Snapshot) -> bool:
+        """Whether every asked shard has a server known to hold ``snapshot``."""
+        shard_map = self.service.compiled.maps[snapshot.epoch]
+        key_hash = self.query.key_hash
+        shards = shard_map.shards if key_hash is None else (shard_map.shard_of(key_hash),)
+        return all(
+            any_left(self.service.servers_of(snapshot.epoch, shard.id), snapshot, ()) for shard in shards
+        )
+
     def _replan(self, now: float, actions: list[Action]) -> bool:
         """Start over once at another common snapshot; every old partial is discarded."""
         if self._replanned:
             return False
-        snapshot = self.service.pin(self._context.servers)
-        if snapshot is None or snapshot == self._snapshot:
+        snapshot = self._newest_snapshot()
+        if snapshot is None or snapshot == self._snapshot or not self._fully_held(snapshot):
             return False
         verdict = self._verdict()
         if not self.query.repeatable and verdict is not Verdict.NOT_RUN:
@@ -172,6 +188,8 @@
         )
         if server is not None:
             self._send(progress, server, now, actions, hedge)
+        elif not hedge and self._awaits_snapshot(progress):
+            self._retry_later(progress, now, actions)
         elif not hedge:
             self._wait_or_give_up(progress, tried, now)
 
@@ -254,10 +272,13 @@
             self._dispatch(progress, now, actions)
             self._finish_if_hopeless(now, actions)
         else:
-            progress.retry_due = True
-            backoff = self._context.options.retry_backoff * len(progress.tried)
-            backoff *= 0.5 + self._context.random_source.random()
-            actions.append(SetTimer(self.query.query_id, TimerKind.RETRY, now + backoff))
+            self._retry_later(progress, now, actions)
+
+    def _retry_later(self, progress: ShardProgress, now: float, actions: list[Action]) -> None:
+        progress.retry_due = True
+        backoff = self._context.options.retry_backoff * max(1, len(progress.tried))
+        backoff *= 0.5 + self._context.random_source.random()
+        actions.append(SetTimer(self.query.query_id, TimerKind.RETRY, now + backoff))
 
     def _may_retry(self, progress: ShardProgress, failure: Failure, now: float) -> bool:
         options = self._context.options
@@ -265,16 +286,31 @@
             return False
         if not self.query.repeatable and progress.verdict is not Verdict.NOT_RUN:
             return False
-        # A connection that failed put no load on anybody: trying elsewhere is free.
-        return failure.reason is Reason.CONNECT_FAILED or self.service.budget.take()
+        # What was declined without work put no load on anybody: trying elsewhere is free.
+        return failure.reason in FREE_RETRY_REASONS or self.service.budget.take()
 
     def _retry_due(self, now: float, actions: list[Action]) -> None:
+        if self._replan(now, actions):
+            return
         for progress in self._shards.values():
-            if progress.retry_due and progress.open:
-                progress.retry_due = False
+            if not progress.retry_due or not progress.open:
+                continue
+            progress.retry_due = False
+            if self._awaits_snapshot(progress):
+                self._retry_later(progress, now, actions)
+            else:
                 self._dispatch(progress, now, actions)
         self._finish_if_hopeless(now, actions)
 
+    def _awaits_snapshot(self, progress: ShardProgress) -> bool:
+        """Whether no server of the shard holds the pinned snapshot any more, but others moved on.
+
+        What the other shards hold is learnt from their replies; then the query re-plans.
+        """
+        if self._replanned or any_left(progress.servers, self._snapshot, ()):
+            return False
+        return any(each.usable and each.holdings for each in progress.servers)
+
     def _hedge_delay(self, now: float) -> float | None:
         hedge = self._serve.hedge
         if hedge is None or not self.query.repeatable or not self._context.options.hedging:
--- a/src/yokesill/routing/service.py
+++ b/src/yokesill/routing/service.py
@@ -55,6 +55,10 @@
             self._pinned_generation = servers.generation
         return self._pinned
 
+    def pin_for_key(self, servers: ServerTable, key_hash: int) -> Snapshot | None:
+        """Return the best snapshot of one key's shard, whatever the other shards hold."""
+        return choose_snapshot(self.compiled, servers, key_hash)
+
     def latency_of(self, request_class: str) -> LatencyWindow:
         """Return the latency window of a request class."""
         window = self.latencies.get(request_class)
--- /dev/null
+++ b/tests/check_guards.py
@@ -0,0 +1,60 @@
+"""Takes each guard out of a scratch copy of the sources and expects its scenario to fail."""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import yaml
+
+TESTS = Path(__file__).parent
+SOURCES = TESTS.parent / "src"
+FAILED = 1
+LIMIT = 300
+
+
+def check(entry: dict[str, str]) -> str | None:
+    """Return what is wrong, or None when the scenario fails without its guard."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder) / "src"
+        shutil.copytree(SOURCES, copy)
+        for prefix in ("", "and_"):
+            if prefix + "file" not in entry:
+                continue
+            path = copy / "yokesill" / entry[prefix + "file"]
+            text = path.read_text()
+            if entry[prefix + "find"] not in text:
+                return "the guard is not in the sources any more"
+            path.write_text(text.replace(entry[prefix + "find"], entry[prefix + "replace"]))
+        command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", str(TESTS / entry["test"])]
+        environment = {**os.environ, "PYTHONPATH": str(copy)}
+        try:
+            done = subprocess.run(
+                command, env=environment, capture_output=True, text=True, timeout=LIMIT, check=False
+            )
+        except subprocess.TimeoutExpired:
+            return "the scenario did not end"
+    if done.returncode != FAILED:
+        return f"the scenario exited with {done.returncode} without its guard\n{done.stdout[-2000:]}"
+    return None
+
+
+def main() -> int:
+    """Check every guard; return 1 when one proves nothing."""
+    entries = yaml.safe_load((TESTS / "guards.yaml").read_text())
+    with ThreadPoolExecutor(max_workers=max(1, (os.cpu_count() or 2) // 2)) as pool:
+        results = list(pool.map(check, entries))
+    for entry, problem in zip(entries, results, strict=True):
+        print(
+            f"{'fails without' if problem is None else 'PROVES NOTHING'}: {entry['guard']} ({entry['test']})"
+        )
+        if problem is not None:
+            print(f"  {problem}")
+    return 0 if not any(results) else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tests/test_promises_configuration.py
+++ b/tests/test_promises_configuration.py
@@ -253,6 +253,8 @@
         dead = [
             r for n in cluster.nodes.values() for r in n.node.table.all() if r.status is MemberStatus.DEAD
         ]
+        # Only peers can tell the zone now, and their rumors of the change have long died down.
+        cluster.store_model.set_faults(StoreFaults(down=True))
         cluster.heal()
         seconds = await cluster.until(lambda: in_force(cluster, 1004), 60)
         return behind, dead, seconds
