--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check unit spec bench clean
+.PHONY: demo test check unit guards spec bench clean
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -14,7 +14,7 @@
 demo: $(VENV)/.installed
 	$(BIN)/yokesill demo
 
-test: check unit
+test: check unit guards
 
 check: $(VENV)/.installed
 	$(BIN)/ruff format --check src tests
@@ -25,6 +25,9 @@
 unit: $(VENV)/.installed
 	$(BIN)/pytest
 
+guards: $(VENV)/.installed
+	$(BIN)/python tests/check_guards.py
+
 spec: $(VENV)/.installed
 	$(BIN)/python spec/check.py
 
--- /dev/null
+++ b/src/yokesill/routing/fanout.py
@@ -0,0 +1,207 @@
+"""The shards of one query under one pinned snapshot: attempts, waiters, and what they add up to."""
+
+import itertools
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from yokesill.routing.context import RoutingContext
+from yokesill.routing.coverage import coverage_of
+from yokesill.routing.events import Action, CancelAttempt, SendAttempt
+from yokesill.routing.messages import Attempt, Coverage, Partial, QueryRequest, Snapshot
+from yokesill.routing.progress import LiveAttempt, ShardProgress
+from yokesill.routing.selection import any_left, choose_server
+from yokesill.routing.servers import ServerState
+from yokesill.routing.service import ServiceState
+from yokesill.verdict import Reason, Verdict, join
+
+if TYPE_CHECKING:
+    from yokesill.routing.query import QueryMachine
+
+
+class Fanout:
+    """One query's sub-requests; a re-plan starts another fan-out and closes this one."""
+
+    def __init__(
+        self,
+        machine: "QueryMachine",
+        snapshot: Snapshot,
+        context: RoutingContext,
+        attempt_numbers: "itertools.count[int]",
+    ) -> None:
+        self.snapshot = snapshot
+        self._machine = machine
+        self._context = context
+        self._numbers = attempt_numbers
+        self._shard_of_attempt: dict[str, ShardProgress] = {}
+        self._shards = {
+            shard.id: ShardProgress(shard.id, shard.range, self._service.servers_of(snapshot.epoch, shard.id))
+            for shard in self._service.asked_shards(snapshot, self._query.key_hash)
+        }
+
+    @property
+    def _query(self) -> QueryRequest:
+        return self._machine.query
+
+    @property
+    def _service(self) -> ServiceState:
+        return self._machine.service
+
+    # --- what it adds up to ---
+
+    def shards(self) -> Iterable[ShardProgress]:
+        """Return every shard's progress, in the order of their ranges."""
+        return self._shards.values()
+
+    def shard(self, shard_id: str) -> ShardProgress:
+        """Return one shard's progress."""
+        return self._shards[shard_id]
+
+    def shard_of(self, attempt_id: str) -> ShardProgress:
+        """Return the shard of a live attempt."""
+        return self._shard_of_attempt[attempt_id]
+
+    @property
+    def any_open(self) -> bool:
+        """Whether some shard may still contribute."""
+        return any(each.open for each in self.shards())
+
+    @property
+    def any_exhausted(self) -> bool:
+        """Whether some shard was given up."""
+        return any(each.exhausted for each in self.shards())
+
+    def coverage(self) -> Coverage:
+        """Return what contributed so far."""
+        return self._coverage_of(each for each in self.shards() if each.partial is not None)
+
+    def possible_coverage(self) -> Coverage:
+        """Return what can still come to contribute."""
+        return self._coverage_of(each for each in self.shards() if not each.exhausted)
+
+    def verdict(self) -> Verdict:
+        """Return the join over all attempts."""
+        return join(each.verdict_now() for each in self.shards())
+
+    def entries(self) -> list[object]:
+        """Return the merged entries of the parts, in the order of their ranges."""
+        parts = [each.partial for each in self.shards() if each.partial is not None]
+        return [entry for part in parts for entry in part.entries]
+
+    def give_up_reason(self) -> Reason:
+        """Return the one reason why shards were given up, or that coverage is too low."""
+        reasons = {each.last_reason for each in self.shards() if each.exhausted and each.last_reason}
+        return next(iter(reasons)) if len(reasons) == 1 else Reason.COVERAGE_TOO_LOW
+
+    def defect(self, partial: Partial) -> Reason | None:
+        """Return why a part must not be merged, or ``None`` when it is what was asked for."""
+        if partial.truncated:
+            return Reason.MALFORMED_REPLY
+        progress = self.shard_of(partial.attempt_id)
+        if partial.snapshot != self.snapshot or partial.range != progress.range:
+            return Reason.FOREIGN_REPLY
+        return None
+
+    # --- attempts ---
+
+    def dispatch(self, progress: ShardProgress, now: float, actions: list[Action]) -> None:
+        """Send an attempt, or wait for a slot, or give the shard up."""
+        live = [each.server.address for each in progress.live.values()]
+        skipped = progress.tried if self.any_untried(progress) else live
+        server = self._choose(progress, skipped, now)
+        if server is not None:
+            self._send(progress, server, now, actions)
+        elif any_left(progress.servers, self.snapshot, live) and self._may_wait(now):
+            self._wait(progress, now)
+        elif not progress.live:
+            progress.exhausted = True
+            progress.last_reason = progress.last_reason or Reason.NO_REPLICA
+
+    def hedge(self, progress: ShardProgress, now: float, actions: list[Action]) -> None:
+        """Ask another server besides the one that is slow."""
+        server = self._choose(progress, progress.tried, now)
+        if server is not None:
+            self._send(progress, server, now, actions)
+
+    def can_hedge(self, progress: ShardProgress, now: float) -> bool:
+        """Whether some untried server may take one more request."""
+        return any(
+            each.may_take(now) and each.address not in progress.tried and self.snapshot in each.holdings
+            for each in progress.servers
+        )
+
+    def any_untried(self, progress: ShardProgress) -> bool:
+        """Whether some server of the shard was not asked yet."""
+        return any_left(progress.servers, self.snapshot, progress.tried)
+
+    def dropped_by_all(self, progress: ShardProgress) -> bool:
+        """Whether no server of the shard holds the snapshot any more, but some hold another."""
+        if any_left(progress.servers, self.snapshot, ()):
+            return False
+        return any(each.usable and each.holdings for each in progress.servers)
+
+    def end_attempt(self, attempt_id: str) -> tuple[ShardProgress, LiveAttempt]:
+        """Forget an attempt; its server's slot is given back by the router."""
+        progress = self._shard_of_attempt.pop(attempt_id)
+        return progress, progress.live.pop(attempt_id)
+
+    def cancel_live(self, progress: ShardProgress, now: float, actions: list[Action]) -> None:
+        """Cancel a shard's live attempts and give their slots back."""
+        for attempt in list(progress.live.values()):
+            self.end_attempt(attempt.attempt_id)
+            attempt.server.outrun(now - attempt.sent_at)
+            self._context.release(attempt.attempt_id, attempt.server)
+            actions.append(CancelAttempt(attempt.attempt_id))
+
+    def close(self, now: float, actions: list[Action]) -> None:
+        """Cancel everything that is live or waits."""
+        for progress in self.shards():
+            self.cancel_live(progress, now, actions)
+            if progress.waiter is not None:
+                self._context.waiting.leave((self._query.service, progress.shard_id), progress.waiter)
+                progress.waiter = None
+
+    def _coverage_of(self, contributing: Iterable[ShardProgress]) -> Coverage:
+        return coverage_of([each.range for each in self.shards()], [each.range for each in contributing])
+
+    def _choose(self, progress: ShardProgress, skipped: list[str], now: float) -> ServerState | None:
+        context = self._context
+        return choose_server(
+            progress.servers, self.snapshot, skipped, context.options, context.random_source, now
+        )
+
+    def _send(self, progress: ShardProgress, server: ServerState, now: float, actions: list[Action]) -> None:
+        attempt_id = f"{self._query.query_id}.{next(self._numbers)}"
+        self._service.count_attempt(extra=progress.sent)
+        progress.tried.append(server.address)
+        progress.live[attempt_id] = LiveAttempt(attempt_id, server, now)
+        self._shard_of_attempt[attempt_id] = progress
+        server.in_flight += 1
+        self._context.attempt_owners[attempt_id] = self._machine
+        self._context.waiting.count_served(self._query.service, self._service.compiled.share)
+        actions.append(SendAttempt(self._attempt(attempt_id, progress, server)))
+
+    def _attempt(self, attempt_id: str, progress: ShardProgress, server: ServerState) -> Attempt:
+        query = self._query
+        return Attempt(
+            attempt_id=attempt_id,
+            query_id=query.query_id,
+            address=server.address,
+            service=query.service,
+            shard_id=progress.shard_id,
+            range=progress.range,
+            snapshot=self.snapshot,
+            request_class=query.request_class,
+            payload=query.payload,
+            deadline=self._machine.deadline,
+            repeatable=query.repeatable,
+        )
+
+    def _may_wait(self, now: float) -> bool:
+        return self._context.options.limits and now < self._machine.deadline
+
+    def _wait(self, progress: ShardProgress, now: float) -> None:
+        key = (self._query.service, progress.shard_id)
+        machine = self._machine
+        progress.waiter = self._context.waiting.enter(
+            key, self._query.query_id, machine.priority, machine.deadline, now
+        )
--- a/src/yokesill/routing/progress.py
+++ b/src/yokesill/routing/progress.py
@@ -16,7 +16,6 @@
     attempt_id: str
     server: ServerState
     sent_at: float
-    hedge: bool
 
 
 @dataclass(slots=True)
--- a/src/yokesill/routing/router.py
+++ b/src/yokesill/routing/router.py
@@ -9,7 +9,7 @@
 from yokesill.routing.admission import admit, queue_delay
 from yokesill.routing.compiled import CompiledService
 from yokesill.routing.context import RoutingContext
-from yokesill.routing.messages import QueryRequest, ServerReport, Snapshot
+from yokesill.routing.messages import QueryRequest, ServerReport
 from yokesill.routing.options import RoutingOptions
 from yokesill.routing.query import DEFAULT_RETRY_AFTER_MS, QueryMachine
 from yokesill.routing.servers import ServerState, ServerTable
@@ -110,7 +110,8 @@
         if snapshot is None:
             detail = "no replica has told yet which snapshots it holds"
             return Failure(Reason.NO_SNAPSHOT, Verdict.NOT_RUN, detail, DEFAULT_RETRY_AFTER_MS)
-        keys = self._asked_keys(query, service, snapshot)
+        shards = service.asked_shards(snapshot, query.key_hash)
+        keys: list[ShardKey] = [(query.service, shard.id) for shard in shards]
         delay = queue_delay(self._context.waiting, keys, now)
         facts = _facts(query, policy.priority, service, delay, now)
         outcome = policy.evaluate(facts).outcome
@@ -119,18 +120,12 @@
         refusal = self._admission(query, service, policy.priority, keys, delay, now)
         if refusal is not None:
             return refusal
-        machine = QueryMachine(query, service, policy, outcome, facts, self._context, now)
+        machine = QueryMachine(query, service, policy, outcome, facts, snapshot, self._context, now)
         self._queries[query.query_id] = machine
-        machine.start(snapshot, now, actions)
+        machine.start(now, actions)
         self._forget_if_finished(machine)
         return None
 
-    def _asked_keys(self, query: QueryRequest, service: ServiceState, snapshot: Snapshot) -> list[ShardKey]:
-        shard_map = service.compiled.maps[snapshot.epoch]
-        key_hash = query.key_hash
-        shards = shard_map.shards if key_hash is None else (shard_map.shard_of(key_hash),)
-        return [(query.service, shard.id) for shard in shards]
-
     def _admission(
         self,
         query: QueryRequest,
--- a/src/yokesill/routing/service.py
+++ b/src/yokesill/routing/service.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass, field
 
 from yokesill.routing.budget import AttemptBudget
-from yokesill.routing.compiled import CompiledService
+from yokesill.routing.compiled import CompiledService, CompiledShard
 from yokesill.routing.latency import LatencyWindow
 from yokesill.routing.messages import Snapshot
 from yokesill.routing.options import RoutingOptions
+from yokesill.routing.selection import any_left
 from yokesill.routing.servers import ServerState, ServerTable
 from yokesill.routing.snapshots import choose_snapshot
 
@@ -48,16 +49,29 @@
         """Return the servers of a shard in an epoch."""
         return self._servers_of.get((epoch, shard_id), ())
 
-    def pin(self, servers: ServerTable) -> Snapshot | None:
-        """Return the snapshot for a new query; cached until a server's state changes."""
+    def pin(self, servers: ServerTable, key_hash: int | None = None) -> Snapshot | None:
+        """Return the best snapshot of all shards, or of the one that owns ``key_hash``.
+
+        That of all shards is cached until a server's state changes.
+        """
+        if key_hash is not None:
+            return choose_snapshot(self.compiled, servers, key_hash)
         if self._pinned_generation != servers.generation:
             self._pinned = choose_snapshot(self.compiled, servers)
             self._pinned_generation = servers.generation
         return self._pinned
 
-    def pin_for_key(self, servers: ServerTable, key_hash: int) -> Snapshot | None:
-        """Return the best snapshot of one key's shard, whatever the other shards hold."""
-        return choose_snapshot(self.compiled, servers, key_hash)
+    def asked_shards(self, snapshot: Snapshot, key_hash: int | None) -> tuple[CompiledShard, ...]:
+        """Return the shards that a query asks under ``snapshot``."""
+        shard_map = self.compiled.maps[snapshot.epoch]
+        return shard_map.shards if key_hash is None else (shard_map.shard_of(key_hash),)
+
+    def fully_held(self, snapshot: Snapshot, key_hash: int | None) -> bool:
+        """Whether every asked shard has a server that is known to hold ``snapshot``."""
+        return all(
+            any_left(self.servers_of(snapshot.epoch, shard.id), snapshot, ())
+            for shard in self.asked_shards(snapshot, key_hash)
+        )
 
     def latency_of(self, request_class: str) -> LatencyWindow:
         """Return the latency window of a request class."""
