--- a/Makefile
+++ b/Makefile
@@ -14,11 +14,11 @@
 demo: $(VENV)/.installed
 	$(BIN)/yokesill demo
 
-test: check unit guards
+test: check unit guards spec
 
 check: $(VENV)/.installed
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests spec
+	$(BIN)/ruff check src tests spec
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
--- a/src/yokesill/emulator/server_model.py
+++ b/src/yokesill/emulator/server_model.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Execution:
-    """One line of a server's log: an attempt that ran, and whether it was cancelled midway."""
+    """One line of a server's log: an attempt that ran; ``leaving_for`` in seconds, if it was leaving."""
 
     attempt_id: str
     query_id: str
@@ -28,7 +28,7 @@
     request_class: str
     repeatable: bool
     started_at: float
-    leaving: bool
+    leaving_for: float | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +150,7 @@
         return "shed" if shed or too_full or too_late else None
 
     def _log(self, request: Mapping[str, Any]) -> None:
+        now = anyio.current_time()
         self.executions.append(
             Execution(
                 attempt_id=request["attempt_id"],
@@ -158,8 +159,8 @@
                 shard=request["shard"],
                 request_class=request["class"],
                 repeatable=request["repeatable"],
-                started_at=anyio.current_time(),
-                leaving=self.leaving_since is not None,
+                started_at=now,
+                leaving_for=None if self.leaving_since is None else now - self.leaving_since,
             )
         )
 
--- /dev/null
+++ b/src/yokesill/loadgen/outcomes.py
@@ -0,0 +1,61 @@
+"""What callers got, as plain records that checkers and summaries read."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from yokesill.routing.events import Answer, Refuse
+
+
+@dataclass(slots=True)
+class Outcome:
+    """One query's end; ``sent_at`` is the intended time and ``latency`` counts from it (seconds).
+
+    ``verdict`` is ``ran`` for an answer; ``cut`` means that the connection ended without a reply.
+    """
+
+    service: str
+    request_class: str
+    repeatable: bool
+    keyed: bool
+    sent_at: float
+    latency: float
+    verdict: str
+    reason: str = ""
+    answered: bool = False
+    query_id: str = ""
+    coverage: float = 0.0
+    missing: list[list[int]] = field(default_factory=list)
+    snapshot: tuple[int, int] = (0, 0)
+    entries: list[Any] = field(default_factory=list)
+    retry_after_ms: int = 0
+    cut: bool = False
+
+
+def fill_from_final(outcome: Outcome, final: Answer | Refuse) -> None:
+    """Take an in-process final answer in."""
+    outcome.query_id = final.query_id
+    if isinstance(final, Answer):
+        outcome.answered, outcome.verdict = True, "ran"
+        outcome.coverage = final.coverage.fraction
+        outcome.missing = [[each.start, each.end] for each in final.coverage.missing]
+        outcome.snapshot = (final.snapshot.epoch, final.snapshot.version)
+        outcome.entries = final.results
+        return
+    failure = final.failure
+    outcome.verdict, outcome.reason = failure.verdict.label, failure.reason.value
+    outcome.retry_after_ms = failure.retry_after_ms
+
+
+def fill_from_reply(outcome: Outcome, status: int, body: dict[str, Any]) -> None:
+    """Take an HTTP reply in."""
+    outcome.query_id = body.get("request_id", "")
+    outcome.verdict = body.get("verdict", "unknown")
+    if status == 200:
+        outcome.answered = True
+        outcome.coverage = body["coverage"]["fraction"]
+        outcome.missing = body["coverage"]["missing"]
+        outcome.snapshot = (body["snapshot"]["epoch"], body["snapshot"]["version"])
+        outcome.entries = body["results"]
+        return
+    outcome.reason = body.get("reason", str(status))
+    outcome.retry_after_ms = body.get("retry_after_ms", 0)
--- /dev/null
+++ b/src/yokesill/loadgen/plan.py
@@ -0,0 +1,32 @@
+"""Arrivals: seeded, open-loop, so that slow answers do not slow the load down."""
+
+import random
+from dataclasses import dataclass
+
+from yokesill.emulator.scenario import Load, Scenario
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A query that is to be sent ``at`` seconds after the start, whatever became of the others."""
+
+    at: float
+    service: str
+    load: Load
+    key: str | None
+    idempotency_key: str | None
+
+
+def plan_arrivals(scenario: Scenario, seconds: float, factor: float, seed: int) -> list[Arrival]:
+    """Return Poisson arrivals of every class, in order; rates are multiplied by ``factor``."""
+    source = random.Random(seed)
+    arrivals: list[Arrival] = []
+    for service in scenario.services:
+        for load in service.load:
+            at = source.expovariate(load.rate * factor)
+            while at < seconds:
+                key = f"key-{source.randrange(10_000)}" if load.keyed else None
+                idempotency_key = None if load.repeatable else f"once-{source.getrandbits(64):x}"
+                arrivals.append(Arrival(at, service.name, load, key, idempotency_key))
+                at += source.expovariate(load.rate * factor)
+    return sorted(arrivals, key=lambda each: each.at)
--- a/src/yokesill/query/owned.py
+++ b/src/yokesill/query/owned.py
@@ -42,9 +42,7 @@
         """Answer a peer's opened request; ``None`` when the kind is not this part's."""
         if kind == OWNED_QUERY:
             query_id, encoded = cbor2.loads(body)
-            call = decode_call(encoded)
-            _, backup = self._owners(call)
-            return encode_final(await self._run_as_owner(call, query_id, backup))
+            return encode_final(await self._run_for_peer(decode_call(encoded), query_id))
         if kind == RESERVE:
             return self._reserved(body)
         if kind == SETTLE:
@@ -76,6 +74,18 @@
 
     # --- the owner ---
 
+    async def _run_for_peer(self, call: QueryCall, query_id: str) -> Answer | Refuse:
+        """Run what a peer forwarded; its view of the members may differ from this node's.
+
+        Either of the key's two members may run it as long as it reserves at the other one.
+        """
+        own, pair = self._members.own.address, self._owners(call)
+        if own not in pair:
+            detail = f"{own} does not own the key: the members changed"
+            return _refusal(query_id, Reason.OWNER_UNREACHABLE, Verdict.NOT_RUN, detail)
+        other = pair[1] if own == pair[0] else pair[0]
+        return await self._run_as_owner(call, query_id, other)
+
     async def _run_as_owner(self, call: QueryCall, query_id: str, backup: str | None) -> Answer | Refuse:
         key, fingerprint = _record_key(call), call.fingerprint()
         now = anyio.current_time()
