Overload: queries are refused on arrival, and servers' own queues are kept short

Cause: at 1.5x capacity goodput fell to 70% of that at capacity and refusals came at the deadline. Queries waited for most of their deadline and were then given up with part of their work done; limits grew until servers shed, so the queues stood at the servers, where nothing orders them.

Ruled out: a longer queue bound alone (the waits grow with it).

Change: admission expects a newcomer's wait from the queue's pace and refuses what would spend more than a share of its deadline waiting (less for lower priorities) or would miss it by the 0.9 quantile of latency; a server that reports a queue as long as its slots lowers its limit. A member is suspected only if its zone was heard of since the probe.

--- a/src/yokesill/backends/http_backend.py
+++ b/src/yokesill/backends/http_backend.py
@@ -4,7 +4,8 @@
 import httpcore
 
 from yokesill.backends.base import BackendClient
-from yokesill.backends.connections import ConnectionFactory, ConnectionSet, new_connection
+from yokesill.backends.connections import ConnectionFactory, ConnectionSet
+from yokesill.backends.httptools_connection import HttptoolsConnection
 from yokesill.backends.wire import (
     HEALTH_PATH,
     HTTP_OK,
@@ -34,7 +35,7 @@
 class HttpBackendClient(BackendClient):
     """Sends attempts over per-server connection sets."""
 
-    def __init__(self, connections_a_server: int, factory: ConnectionFactory = new_connection) -> None:
+    def __init__(self, connections_a_server: int, factory: ConnectionFactory = HttptoolsConnection) -> None:
         self._maximum = connections_a_server
         self._factory = factory
         self._sets: dict[str, ConnectionSet] = {}
--- a/src/yokesill/membership/detector.py
+++ b/src/yokesill/membership/detector.py
@@ -175,7 +175,7 @@
                 sends.append(self._send(helper, PacketKind.INDIRECT_PING, probe.sequence, probe.target))
         if waited >= 3 * self._options.probe_timeout:
             self._probe = None
-            self._suspect(probe.target, now)
+            self._suspect(probe.target, probe.sent_at, now)
 
     def _helpers(self, target: str) -> list[str]:
         """Choose who pings ``target`` for this node: one member a zone, as far as they go."""
@@ -189,12 +189,18 @@
         ]
         return [each.address for each in chosen[: self._options.indirect_probes]]
 
-    def _suspect(self, address: str, now: float) -> None:
+    def _suspect(self, address: str, probed_at: float, now: float) -> None:
+        """Suspect a member that did not answer, unless nobody of its zone was heard of since.
+
+        A silent zone is no news of one member: its members would all be suspected by everybody,
+        and refute it all at once when the cut heals.
+        """
         record = self.table.get(address)
         if record is None or record.status is not MemberStatus.ALIVE:
             return
-        if self._zone_silent(record.zone, now):
-            self.table.cut_zones.add(record.zone)
+        if self._zone_unheard(record.zone, probed_at):
+            if self._zone_silent(record.zone, now):
+                self.table.cut_zones.add(record.zone)
             return
         suspect = replace(record, status=MemberStatus.SUSPECT)
         self.table.merge(suspect, now)
--- a/src/yokesill/membership/table.py
+++ b/src/yokesill/membership/table.py
@@ -20,6 +20,7 @@
         self._records: dict[str, MemberRecord] = {own.address: own}
         self._changed_at: dict[str, float] = {}
         self._digest = _record_hash(own)
+        self._serving: list[MemberRecord] | None = None
 
     @property
     def digest(self) -> int:
@@ -35,8 +36,10 @@
         return list(self._records.values())
 
     def serving(self) -> list[MemberRecord]:
-        """Return the members that take part, this node included."""
-        return [each for each in self._records.values() if each.serving]
+        """Return the members that take part, this node included; not to be changed by the caller."""
+        if self._serving is None:
+            self._serving = [each for each in self._records.values() if each.serving]
+        return self._serving
 
     def reachable(self) -> list[MemberRecord]:
         """Return the serving members outside of cut-off zones."""
@@ -75,6 +78,7 @@
             if now - self._changed_at.get(record.address, now) > DEAD_RETENTION:
                 self._digest ^= _record_hash(record)
                 del self._records[record.address]
+                self._serving = None
 
     def rank(self, subject: str, members: list[MemberRecord]) -> list[MemberRecord]:
         """Return ``members`` by rendezvous weight for ``subject``, the highest first."""
@@ -86,6 +90,7 @@
             self._digest ^= _record_hash(known)
         self._digest ^= _record_hash(record)
         self._records[record.address] = record
+        self._serving = None
         self._changed_at[record.address] = now
         if record.address == self.own.address:
             self.own = record
--- a/src/yokesill/routing/admission.py
+++ b/src/yokesill/routing/admission.py
@@ -20,23 +20,28 @@
 
 def admit(
     query: QueryRequest,
+    deadline: float,
     priority: int,
     delay: float,
-    typical_latency: float,
+    tail_latency: float,
     longest_queue: int,
     options: RoutingOptions,
     now: float,
 ) -> Failure | None:
     """Return why the query is refused, or ``None`` to admit it.
 
-    A queue may be filled to its bound only by the highest priority; each lower one stops
-    earlier, so that what matters least is refused first.
+    A queue may take only a share of the time that is left: what has waited for long is likely to
+    be given up later, when work for it was already done. The lower the priority, the smaller the
+    share and the shorter the queue, so that what matters least is refused first.
     """
     if query.deadline <= now:
         return Failure(Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN, "the deadline had passed on arrival")
-    bound = options.waiting_bound * (priority + 1) / (HIGHEST_PRIORITY + 1)
-    too_long = longest_queue >= bound
-    too_late = delay > 0.0 and now + delay + typical_latency > query.deadline
+    rank = (priority + 1) / (HIGHEST_PRIORITY + 1)
+    too_long = longest_queue >= options.waiting_bound * rank
+    remaining = deadline - now
+    too_late = delay > 0.0 and (
+        delay > remaining * options.waiting_share * rank or delay + tail_latency > remaining
+    )
     if not too_long and not too_late:
         return None
     retry_after_ms = max(MINIMUM_RETRY_AFTER_MS, int(delay * 1000))
--- a/src/yokesill/routing/fanout.py
+++ b/src/yokesill/routing/fanout.py
@@ -12,6 +12,7 @@
 from yokesill.routing.selection import any_left, choose_server
 from yokesill.routing.servers import ServerState
 from yokesill.routing.service import ServiceState
+from yokesill.routing.waiting import ShardKey
 from yokesill.verdict import Reason, Verdict, join
 
 if TYPE_CHECKING:
@@ -157,7 +158,7 @@
         for progress in self.shards():
             self.cancel_live(progress, now, actions)
             if progress.waiter is not None:
-                self._context.waiting.leave((self._query.service, progress.shard_id), progress.waiter)
+                self._context.waiting.leave(self._key(progress), progress.waiter)
                 progress.waiter = None
 
     def _coverage_of(self, contributing: Iterable[ShardProgress]) -> Coverage:
@@ -200,8 +201,10 @@
         return self._context.options.limits and now < self._machine.deadline
 
     def _wait(self, progress: ShardProgress, now: float) -> None:
-        key = (self._query.service, progress.shard_id)
         machine = self._machine
         progress.waiter = self._context.waiting.enter(
-            key, self._query.query_id, machine.priority, machine.deadline, now
+            self._key(progress), self._query.query_id, machine.priority, machine.deadline, now
         )
+
+    def _key(self, progress: ShardProgress) -> ShardKey:
+        return (self._query.service, progress.shard_id, self.snapshot)
--- a/src/yokesill/routing/options.py
+++ b/src/yokesill/routing/options.py
@@ -22,6 +22,7 @@
     initial_limit: float = 4.0
     maximum_limit: float = 64.0
     waiting_bound: int = 64
+    waiting_share: float = 0.4
     remote_zone_penalty: float = 0.001
     slow_start: float = 3.0
     ejection_failures: int = 3
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -109,8 +109,8 @@
         elif kind is TimerKind.HARD:
             self._hard_deadline(now, actions)
 
-    def slot_freed(self, shard_id: str, now: float, actions: list[Action]) -> None:
-        """Send for a shard whose turn has come, unless its answer could only come too late."""
+    def wait_over(self, shard_id: str, now: float, actions: list[Action]) -> None:
+        """Ask for a shard whose turn has come, unless its answer could only come too late."""
         progress = self._fanout.shard(shard_id)
         progress.waiter = None
         typical = self.service.latency_of(self.query.request_class).quantile(0.5, now) or 0.0
@@ -118,7 +118,7 @@
             progress.exhausted = True
             progress.last_reason = Reason.OVERLOADED
         else:
-            self._fanout.dispatch(progress, now, actions)
+            self._ask(progress, now, actions)
         self._finish_if_settled(now, actions)
 
     def abandon(self, now: float, actions: list[Action]) -> None:
@@ -163,10 +163,15 @@
 
     def _may_retry(self, progress: ShardProgress, failure: Failure, now: float) -> bool:
         options = self._context.options
-        if not options.retries or now >= self.deadline or len(progress.tried) >= options.maximum_attempts:
+        if not options.retries or now >= self.deadline:
             return False
         if not self.query.repeatable and progress.verdict is not Verdict.NOT_RUN:
             return False
+        if failure.reason is Reason.SNAPSHOT_UNAVAILABLE:
+            # The other shards' replies tell within moments which snapshot is held everywhere.
+            return True
+        if len(progress.tried) >= options.maximum_attempts:
+            return False
         # What was declined without work put no load on anybody: trying elsewhere is free.
         return failure.reason in FREE_RETRY_REASONS or self.service.budget.take()
 
--- a/src/yokesill/routing/router.py
+++ b/src/yokesill/routing/router.py
@@ -12,11 +12,12 @@
 from yokesill.routing.messages import QueryRequest, ServerReport
 from yokesill.routing.options import RoutingOptions
 from yokesill.routing.query import DEFAULT_RETRY_AFTER_MS, QueryMachine
-from yokesill.routing.servers import ServerState, ServerTable
+from yokesill.routing.servers import LEAVING, ServerState, ServerTable
 from yokesill.routing.service import ServiceState
-from yokesill.routing.waiting import ShardKey
+from yokesill.routing.waiting import ShardKey, Waiter
 from yokesill.verdict import Failure, Reason, Verdict
 
+ADMISSION_QUANTILE = 0.9
 SERVER_FAULTS = frozenset(
     {
         Reason.CONNECT_FAILED,
@@ -111,13 +112,17 @@
             detail = "no replica has told yet which snapshots it holds"
             return Failure(Reason.NO_SNAPSHOT, Verdict.NOT_RUN, detail, DEFAULT_RETRY_AFTER_MS)
         shards = service.asked_shards(snapshot, query.key_hash)
-        keys: list[ShardKey] = [(query.service, shard.id) for shard in shards]
+        keys: list[ShardKey] = [(query.service, shard.id, snapshot) for shard in shards]
         delay = queue_delay(self._context.waiting, keys, now)
         facts = _facts(query, policy.priority, service, delay, now)
         outcome = policy.evaluate(facts).outcome
         if isinstance(outcome, documents.Refuse):
             return Failure(Reason.POLICY_REFUSED, Verdict.NOT_RUN, outcome.refuse, outcome.retry_after_ms)
-        refusal = self._admission(query, service, policy.priority, keys, delay, now)
+        deadline = min(query.deadline, now + outcome.wait_ms / 1000)
+        tail = service.latency_of(query.request_class).quantile(ADMISSION_QUANTILE, now) or 0.0
+        longest = max((self._context.waiting.length(key) for key in keys), default=0)
+        options = self._context.options
+        refusal = admit(query, deadline, policy.priority, delay, tail, longest, options, now)
         if refusal is not None:
             return refusal
         machine = QueryMachine(query, service, policy, outcome, facts, snapshot, self._context, now)
@@ -126,19 +131,6 @@
         self._forget_if_finished(machine)
         return None
 
-    def _admission(
-        self,
-        query: QueryRequest,
-        service: ServiceState,
-        priority: int,
-        keys: list[ShardKey],
-        delay: float,
-        now: float,
-    ) -> Failure | None:
-        typical = service.latency_of(query.request_class).quantile(0.5, now) or 0.0
-        longest = max((self._context.waiting.length(key) for key in keys), default=0)
-        return admit(query, priority, delay, typical, longest, self._context.options, now)
-
     def _forget_if_finished(self, machine: QueryMachine) -> None:
         if machine.finished:
             self._queries.pop(machine.query.query_id, None)
@@ -170,7 +162,7 @@
         reason = event.failure.reason
         machine.service.count_shed(reason is Reason.SHED)
         if reason is Reason.SHED:
-            server.shed(now)
+            server.back_off(now)
         elif reason in SERVER_FAULTS and server.failed(now):
             self.servers.generation += 1
         machine.failed(event.attempt_id, event.failure, now, actions)
@@ -191,12 +183,25 @@
     ) -> None:
         if report is None:
             return
-        was_leaving = server.state == "leaving"
+        was_leaving, held = server.state == LEAVING, server.servable()
         if server.observe(report, now):
             self.servers.generation += 1
+            self._reconsider(held - server.servable(), now, actions)
         if report.leaving and not was_leaving:
             actions.append(ev.AnnounceLeaving(server.address, report.incarnation))
 
+    def _reconsider(self, dropped: set[ShardKey], now: float, actions: list[ev.Action]) -> None:
+        """Let who waits for a snapshot that a server dropped look again; nobody may hold it now."""
+        for key in dropped:
+            for waiter in self._context.waiting.evict(key):
+                self._end_wait(waiter, now, actions)
+
+    def _end_wait(self, waiter: Waiter, now: float, actions: list[ev.Action]) -> None:
+        machine = self._queries.get(waiter.query_id)
+        if machine is not None:
+            machine.wait_over(waiter.shard_id, now, actions)
+            self._forget_if_finished(machine)
+
     def _server_observed(
         self, address: str, report: ServerReport | None, now: float, actions: list[ev.Action]
     ) -> None:
@@ -244,15 +249,13 @@
         while freed:
             server = freed.pop()
             while server.may_take(now):
-                turn = self._context.waiting.next(server.shards, now)
+                turn = self._context.waiting.next(server.servable(), now)
                 if turn is None:
                     break
-                machine = self._queries[turn[1].query_id]
                 before = server.in_flight
-                machine.slot_freed(turn[1].shard_id, now, actions)
-                self._forget_if_finished(machine)
+                self._end_wait(turn, now, actions)
                 if server.in_flight == before:
-                    # The waiter could not use this server (another snapshot, say): try no further.
+                    # The waiter had asked this server already, say: it waits for another one.
                     break
 
 
--- a/src/yokesill/routing/servers.py
+++ b/src/yokesill/routing/servers.py
@@ -92,7 +92,9 @@
         self._failures = 0
         self._ejections = max(0, self._ejections - 1) if self.state == ACTIVE else self._ejections
         self.latency += LATENCY_WEIGHT * (latency - self.latency)
-        if self.in_flight + 1 >= int(self.limit):
+        if self._reports_queue():
+            self.back_off(now)
+        elif self.in_flight + 1 >= int(self.limit):
             self.limit = min(self._options.maximum_limit, self.limit + 1.0 / self.limit)
         changed = self.handle("answered", now)
         self._answers += 1
@@ -105,8 +107,19 @@
         if elapsed > self.latency:
             self.latency += LATENCY_WEIGHT * (elapsed - self.latency)
 
-    def shed(self, now: float) -> None:
-        """Count a refusal for load: lower the limit, at most once an interval."""
+    def servable(self) -> set[tuple[ServiceName, str, Snapshot]]:
+        """Return what waiters the server can be offered: its shards under each snapshot it holds."""
+        return {(name, shard, snapshot) for name, shard in self.shards for snapshot in self.holdings}
+
+    def _reports_queue(self) -> bool:
+        """Whether the server's last report tells of a queue as long as its slots are many.
+
+        Its queue is the wrong place to wait: here priorities, shares and deadlines order it.
+        """
+        return self._load is not None and self._load.queued >= max(1, self._load.slots)
+
+    def back_off(self, now: float) -> None:
+        """Lower the limit, at most once an interval."""
         if now - self._decreased_at < DECREASE_INTERVAL:
             return
         self._decreased_at = now
--- a/src/yokesill/routing/waiting.py
+++ b/src/yokesill/routing/waiting.py
@@ -1,5 +1,7 @@
 """Shards of queries that wait for a server's free slot, in a fair order.
 
+They wait by shard and snapshot, so that a freed server is only offered what it can serve.
+
 When a slot frees, the highest priority goes first; within a priority the namespace that had
 least of its share; within a namespace the earliest deadline.
 """
@@ -9,9 +11,10 @@
 from dataclasses import dataclass, field
 
 from yokesill.resources.keys import ServiceName
+from yokesill.routing.messages import Snapshot
 
-ShardKey = tuple[ServiceName, str]
-DELAY_WEIGHT = 0.2
+ShardKey = tuple[ServiceName, str, Snapshot]
+INTERVAL_WEIGHT = 0.2
 
 
 @dataclass(order=True, slots=True)
@@ -33,7 +36,8 @@
         self._counts: dict[ShardKey, int] = {}
         self._served: dict[str, float] = {}
         self._sequence = itertools.count()
-        self._delays: dict[ShardKey, float] = {}
+        self._intervals: dict[ShardKey, float] = {}
+        self._served_at: dict[ShardKey, float] = {}
 
     def enter(self, key: ShardKey, query_id: str, priority: int, deadline: float, now: float) -> Waiter:
         """Add a waiter for the shard ``key``."""
@@ -49,18 +53,28 @@
             waiter.abandoned = True
             self._counts[key] -= 1
 
+    def evict(self, key: ShardKey) -> list[Waiter]:
+        """Take out everybody who waits for ``key``: a server does not hold the snapshot any more."""
+        waiters = [each for each in self._queues.pop(key, []) if not each.abandoned]
+        self._counts.pop(key, None)
+        return waiters
+
     def length(self, key: ShardKey) -> int:
         """Return how many wait for the shard."""
         return self._counts.get(key, 0)
 
     def delay(self, key: ShardKey, now: float) -> float:
-        """Return the expected wait for the shard in seconds: recent waits, or the oldest one's."""
+        """Return the expected wait of a newcomer in seconds: who is before it, at the recent pace.
+
+        A queue that has stalled is as slow as its head has waited.
+        """
         head = self._head(key)
         if head is None:
             return 0.0
-        return max(self._delays.get(key, 0.0), now - head.since)
+        pace = (self.length(key) + 1) * self._intervals.get(key, 0.0)
+        return max(pace, now - head.since)
 
-    def next(self, keys: set[ShardKey], now: float) -> tuple[ShardKey, Waiter] | None:
+    def next(self, keys: set[ShardKey], now: float) -> Waiter | None:
         """Take out whoever's turn it is among the waiters for ``keys``."""
         heads = [(key, head) for key in keys if (head := self._head(key)) is not None]
         if not heads:
@@ -68,9 +82,15 @@
         key, waiter = min(heads, key=lambda each: self._turn(*each))
         heapq.heappop(self._queues[key])
         self._counts[key] -= 1
-        delay = self._delays.get(key, 0.0)
-        self._delays[key] = delay + DELAY_WEIGHT * (now - waiter.since - delay)
-        return key, waiter
+        self._count_turn(key, waiter, now)
+        return waiter
+
+    def _count_turn(self, key: ShardKey, waiter: Waiter, now: float) -> None:
+        """Fold the time since the last turn (or since this waiter came) into the queue's pace."""
+        since = max(self._served_at.get(key, 0.0), waiter.since)
+        pace = self._intervals.get(key, 0.0)
+        self._intervals[key] = pace + INTERVAL_WEIGHT * (now - since - pace)
+        self._served_at[key] = now
 
     def count_served(self, name: ServiceName, share: float) -> None:
         """Charge a namespace for one attempt; a larger share makes it cheaper."""
