--- a/src/yokesill/cluster/gossip.py
+++ b/src/yokesill/cluster/gossip.py
@@ -25,7 +25,8 @@
     """One node's gossip: membership, configuration and leaving servers.
 
     ``on_change`` is called after configuration changed, ``on_server`` for each notice of a
-    leaving server, ``on_pause`` when this node notices that it was paused.
+    leaving server, ``on_pause`` when this node notices that it was paused. ``known_leaving``
+    returns every leaving server, for nodes that have just started.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.malformed = 0
         self.on_change: Callable[[], None] = lambda: None
         self.on_server: Callable[[ServerNotice], None] = lambda notice: None
+        self.known_leaving: Callable[[], list[ServerNotice]] = list
         self.on_pause: Callable[[], None] = lambda: None
         self.differing_peers: dict[str, float] = {}
         self.notices: dict[str, tuple[str, int]] = {}
--- a/src/yokesill/cluster/sync.py
+++ b/src/yokesill/cluster/sync.py
@@ -65,7 +65,8 @@
         self._learn(request.members)
         buckets = self._replica.differing_buckets(request.bucket_digests)
         versions = self._replica.state.versions_in(buckets)
-        return msg.encode_compare_reply(msg.CompareReply(buckets, versions, self._table.all()))
+        leaving = self._gossip.known_leaving()
+        return msg.encode_compare_reply(msg.CompareReply(buckets, versions, self._table.all(), leaving))
 
     def _exchange(self, request: msg.ExchangeRequest) -> bytes:
         self._merge(request.objects)
@@ -84,6 +85,8 @@
         except (ValueError, TypeError):
             return False
         self._learn(reply.members)
+        for notice in reply.leaving:
+            self._gossip.on_server(notice)
         plan = self._replica.plan_exchange(reply)
         self.syncs += 1
         if not plan.wanted and not plan.objects:
--- a/src/yokesill/node.py
+++ b/src/yokesill/node.py
@@ -93,6 +93,7 @@
         self._log = get_logger("node")
         self.gossip.on_change = self._configuration_changed
         self.gossip.on_server = self._server_leaving
+        self.gossip.known_leaving = self._known_leaving
         self.gossip.on_pause = self._paused
         transport.serve(self.gossip.received, self._peer_request)
 
@@ -246,13 +247,22 @@
         self._server_leaving(ServerNotice(action.address, action.incarnation))
 
     def _server_leaving(self, notice: ServerNotice) -> None:
-        """Give a leaving server no new work, and pass it on the first time."""
+        """Give a leaving server no new work, and pass it on the first time.
+
+        The machine list names no incarnation: it means the one that the server has now.
+        """
+        server = self.router.servers.get(notice.address)
+        if not notice.incarnation and server is not None and server.incarnation:
+            notice = ServerNotice(notice.address, server.incarnation)
         if self.leaving_servers.get(notice.address) == notice.incarnation:
             return
         self.leaving_servers[notice.address] = notice.incarnation
         self.gossip.spread([notice])
         self.driver.feed(ServerLeaving(notice.address, notice.incarnation))
 
+    def _known_leaving(self) -> list[ServerNotice]:
+        return [ServerNotice(address, each) for address, each in self.leaving_servers.items()]
+
     # --- queries ---
 
     async def query(self, call: QueryCall) -> FinalAnswer:
--- a/src/yokesill/replication/messages.py
+++ b/src/yokesill/replication/messages.py
@@ -10,6 +10,7 @@
 import cbor2
 
 from yokesill.membership.records import MemberRecord, record_from_wire
+from yokesill.membership.rumors import ServerNotice
 from yokesill.resources.objects import StoredObject, object_from_wire
 
 MAXIMUM_BODY_BYTES = 32 * 1024 * 1024
@@ -27,11 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class CompareReply:
-    """Revisions of every object in the buckets that differ, which ones do, and the members."""
+    """Revisions of the objects in the buckets that differ, the members, and servers that are leaving."""
 
     buckets: list[int]
     versions: dict[str, int]
     members: list[MemberRecord]
+    leaving: list[ServerNotice] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,13 +85,15 @@
 def encode_compare_reply(message: CompareReply) -> bytes:
     """Return the message's bytes."""
     members = [each.to_wire() for each in message.members]
-    return cbor2.dumps([message.buckets, message.versions, members])
+    leaving = [[each.address, each.incarnation] for each in message.leaving]
+    return cbor2.dumps([message.buckets, message.versions, members, leaving])
 
 
 def decode_compare_reply(data: bytes) -> CompareReply:
     """Read the message; raises ``ValueError`` when it is malformed."""
-    buckets, versions, members = _fields(data, 3)
-    return CompareReply(list(buckets), dict(versions), _records(members))
+    buckets, versions, members, leaving = _fields(data, 4)
+    notices = [ServerNotice(str(address), str(incarnation)) for address, incarnation in leaving]
+    return CompareReply(list(buckets), dict(versions), _records(members), notices)
 
 
 def encode_exchange_request(message: ExchangeRequest) -> bytes:
--- a/src/yokesill/routing/router.py
+++ b/src/yokesill/routing/router.py
@@ -217,9 +217,7 @@
 
     def _server_leaving(self, address: str, incarnation: str, now: float) -> None:
         server = self.servers.get(address)
-        if server is None or (incarnation and server.incarnation and incarnation != server.incarnation):
-            return
-        if server.handle("leaving", now):
+        if server is not None and server.leave(incarnation, now):
             self.servers.generation += 1
 
     def _install(self, compiled: CompiledService) -> None:
--- a/src/yokesill/routing/servers.py
+++ b/src/yokesill/routing/servers.py
@@ -42,6 +42,7 @@
         self._ejections = 0
         self._ejected_until = 0.0
         self._decreased_at = 0.0
+        self._leaving_as = ""
 
     def handle(self, event: str, now: float) -> bool:
         """Step the life-cycle chart; return whether the state changed."""
@@ -107,6 +108,19 @@
         if elapsed > self.latency:
             self.latency += LATENCY_WEIGHT * (elapsed - self.latency)
 
+    def leave(self, incarnation: str, now: float) -> bool:
+        """Take a notice that ``incarnation`` (empty: the present one) leaves; return whether it is news."""
+        if incarnation and self.incarnation and incarnation != self.incarnation:
+            return False
+        self._leaving_as = incarnation or self.incarnation
+        return self.handle("leaving", now)
+
+    def _is_back(self) -> bool:
+        """Whether the incarnation that was just learnt is another one than that which leaves."""
+        if not self._leaving_as:
+            self._leaving_as = self.incarnation
+        return self._leaving_as != self.incarnation
+
     def servable(self) -> set[tuple[ServiceName, str, Snapshot]]:
         """Return what waiters the server can be offered: its shards under each snapshot it holds."""
         return {(name, shard, snapshot) for name, shard in self.shards for snapshot in self.holdings}
@@ -149,9 +163,9 @@
         self.heard_at = now
         if report.incarnation != self.incarnation:
             self.incarnation = report.incarnation
-            changed = self.handle("returned", now)
+            changed = self._is_back() and self.handle("returned", now)
         if report.leaving:
-            changed |= self.handle("leaving", now)
+            changed |= self.leave(report.incarnation, now)
         if report.load is not None:
             self._load, self._load_at = report.load, now
         if report.holdings is not None and report.holdings != self.holdings:
--- a/src/yokesill/simulation/cluster.py
+++ b/src/yokesill/simulation/cluster.py
@@ -143,7 +143,7 @@
 
     # --- conveniences ---
 
-    async def until(self, condition: Callable[[], bool], limit: float) -> float:
+    async def until(self, condition: Callable[[], object], limit: float) -> float:
         """Wait until ``condition()`` holds; return how long it took. Raises ``TimeoutError``."""
         started = anyio.current_time()
         with anyio.fail_after(limit):
--- a/tests/features/promises.feature
+++ b/tests/features/promises.feature
@@ -83,6 +83,11 @@
     When a server tells only one node that it is leaving
     Then no node sends it new work after 2 seconds
 
+  @leaving
+  Scenario: A node starts after a server was listed as leaving
+    When a server is listed as leaving and a node restarts afterwards
+    Then no node sends it new work after 2 seconds
+
   @planned-stop
   Scenario: A node is stopped with requests in flight
     When a node is stopped while slow requests are in flight on it
--- a/tests/test_promises_once.py
+++ b/tests/test_promises_once.py
@@ -180,6 +180,31 @@
     outcome["before"], outcome["times"] = run_cluster(body, nodes=6)
 
 
+@scenario(FEATURE, "A node starts after a server was listed as leaving")
+def test_restart_leaving() -> None: ...
+
+
+@when("a server is listed as leaving and a node restarts afterwards")
+def restart_leaving(outcome: dict[str, Any]) -> None:
+    async def body(cluster: SimulatedCluster) -> Any:
+        address, model = next(iter(cluster.models.items()))
+        await load_until(cluster, 1)
+        before = len(model.executions)
+        cluster.store_model.machines[address] = Machine(address, "server", True)
+        marked = anyio.current_time()
+        await anyio.sleep(10)
+        for index in range(6):
+            cluster.kill_node(index)
+            await anyio.sleep(3)
+            cluster.start_node(index)
+            await cluster.until(cluster.node(index).router.services, 10)
+            await anyio.sleep(1)
+        await load_until(cluster, 2)
+        return before, [each.started_at - marked for each in model.executions]
+
+    outcome["before"], outcome["times"] = run_cluster(body, nodes=6)
+
+
 @then("no node sends it new work after 2 seconds")
 def no_new_work(outcome: dict[str, Any]) -> None:
     assert outcome["before"] > 0
