--- a/src/yokesill/backends/http_backend.py
+++ b/src/yokesill/backends/http_backend.py
@@ -1,5 +1,7 @@
 """The way to back ends over HTTP/1.1."""
 
+from collections.abc import Sequence
+
 import anyio
 import httpcore
 
@@ -56,7 +58,7 @@
         body = encode_attempt(attempt, remaining)
         trusted = False
         try:
-            status, content = await _exchange(
+            status, content = await exchange(
                 connection, connections.origin, b"POST", QUERY_PATH, body, remaining
             )
             outcome = decode_reply(attempt, status, content)
@@ -81,7 +83,7 @@
             return None
         read_to_end = False
         try:
-            status, content = await _exchange(
+            status, content = await exchange(
                 connection, connections.origin, b"GET", HEALTH_PATH, b"", HEALTH_TIMEOUT
             )
             read_to_end = True
@@ -117,17 +119,18 @@
     return outcome.failure.reason in (Reason.FOREIGN_REPLY, Reason.MALFORMED_REPLY)
 
 
-async def _exchange(
+async def exchange(
     connection: httpcore.AsyncConnectionInterface,
     origin: httpcore.Origin,
     method: bytes,
     path: str,
     body: bytes,
     timeout: float,
+    more_headers: Sequence[tuple[bytes, bytes]] = (),
 ) -> tuple[int, bytes]:
     """Send one request and read its reply to the end; ``timeout`` in seconds."""
     host = origin.host + b":" + str(origin.port).encode()
-    headers = [(b"Host", host), (b"Content-Length", str(len(body)).encode())]
+    headers = [(b"Host", host), (b"Content-Length", str(len(body)).encode()), *more_headers]
     limit = max(0.001, timeout)
     times = {"connect": min(limit, CONNECT_TIMEOUT), "read": limit, "write": limit, "pool": limit}
     url = httpcore.URL(scheme=b"http", host=origin.host, port=origin.port, target=path.encode())
--- a/src/yokesill/cli/base.py
+++ b/src/yokesill/cli/base.py
@@ -53,7 +53,7 @@
 
     def __init__(self, node: str, token: str) -> None:
         self.node = node
-        self._token = token
+        self.token = token
         self._client = HttpClient()
 
     async def call(
@@ -61,7 +61,7 @@
     ) -> ApiReply | Failure:
         """Send one request; a failure means that no reply came."""
         content = b"" if body is None else json.dumps(body).encode()
-        all_headers = {"Authorization": f"Bearer {self._token}", **(headers or {})}
+        all_headers = {"Authorization": f"Bearer {self.token}", **(headers or {})}
         reply = await self._client.call(
             method, f"http://{self.node}{path}", CALL_TIMEOUT, content, all_headers
         )
--- a/src/yokesill/cli/main.py
+++ b/src/yokesill/cli/main.py
@@ -8,7 +8,9 @@
 from yokesill.cli.demo import DemoCommand
 from yokesill.cli.emulate import EmulateCommand
 from yokesill.cli.get import GetCommand
+from yokesill.cli.load import LoadCommand
 from yokesill.cli.query import QueryCommand
+from yokesill.cli.report import ReportCommand
 from yokesill.cli.serve import ServeCommand
 from yokesill.cli.status import StatusCommand
 from yokesill.cli.validate import ValidateCommand
@@ -23,6 +25,8 @@
     QueryCommand,
     StatusCommand,
     ValidateCommand,
+    LoadCommand,
+    ReportCommand,
 )
 
 
--- /dev/null
+++ b/src/yokesill/loadgen/http_load.py
@@ -0,0 +1,105 @@
+"""Sends a plan of arrivals to nodes over HTTP, open-loop, and collects what came back."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import httpcore
+
+from yokesill.backends.connections import ConnectionSet
+from yokesill.backends.http_backend import exchange
+from yokesill.backends.httptools_connection import HttptoolsConnection
+from yokesill.comm.network import split_address
+from yokesill.loadgen.outcomes import Outcome, fill_from_reply
+from yokesill.loadgen.plan import Arrival
+
+CONNECTIONS_A_NODE = 512
+REPLY_GRACE = 2.0
+
+
+@dataclass(slots=True)
+class HttpLoad:
+    """One run of load on some nodes; a node that refuses connections is left out for a while."""
+
+    nodes: list[str]
+    namespace: str
+    token: str
+    outcomes: list[Outcome] = field(default_factory=list)
+    refused_until: dict[str, float] = field(default_factory=dict)
+    sets: dict[str, ConnectionSet] = field(default_factory=dict)
+    killed: Callable[[str], bool] = lambda _node: False
+
+    async def run(self, arrivals: list[Arrival], progress: Callable[[int, int], None]) -> None:
+        """Send every arrival at its time and wait for all the ends."""
+        started = anyio.current_time()
+        async with anyio.create_task_group() as task_group:
+            for number, arrival in enumerate(arrivals):
+                await anyio.sleep(max(0.0, started + arrival.at - anyio.current_time()))
+                task_group.start_soon(self._send, number, arrival, started)
+                progress(number + 1, len(arrivals))
+
+    async def _send(self, number: int, arrival: Arrival, started: float) -> None:
+        load = arrival.load
+        outcome = Outcome(
+            arrival.service, load.request_class, load.repeatable, load.keyed, arrival.at, 0.0, "unknown"
+        )
+        for attempt in range(len(self.nodes)):
+            node = self.nodes[(number + attempt) % len(self.nodes)]
+            if self.refused_until.get(node, 0.0) > anyio.current_time():
+                continue
+            if await self._ask(node, arrival, outcome):
+                break
+        else:
+            outcome.verdict, outcome.reason = "not_run", "no_node"
+        outcome.latency = anyio.current_time() - started - arrival.at
+        self.outcomes.append(outcome)
+
+    async def _ask(self, node: str, arrival: Arrival, outcome: Outcome) -> bool:
+        """Send to one node; return ``False`` when nothing was sent, so that another may be asked."""
+        connections = self._set_of(node)
+        connection = await connections.take()
+        if connection is None:
+            return False
+        path = f"/v1/namespaces/{self.namespace}/services/{arrival.service}/query"
+        headers = [(b"Authorization", f"Bearer {self.token}".encode())]
+        if arrival.idempotency_key is not None:
+            headers.append((b"Idempotency-Key", arrival.idempotency_key.encode()))
+        load = arrival.load
+        body = json.dumps(
+            {
+                "class": load.request_class,
+                "query": {},
+                "key": arrival.key,
+                "deadline_ms": load.deadline_ms,
+                "repeatable": load.repeatable,
+            }
+        ).encode()
+        limit = load.deadline_ms / 1000 + REPLY_GRACE
+        kept = False
+        try:
+            status, content = await exchange(
+                connection, connections.origin, b"POST", path, body, limit, headers
+            )
+            kept = True
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            self.refused_until[node] = anyio.current_time() + 0.2
+            return False
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            outcome.verdict, outcome.reason = "may_have_run", type(error).__name__
+            # The callers of a node that was killed are cut off; those of a stopped one must not be.
+            outcome.cut = not self.killed(node)
+            return True
+        finally:
+            with anyio.CancelScope(shield=True):
+                await (connections.give_back if kept else connections.drop)(connection)
+        fill_from_reply(outcome, status, json.loads(content))
+        # A node that drains has told that nothing ran: ask another one.
+        return outcome.reason != "not_ready"
+
+    def _set_of(self, node: str) -> ConnectionSet:
+        if node not in self.sets:
+            host, port = split_address(node)
+            origin = httpcore.Origin(b"http", host.encode(), port)
+            self.sets[node] = ConnectionSet(origin, CONNECTIONS_A_NODE, HttptoolsConnection)
+        return self.sets[node]
