--- a/src/yokesill/routing/fanout.py
+++ b/src/yokesill/routing/fanout.py
@@ -167,7 +167,13 @@
     def _choose(self, progress: ShardProgress, skipped: list[str], now: float) -> ServerState | None:
         context = self._context
         return choose_server(
-            progress.servers, self.snapshot, skipped, context.options, context.random_source, now
+            progress.servers,
+            self.snapshot,
+            skipped,
+            context.options,
+            context.random_source,
+            now,
+            self._machine.prefer_near,
         )
 
     def _send(self, progress: ShardProgress, server: ServerState, now: float, actions: list[Action]) -> None:
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -42,6 +42,7 @@
         self.service = service
         self.finished = False
         self.priority = policy.priority
+        self.prefer_near = serve.zone is documents.ZonePreference.NEAR
         self.deadline = min(query.deadline, now + serve.wait_ms / 1000)
         self._policy = policy
         self._serve = serve
--- a/src/yokesill/routing/selection.py
+++ b/src/yokesill/routing/selection.py
@@ -15,6 +15,7 @@
     options: RoutingOptions,
     random_source: random.Random,
     now: float,
+    prefer_near: bool = True,
 ) -> ServerState | None:
     """Return the server to ask, or ``None`` when none may take a request now.
 
@@ -32,7 +33,7 @@
         return None
     if len(candidates) > 2:
         candidates = random_source.sample(candidates, 2)
-    return min(candidates, key=lambda each: each.cost(now))
+    return min(candidates, key=lambda each: each.cost(now, prefer_near))
 
 
 def _last_resort(servers: list[ServerState]) -> list[ServerState]:
--- a/src/yokesill/routing/servers.py
+++ b/src/yokesill/routing/servers.py
@@ -69,14 +69,14 @@
             return self.in_flight == 0 and now >= self._ejected_until
         return self.in_flight < max(1, int(self.limit))
 
-    def cost(self, now: float) -> float:
+    def cost(self, now: float, prefer_near: bool) -> float:
         """Return the expected cost of one more request, in seconds; lower is better."""
         waiting = self.in_flight + self._reported_wait(now)
         cost = self.latency * (1.0 + waiting)
         if self.state == COLD:
             age = min(1.0, (now - self._since) / self._options.slow_start)
             cost *= 1.0 + COLD_PENALTY * (1.0 - age)
-        if self.zone != self._options.zone:
+        if prefer_near and self.zone != self._options.zone:
             cost += self._options.remote_zone_penalty
         return cost
 
