--- a/src/yokesill/backends/connections.py
+++ b/src/yokesill/backends/connections.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+import anyio
 import httpcore
 
 ConnectionFactory = Callable[[httpcore.Origin], httpcore.AsyncConnectionInterface]
@@ -22,6 +23,7 @@
 
     def __init__(self, origin: httpcore.Origin, maximum: int, factory: ConnectionFactory) -> None:
         self.origin = origin
+        self.host_header = (b"Host", origin.host + b":" + str(origin.port).encode())
         self.opened = 0
         self._maximum = maximum
         self._factory = factory
@@ -45,16 +47,17 @@
 
     async def give_back(self, connection: httpcore.AsyncConnectionInterface) -> None:
         """Return a connection whose reply was read to its end."""
-        self._busy -= 1
         if connection.is_closed() or not connection.is_available():
-            await connection.aclose()
-        else:
-            self._idle.append(connection)
+            await self.drop(connection)
+            return
+        self._busy -= 1
+        self._idle.append(connection)
 
     async def drop(self, connection: httpcore.AsyncConnectionInterface) -> None:
-        """Close a connection whose reply was not read to its end."""
+        """Close a connection whose reply was not read to its end, also when the caller is cancelled."""
         self._busy -= 1
-        await connection.aclose()
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
 
     async def aclose(self) -> None:
         """Close the idle connections."""
--- a/src/yokesill/backends/http_backend.py
+++ b/src/yokesill/backends/http_backend.py
@@ -22,7 +22,7 @@
 from yokesill.routing.messages import Attempt, ServerReport
 from yokesill.verdict import Failure, Reason, Verdict
 
-CONNECT_TIMEOUT = 1.0
+TIMEOUTS = {"timeout": {"connect": 1.0}}
 HEALTH_TIMEOUT = 1.0
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 VERDICT_OF_STATE = {
@@ -49,30 +49,32 @@
         return sum(each.opened for each in self._sets.values())
 
     async def call(self, attempt: Attempt) -> AttemptAnswered | AttemptFailed:
-        """See ``BackendClient.call``."""
+        """See ``BackendClient.call``.
+
+        Reading has no time-out of its own: the router cancels the attempt at the query's deadline.
+        """
         connections = self._set_of(attempt.address)
         connection = await connections.take()
         if connection is None:
             return self._failure(attempt, "connecting", Reason.CONNECT_FAILED, "all connections are busy")
-        remaining = attempt.deadline - anyio.current_time()
-        body = encode_attempt(attempt, remaining)
-        trusted = False
+        body = encode_attempt(attempt, attempt.deadline - anyio.current_time())
         try:
-            status, content = await exchange(
-                connection, connections.origin, b"POST", QUERY_PATH, body, remaining
-            )
+            status, content = await exchange(connection, connections, b"POST", QUERY_PATH, body)
             outcome = decode_reply(attempt, status, content)
-            trusted = not _breaks_trust(outcome)
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.ConnectionNotAvailable) as error:
+            await connections.drop(connection)
             return self._failure(attempt, "connecting", Reason.CONNECT_FAILED, repr(error))
-        except httpcore.TimeoutException as error:
-            return self._failure(attempt, "sent", Reason.TIMED_OUT, repr(error))
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            await connections.drop(connection)
             return self._failure(attempt, "sent", Reason.CONNECTION_LOST, repr(error))
-        finally:
-            # Also on cancellation: a reply that comes late has no connection left to come on.
-            with anyio.CancelScope(shield=True):
-                await (connections.give_back if trusted else connections.drop)(connection)
+        except BaseException:
+            # Cancelled: a reply that comes late has no connection left to come on.
+            await connections.drop(connection)
+            raise
+        if _breaks_trust(outcome):
+            await connections.drop(connection)
+        else:
+            await connections.give_back(connection)
         return outcome
 
     async def check(self, address: str) -> ServerReport | None:
@@ -81,17 +83,16 @@
         connection = await connections.take()
         if connection is None:
             return None
-        read_to_end = False
         try:
-            status, content = await exchange(
-                connection, connections.origin, b"GET", HEALTH_PATH, b"", HEALTH_TIMEOUT
-            )
-            read_to_end = True
-        except NETWORK_ERRORS:
+            with anyio.fail_after(HEALTH_TIMEOUT):
+                status, content = await exchange(connection, connections, b"GET", HEALTH_PATH, b"")
+        except (*NETWORK_ERRORS, TimeoutError):
+            await connections.drop(connection)
             return None
-        finally:
-            with anyio.CancelScope(shield=True):
-                await (connections.give_back if read_to_end else connections.drop)(connection)
+        except BaseException:
+            await connections.drop(connection)
+            raise
+        await connections.give_back(connection)
         return decode_health(content) if status == HTTP_OK else None
 
     async def forget(self, addresses: set[str]) -> None:
@@ -121,20 +122,17 @@
 
 async def exchange(
     connection: httpcore.AsyncConnectionInterface,
-    origin: httpcore.Origin,
+    connections: ConnectionSet,
     method: bytes,
     path: str,
     body: bytes,
-    timeout: float,
     more_headers: Sequence[tuple[bytes, bytes]] = (),
 ) -> tuple[int, bytes]:
-    """Send one request and read its reply to the end; ``timeout`` in seconds."""
-    host = origin.host + b":" + str(origin.port).encode()
-    headers = [(b"Host", host), (b"Content-Length", str(len(body)).encode()), *more_headers]
-    limit = max(0.001, timeout)
-    times = {"connect": min(limit, CONNECT_TIMEOUT), "read": limit, "write": limit, "pool": limit}
+    """Send one request and read its reply to the end; only connecting is bounded in time."""
+    origin = connections.origin
+    headers = [connections.host_header, (b"Content-Length", str(len(body)).encode()), *more_headers]
     url = httpcore.URL(scheme=b"http", host=origin.host, port=origin.port, target=path.encode())
-    request = httpcore.Request(method, url, headers=headers, content=body, extensions={"timeout": times})
+    request = httpcore.Request(method, url, headers=headers, content=body, extensions=TIMEOUTS)
     response = await connection.handle_async_request(request)
     try:
         chunks = []
--- a/src/yokesill/backends/httptools_connection.py
+++ b/src/yokesill/backends/httptools_connection.py
@@ -5,6 +5,7 @@
 connection.
 """
 
+import contextlib
 import select
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
@@ -122,7 +123,7 @@
 
     async def _write(self, stream: anyio.abc.SocketStream, data: bytes, timeout: float | None) -> None:
         try:
-            with anyio.fail_after(timeout):
+            with _bound(timeout):
                 await stream.send(data)
         except TimeoutError as error:
             raise httpcore.WriteTimeout(str(error)) from error
@@ -133,7 +134,7 @@
         reply = _Reply()
         received = 0
         try:
-            with anyio.fail_after(timeout):
+            with _bound(timeout):
                 while not reply.complete:
                     data = await stream.receive(READ_BYTES)
                     received += len(data)
@@ -184,6 +185,11 @@
         return self._closed
 
 
+def _bound(timeout: float | None) -> contextlib.AbstractContextManager[Any]:
+    """Bound a step in time; a scope costs as much as a parse, so there is none without a bound."""
+    return contextlib.nullcontext() if timeout is None else anyio.fail_after(timeout)
+
+
 async def _encode(request: httpcore.Request) -> bytes:
     """Return a request's bytes; names and values come from this package, never from callers."""
     lines = [request.method + b" " + request.url.target + b" HTTP/1.1"]
--- a/src/yokesill/loadgen/http_load.py
+++ b/src/yokesill/loadgen/http_load.py
@@ -76,23 +76,20 @@
             }
         ).encode()
         limit = load.deadline_ms / 1000 + REPLY_GRACE
-        kept = False
         try:
-            status, content = await exchange(
-                connection, connections.origin, b"POST", path, body, limit, headers
-            )
-            kept = True
+            with anyio.fail_after(limit):
+                status, content = await exchange(connection, connections, b"POST", path, body, headers)
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            await connections.drop(connection)
             self.refused_until[node] = anyio.current_time() + 0.2
             return False
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+        except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError) as error:
+            await connections.drop(connection)
             outcome.verdict, outcome.reason = "may_have_run", type(error).__name__
             # The callers of a node that was killed are cut off; those of a stopped one must not be.
             outcome.cut = not self.killed(node)
             return True
-        finally:
-            with anyio.CancelScope(shield=True):
-                await (connections.give_back if kept else connections.drop)(connection)
+        await connections.give_back(connection)
         fill_from_reply(outcome, status, json.loads(content))
         # A node that drains has told that nothing ran: ask another one.
         return outcome.reason != "not_ready"
--- a/src/yokesill/loadgen/outcomes.py
+++ b/src/yokesill/loadgen/outcomes.py
@@ -50,6 +50,7 @@
     """Take an HTTP reply in."""
     outcome.query_id = body.get("request_id", "")
     outcome.verdict = body.get("verdict", "unknown")
+    outcome.reason = ""
     if status == 200:
         outcome.answered = True
         outcome.coverage = body["coverage"]["fraction"]
--- a/src/yokesill/routing/fanout.py
+++ b/src/yokesill/routing/fanout.py
@@ -38,6 +38,8 @@
             shard.id: ShardProgress(shard.id, shard.range, self._service.servers_of(snapshot.epoch, shard.id))
             for shard in self._service.asked_shards(snapshot, self._query.key_hash)
         }
+        self._open = len(self._shards)
+        self._exhausted = 0
 
     @property
     def _query(self) -> QueryRequest:
@@ -64,12 +66,24 @@
     @property
     def any_open(self) -> bool:
         """Whether some shard may still contribute."""
-        return any(each.open for each in self.shards())
+        return self._open > 0
 
     @property
     def any_exhausted(self) -> bool:
         """Whether some shard was given up."""
-        return any(each.exhausted for each in self.shards())
+        return self._exhausted > 0
+
+    def merge(self, progress: ShardProgress, partial: Partial) -> None:
+        """Take a part without defect; its shard is done."""
+        progress.partial = partial
+        self._open -= 1
+
+    def give_up(self, progress: ShardProgress, reason: Reason) -> None:
+        """Give an open shard up; the reason of an earlier failure stays."""
+        progress.exhausted = True
+        progress.last_reason = progress.last_reason or reason
+        self._open -= 1
+        self._exhausted += 1
 
     def coverage(self) -> Coverage:
         """Return what contributed so far."""
@@ -114,8 +128,7 @@
         elif any_left(progress.servers, self.snapshot, live) and self._may_wait(now):
             self._wait(progress, now)
         elif not progress.live:
-            progress.exhausted = True
-            progress.last_reason = progress.last_reason or Reason.NO_REPLICA
+            self.give_up(progress, Reason.NO_REPLICA)
 
     def hedge(self, progress: ShardProgress, now: float, actions: list[Action]) -> None:
         """Ask another server besides the one that is slow."""
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -78,7 +78,7 @@
         """Merge a part without defect; its shard is done."""
         progress, attempt = self._fanout.end_attempt(partial.attempt_id)
         self.service.latency_of(self.query.request_class).record(now - attempt.sent_at, now)
-        progress.partial = partial
+        self._fanout.merge(progress, partial)
         self._fanout.cancel_live(progress, now, actions)
         self._finish_if_settled(now, actions)
 
@@ -92,7 +92,7 @@
         if progress.live or progress.waiter is not None:
             return
         if not self._may_retry(progress, failure, now):
-            progress.exhausted = True
+            self._fanout.give_up(progress, failure.reason)
         elif self._fanout.any_untried(progress):
             self._fanout.dispatch(progress, now, actions)
         else:
@@ -116,8 +116,7 @@
         progress.waiter = None
         typical = self.service.latency_of(self.query.request_class).quantile(0.5, now) or 0.0
         if now + typical >= self.deadline and not progress.live:
-            progress.exhausted = True
-            progress.last_reason = Reason.OVERLOADED
+            self._fanout.give_up(progress, Reason.OVERLOADED)
         else:
             self._ask(progress, now, actions)
         self._finish_if_settled(now, actions)
