--- a/src/yokesill/membership/detector.py
+++ b/src/yokesill/membership/detector.py
@@ -178,15 +178,16 @@
             self._suspect(probe.target, probe.sent_at, now)
 
     def _helpers(self, target: str) -> list[str]:
-        """Choose who pings ``target`` for this node: one member a zone, as far as they go."""
+        """Choose who pings ``target`` for this node: one of its own zone first, then one a zone."""
         others = [
             each for each in self.table.reachable() if each.address not in (target, self.table.own.address)
         ]
         self._random.shuffle(others)
+        record = self.table.get(target)
+        target_zone = record.zone if record else ""
         first_of_zone = {each.zone: each for each in others}
-        chosen = list(first_of_zone.values()) + [
-            each for each in others if first_of_zone[each.zone] is not each
-        ]
+        chosen = sorted(first_of_zone.values(), key=lambda each: each.zone != target_zone)
+        chosen += [each for each in others if first_of_zone[each.zone] is not each]
         return [each.address for each in chosen[: self._options.indirect_probes]]
 
     def _suspect(self, address: str, probed_at: float, now: float) -> None:
@@ -248,7 +249,9 @@
         self._sequence += 1
         self._relays = dict(list(self._relays.items())[-32:])
         self._relays[self._sequence] = (packet.sender, packet.sequence, packet.target)
-        return [self._send(packet.target, PacketKind.PING, self._sequence)]
+        ping = self._send(packet.target, PacketKind.PING, self._sequence)
+        # The asker learns that this zone is there, whatever becomes of the target.
+        return [ping, self._send(packet.sender, PacketKind.GOSSIP, 0)]
 
     def _acknowledged(self, packet: Packet, now: float) -> list[SendPacket]:
         relay = self._relays.pop(packet.sequence, None)
--- a/src/yokesill/replication/state.py
+++ b/src/yokesill/replication/state.py
@@ -19,14 +19,12 @@
     def __init__(self) -> None:
         self._objects: dict[str, StoredObject] = {}
         self._buckets = [0] * BUCKETS
+        self._digest = 0
 
     @property
     def digest(self) -> int:
         """A hash of the whole state, equal at nodes with equal states."""
-        total = 0
-        for bucket in self._buckets:
-            total ^= bucket
-        return total
+        return self._digest
 
     @property
     def bucket_digests(self) -> list[int]:
@@ -54,10 +52,11 @@
         known = self._objects.get(candidate.key)
         if known is not None and known.revision >= candidate.revision:
             return False
-        bucket = bucket_of(candidate.key)
+        change = _version_hash(candidate)
         if known is not None:
-            self._buckets[bucket] ^= _version_hash(known)
-        self._buckets[bucket] ^= _version_hash(candidate)
+            change ^= _version_hash(known)
+        self._buckets[bucket_of(candidate.key)] ^= change
+        self._digest ^= change
         self._objects[candidate.key] = candidate
         return True
 
