--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -18,6 +18,7 @@
 START_LIMIT = 60.0
 POLL = 0.05
 PORTS = 120
+BACKEND_PROCESSES = 3
 SETTINGS = """
 [node]
 address = "{address}"
@@ -68,9 +69,15 @@
 
     def start_stand_ins(self) -> None:
         """Start the platform and the back ends, and wait until they answer."""
-        arguments = ["emulate", str(self.scenario), "--store-port", str(self.first)]
-        self._spawn("stand-ins", [*arguments, "--first-port", self.first_server_port])
+        arguments = ["emulate", str(self.scenario), "--first-port", self.first_server_port]
+        self._spawn("platform", [*arguments, "--store-port", str(self.first), "--no-backends"])
+        for part in range(BACKEND_PROCESSES):
+            more = ["--store-port", "0", "--part", f"{part}/{BACKEND_PROCESSES}"]
+            self._spawn(f"servers{part}", [*arguments, *more])
         self.wait(lambda: self.store("GET", "/machines")[0] == 200)
+        last = int(self.first_server_port) + BACKEND_PROCESSES - 1
+        for port in range(int(self.first_server_port), last + 1):
+            self.wait(lambda port=port: self._http("GET", f"127.0.0.1:{port}", "/health")[0] == 200)
 
     def start_node(self, index: int) -> None:
         """Start a node, and wait until it serves."""
--- a/src/yokesill/cli/emulate.py
+++ b/src/yokesill/cli/emulate.py
@@ -27,6 +27,7 @@
         option("first-port", None, "port of the first back end", flag=False, default="7300"),
         option("store-port", None, "port of the platform; 0: none", flag=False, default="7000"),
         option("no-backends", None, "run the platform only"),
+        option("part", None, "run only every N-th back end: K/N, K from 0", flag=False, default="0/1"),
         option("documents", None, "write the configuration documents to this file and exit", flag=False),
         option("seed", None, "seed of service times and faults", flag=False, default="1"),
     ]
@@ -44,7 +45,9 @@
         return self.run_async(lambda: self._run(scenario))
 
     async def _run(self, scenario: Scenario) -> int:
+        part, _, parts = str(self.option("part")).partition("/")
         placed = place_servers(scenario, DEFAULT_HOST, int(self.option("first-port")))
+        placed = placed[int(part) :: int(parts or 1)]
         async with anyio.create_task_group() as task_group:
             if int(self.option("store-port")):
                 port = int(self.option("store-port"))
