What is learnt in bulk is not gossiped on; a stale claim about a node is answered

Cause: hollow nodes at 400 sent 8,388 bytes a second each at rest. Every bulk synchronisation made the learner pass on all records that were new to it, hundreds at once, although it was only the learner that was behind; and synchronisations started at all because packets sent before the first tick carried an empty digest.

Ruled out: false suspicions (none at 150 nodes in 25 s).

Change: more than eight news at once are not passed on; the digest is read when a packet is made; a claim about an older incarnation of a node makes it tell its present one.

--- a/src/yokesill/cluster/gossip.py
+++ b/src/yokesill/cluster/gossip.py
@@ -19,6 +19,7 @@
 TICK = 0.1
 PAUSE_THRESHOLD = 1.0
 QUIET_BEFORE_SYNC = 1.5
+BULK = 8
 
 
 class Gossip:
@@ -41,6 +42,7 @@
         self.table = table
         self.rumors = RumorQueue()
         self.detector = FailureDetector(table, self.rumors, options, random_source)
+        self.detector.config_digest = lambda: replica.state.digest
         self.malformed = 0
         self.on_change: Callable[[], None] = lambda: None
         self.on_server: Callable[[ServerNotice], None] = lambda notice: None
@@ -65,7 +67,6 @@
                 self.detector.resumed(now)
                 self.on_pause()
             last = now
-            self.detector.config_digest = self._replica.state.digest
             self._outgoing.extend(self.detector.tick(now))
             await self._flush()
             with anyio.move_on_after(TICK):
@@ -107,7 +108,7 @@
             if rumor is None:
                 self.malformed += 1
             elif isinstance(rumor, MemberRecord):
-                self.detector.learn(rumor, now)
+                self.learn_members([rumor], now)
             elif isinstance(rumor, StoredObject):
                 changed |= self.merge_objects([rumor], now)
             elif isinstance(rumor, ObjectNotice):
@@ -121,9 +122,18 @@
     def merge_objects(self, objects: list[StoredObject], now: float) -> bool:
         """Merge objects and pass on those that are news; return whether any was."""
         rumors = self._replica.merge(objects, now)
-        self.spread(rumors)
+        self._spread_few(rumors)
         return bool(rumors)
 
+    def learn_members(self, records: list[MemberRecord], now: float) -> None:
+        """Merge member records and pass on those that are news."""
+        self._spread_few([record for record in records if self.detector.learn(record, now)])
+
+    def _spread_few(self, rumors: list[Rumor]) -> None:
+        """Pass news on, unless it comes in bulk: then this node was behind, and the others know it."""
+        if len(rumors) <= BULK:
+            self.spread(rumors)
+
     def _compare_digests(self, packet: Packet, now: float) -> None:
         """Note a peer whose state still differs once the rumors have had time to arrive."""
         same_config = packet.config_digest == self._replica.state.digest
--- a/src/yokesill/cluster/sync.py
+++ b/src/yokesill/cluster/sync.py
@@ -175,6 +175,4 @@
             self._gossip.on_change()
 
     def _learn(self, members: list[MemberRecord]) -> None:
-        now = anyio.current_time()
-        for record in members:
-            self._gossip.detector.learn(record, now)
+        self._gossip.learn_members(members, anyio.current_time())
--- a/src/yokesill/membership/detector.py
+++ b/src/yokesill/membership/detector.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from yokesill.membership.packets import Packet, PacketKind
@@ -57,7 +58,7 @@
         random_source: random.Random,
     ) -> None:
         self.table = table
-        self.config_digest = 0
+        self.config_digest: Callable[[], int] = int
         self.false_suspicions = 0
         self._rumors = rumors
         self._options = options
@@ -99,16 +100,16 @@
         return []
 
     def learn(self, record: MemberRecord, now: float) -> bool:
-        """Merge a record from a peer and pass it on if it is news; return whether it was."""
+        """Merge a record from a peer; return whether it was news, which is the caller's to pass on."""
         if record.address == self.table.own.address:
-            if self.table.refute(record, now):
+            # An older incarnation is news of this node's restart that has not arrived there yet.
+            if self.table.refute(record, now) or record.incarnation < self.table.own.incarnation:
                 self._rumors.add(self.table.own)
             return False
         if record.status is MemberStatus.DEAD and self.table.get(record.address) is None:
             return False
         if not self.table.merge(record, now):
             return False
-        self._rumors.add(record)
         if record.status is MemberStatus.SUSPECT:
             self._suspected_at[record.address] = now
         elif self._suspected_at.pop(record.address, None) is not None and record.serving:
@@ -287,7 +288,7 @@
             sender=self.table.own.address,
             sequence=sequence,
             target=target,
-            config_digest=self.config_digest,
+            config_digest=self.config_digest(),
             member_digest=self.table.digest,
             rumors=self._rumors.take(len(self.table.serving())),
         )
--- a/src/yokesill/simulation/hollow.py
+++ b/src/yokesill/simulation/hollow.py
@@ -25,6 +25,7 @@
 KEY = bytes(32)
 POLL = 0.05
 START_SPREAD = 0.2
+FIRST_INCARNATION = 1
 
 
 def region_of(zone: str) -> str:
@@ -53,7 +54,7 @@
         self.network = Network(self.random, task_group)
         self.nodes: dict[str, HollowNode] = {}
         self._task_group = task_group
-        self._incarnation = 1
+        self._incarnation = FIRST_INCARNATION - 1
         for index in range(count):
             self.start(index, known=count)
 
@@ -66,7 +67,7 @@
         table, replica = MemberTable(own), ConfigurationReplica()
         for other in range(known):
             if other != index:
-                table.merge(self._record(other, 1), 0.0)
+                table.merge(self._record(other, other + FIRST_INCARNATION), 0.0)
         source = random.Random(self.random.random())
         sealer = Sealer([KEY])
         gossip = Gossip(transport, sealer, table, replica, source, DetectorOptions())
