A node loads only its own subcommand

Cause: a node's process took 116 MB, a third of it matplotlib, which only the report needs.

Change: subcommands are loaded when they are used.

--- a/src/yokesill/cli/main.py
+++ b/src/yokesill/cli/main.py
@@ -1,40 +1,44 @@
 """Entry point of the ``yokesill`` command."""
 
+import importlib
+from collections.abc import Callable
+
 from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
 
 from yokesill import __version__
-from yokesill.cli.apply import ApplyCommand
-from yokesill.cli.delete import DeleteCommand
-from yokesill.cli.demo import DemoCommand
-from yokesill.cli.emulate import EmulateCommand
-from yokesill.cli.get import GetCommand
-from yokesill.cli.load import LoadCommand
-from yokesill.cli.query import QueryCommand
-from yokesill.cli.report import ReportCommand
-from yokesill.cli.serve import ServeCommand
-from yokesill.cli.status import StatusCommand
-from yokesill.cli.validate import ValidateCommand
 
 COMMANDS = (
-    ServeCommand,
-    DemoCommand,
-    EmulateCommand,
-    ApplyCommand,
-    GetCommand,
-    DeleteCommand,
-    QueryCommand,
-    StatusCommand,
-    ValidateCommand,
-    LoadCommand,
-    ReportCommand,
+    "serve",
+    "demo",
+    "emulate",
+    "apply",
+    "get",
+    "delete",
+    "query",
+    "status",
+    "validate",
+    "load",
+    "report",
 )
 
 
+def _factory(name: str) -> Callable[[], Command]:
+    """Return what makes a subcommand; its module is read when it is used, so a node loads no plots."""
+
+    def make() -> Command:
+        module = importlib.import_module(f"yokesill.cli.{name}")
+        command: Command = getattr(module, f"{name.capitalize()}Command")()
+        return command
+
+    return make
+
+
 def main() -> int:
     """Run the command line; return its exit code."""
     application = Application("yokesill", __version__)
-    for command in COMMANDS:
-        application.add(command())
+    application.set_command_loader(FactoryCommandLoader({name: _factory(name) for name in COMMANDS}))
     return application.run()
 
 
