--- a/src/yokesill/node.py
+++ b/src/yokesill/node.py
@@ -107,6 +107,7 @@
             for part in (
                 self.transport.run,
                 self.driver.run,
+                self.queries.owned.run,
                 self.gossip.run,
                 self._barrier,
                 self._resynchronise_when_wanted,
--- a/src/yokesill/query/idempotency.py
+++ b/src/yokesill/query/idempotency.py
@@ -60,7 +60,6 @@
         """Drop the record of a request that has not run, so that a repeat may run."""
         record = self._records.get(key)
         if record is not None and record.nonce == nonce:
-            record.done.set()
             del self._records[key]
 
     def _expire(self, now: float) -> None:
--- a/src/yokesill/query/owned.py
+++ b/src/yokesill/query/owned.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import anyio.abc
 import cbor2
 
 from yokesill.comm.base import Transport
@@ -15,7 +16,8 @@
 
 OWNED_QUERY, RESERVE, SETTLE = "owned-query", "reserve", "settle"
 RESERVE_TIMEOUT = 0.5
-FORWARD_MARGIN = 0.5
+FORWARD_MARGIN = 1.0
+JOIN_MARGIN = 0.6
 RETRY_AFTER_MS = 1000
 
 Execute = Callable[[QueryCall, str], Awaitable[Answer | Refuse]]
@@ -30,6 +32,12 @@
         self._transport = transport
         self._sealer = sealer
         self._execute = execute
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Run keyed requests until cancelled; they go on when their callers leave."""
+        async with anyio.create_task_group() as self._tasks:
+            await anyio.sleep_forever()
 
     async def handle(self, call: QueryCall, query_id: str) -> Answer | Refuse:
         """Answer a caller's keyed request, here or at its owner."""
@@ -95,22 +103,34 @@
         record = self.records.create(key, fingerprint, query_id, now)
         if record is None:
             return _refusal(query_id, Reason.OVERLOADED, Verdict.NOT_RUN, "too many idempotency keys")
-        final: Answer | Refuse | None = None
-        try:
-            final = await self._reserve_at(backup, key, fingerprint, query_id)
-            if final is None:
-                final = await self._execute(call, query_id)
-        finally:
-            # A cancelled run is in doubt; only what surely did not run frees the key.
-            await self._close(key, record, query_id, final, backup, _frees_key(call, final))
-        return final
+        if self._tasks is None:
+            raise RuntimeError("the keyed queries' part does not run")
+        # Not in the caller's task: it may leave and ask again, and what was sent can't be taken back.
+        self._tasks.start_soon(self._run_new, call, query_id, key, record, backup)
+        return await self._join(call, record, query_id)
+
+    async def _run_new(
+        self, call: QueryCall, query_id: str, key: RecordKey, record: Record, backup: str | None
+    ) -> None:
+        """Reserve and run a request that is new, and keep its outcome for every repeat."""
+        final = await self._reserve_at(backup, key, record.fingerprint, query_id)
+        if final is None:
+            final = await self._execute(call, query_id)
+        record.settle(final)
+        frees_key = _frees_key(call, final)
+        if frees_key:
+            self.records.release(key, query_id)
+        if backup is not None:
+            outcome = None if frees_key else encode_final(final)
+            body = cbor2.dumps([list(key), query_id, outcome])
+            await self._transport.request(backup, SETTLE, self._sealer.seal(body), RESERVE_TIMEOUT)
 
     async def _join(self, call: QueryCall, record: Record, query_id: str) -> Answer | Refuse:
         """Give a repeat the first request's outcome."""
         if record.fingerprint != call.fingerprint():
             detail = "the idempotency key was used for another request"
             return _refusal(query_id, Reason.KEY_REUSED, Verdict.NOT_RUN, detail)
-        with anyio.move_on_after(call.deadline_ms / 1000):
+        with anyio.move_on_after(call.deadline_ms / 1000 + JOIN_MARGIN):
             await record.done.wait()
         if record.final is not None:
             return record.final
@@ -138,26 +158,6 @@
             return _refusal(nonce, Reason.DUPLICATE_IN_DOUBT, Verdict.MAY_HAVE_RUN, detail)
         return None
 
-    async def _close(
-        self,
-        key: RecordKey,
-        record: Record,
-        nonce: str,
-        final: Answer | Refuse | None,
-        backup: str | None,
-        frees_key: bool,
-    ) -> None:
-        if frees_key:
-            self.records.release(key, nonce)
-        elif final is not None:
-            record.settle(final)
-        else:
-            record.done.set()
-        if backup is not None and final is not None:
-            with anyio.CancelScope(shield=True), anyio.move_on_after(RESERVE_TIMEOUT):
-                body = cbor2.dumps([list(key), nonce, None if frees_key else encode_final(final)])
-                await self._transport.request(backup, SETTLE, self._sealer.seal(body), RESERVE_TIMEOUT)
-
     # --- the backup ---
 
     def _reserved(self, body: bytes) -> bytes:
@@ -190,7 +190,7 @@
     return (call.service.namespace, call.service.service, call.idempotency_key or "")
 
 
-def _frees_key(call: QueryCall, final: Answer | Refuse | None) -> bool:
+def _frees_key(call: QueryCall, final: Answer | Refuse) -> bool:
     """Whether a repeat may run: the request surely did not, or does no harm twice, or is kept elsewhere."""
     if not isinstance(final, Refuse):
         return False
--- a/tests/features/promises.feature
+++ b/tests/features/promises.feature
@@ -73,6 +73,11 @@
     When exam items are asked for with a key, a node joins, and each is repeated at every node
     Then each key ran at most once and a finished one got the same answer again
 
+  @at-most-once
+  Scenario: A caller leaves and asks again with the same key
+    When callers of slow exam items leave midway and repeat them with their keys
+    Then each key ran at most once and a finished one got the same answer again
+
   @leaving
   Scenario: The machine list says that a server is leaving
     When the machine list marks a server as leaving while every node sends it work
--- a/tests/test_promises_once.py
+++ b/tests/test_promises_once.py
@@ -123,6 +123,27 @@
     outcome["first"], outcome["repeats"], outcome["ran_again"] = run_cluster(body)
 
 
+@scenario(FEATURE, "A caller leaves and asks again with the same key")
+def test_caller_leaves() -> None: ...
+
+
+@when("callers of slow exam items leave midway and repeat them with their keys")
+def caller_leaves(outcome: dict[str, Any]) -> None:
+    async def body(cluster: SimulatedCluster) -> Any:
+        for model in bank_models(cluster):
+            model.set_faults(ServerFaults(slow_factor=50))
+        with anyio.move_on_after(0.35):
+            await ask_keys(cluster, [0, 1, 2])
+        left = sum(executions(cluster).values())
+        repeats = await ask_keys(cluster, [1, 2, 0])
+        again = await ask_keys(cluster, [2, 0, 1])
+        return left, repeats, again, executions(cluster)
+
+    left, outcome["first"], outcome["repeats"], ran = run_cluster(body)
+    assert left > 0
+    outcome["ran_again"] = sum(ran.values()) - len(KEYS)
+
+
 @then("each key ran at most once and a finished one got the same answer again")
 def same_again(outcome: dict[str, Any]) -> None:
     assert outcome["ran_again"] == 0
