--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 test: check unit guards spec
 
 check: $(VENV)/.installed
-	$(BIN)/ruff format --check src tests spec
-	$(BIN)/ruff check src tests spec
+	$(BIN)/ruff format --check src tests spec bench
+	$(BIN)/ruff check src tests spec bench
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
--- a/bench/hollow.py
+++ b/bench/hollow.py
@@ -8,15 +8,14 @@
 
 import json
 import resource
-import subprocess
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor, as_completed
-from pathlib import Path
 from typing import Any
 
 import anyio
 import trio.testing
+from results_file import revision, write_results
 
 from yokesill import logs
 from yokesill.backends.subsetting import assign
@@ -26,7 +25,6 @@
 from yokesill.resources.objects import StoredObject
 from yokesill.simulation.hollow import HollowCluster, HollowNode
 
-BENCH = Path(__file__).parent
 SIZES = (50, 100, 200, 400, 770)
 SHARDS, REPLICAS = 130, 30
 SETTLE = 10.0
@@ -195,9 +193,7 @@
     """Measure every size, print the tables and write the results."""
     sizes = [int(each) for each in sys.argv[1:]] or list(SIZES)
     memory = state_memory()
-    revision = subprocess.run(
-        ["git", "describe", "--always", "--dirty"], capture_output=True, text=True, check=False
-    ).stdout.strip()
+    of = revision()
     rows: list[dict[str, Any]] = []
     with ProcessPoolExecutor(len(sizes)) as pool:
         for future in as_completed([pool.submit(run, size) for size in sizes]):
@@ -205,16 +201,15 @@
             row["subsets"] = subsets(row["nodes"])
             rows.append(row)
             print(json.dumps(row), flush=True)
-            write(revision, memory, rows)
+            write(of, memory, rows)
     return 0
 
 
-def write(revision: str, memory: float, rows: list[dict[str, Any]]) -> None:
+def write(of: str, memory: float, rows: list[dict[str, Any]]) -> None:
     """Write the rows measured so far."""
     ordered = sorted(rows, key=lambda row: int(row["nodes"]))
-    output = {"revision": revision, "configuration_mb_a_node": memory, "rows": ordered}
-    (BENCH / "results").mkdir(exist_ok=True)
-    (BENCH / "results" / "hollow.json").write_text(json.dumps(output, indent=1) + "\n")
+    output = {"revision": of, "configuration_mb_a_node": memory, "rows": ordered}
+    write_results("hollow", output)
 
 
 if __name__ == "__main__":
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from launcher import TOKEN, Deployment
+from results_file import revision, write_results
 
 BENCH = Path(__file__).parent
 SECONDS = 15
@@ -197,7 +198,7 @@
 def main() -> int:
     """Run everything, print a line each and write the results."""
     runs = []
-    for name in ZONES:
+    for name in sys.argv[1:] or ZONES:
         for hurt in (False, True):
             for mode in ("full", "thin"):
                 with tempfile.TemporaryDirectory() as folder:
@@ -207,11 +208,7 @@
             runs.append(under_node_faults(folder, name))
         print_row(runs[-1])
         print(f"  faults {runs[-1]['faults']}; changes {runs[-1]['changes']}")
-    revision = subprocess.run(
-        ["git", "describe", "--always", "--dirty"], capture_output=True, text=True, check=False
-    ).stdout.strip()
-    text = json.dumps({"revision": revision, "runs": runs}, indent=1) + "\n"
-    (BENCH / "results" / "processes.json").write_text(text)
+    write_results("processes", {"revision": revision(), "runs": runs})
     return 0
 
 
--- a/bench/simulate.py
+++ b/bench/simulate.py
@@ -4,8 +4,6 @@
 it shows what the decisions are worth, not what they cost.
 """
 
-import json
-import subprocess
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
@@ -13,6 +11,7 @@
 
 import anyio
 import trio.testing
+from results_file import revision, write_results
 
 from yokesill import logs
 from yokesill.emulator.faults import ServerFaults
@@ -89,12 +88,8 @@
         for future in [pool.submit(run, *each) for each in experiments()]:
             results.append(future.result())
             print_row(results[-1])
-    revision = subprocess.run(
-        ["git", "describe", "--always", "--dirty"], capture_output=True, text=True, check=False
-    ).stdout.strip()
-    output = {"revision": revision, "seconds": SECONDS, "runs": [each.to_json() for each in results]}
-    (BENCH / "results").mkdir(exist_ok=True)
-    (BENCH / "results" / "simulation.json").write_text(json.dumps(output, indent=1) + "\n")
+    output = {"revision": revision(), "seconds": SECONDS, "runs": [each.to_json() for each in results]}
+    write_results("simulation", output)
     return 0
 
 
--- a/bench/subrequest.py
+++ b/bench/subrequest.py
@@ -6,18 +6,17 @@
 ``bench/results/subrequest.json``.
 """
 
-import json
 import random
 import statistics
 import subprocess
 import sys
 import time
-from pathlib import Path
 from typing import Any
 
 import anyio
 import anyio.lowlevel
 import yaml
+from results_file import folder, revision, write_results
 
 from yokesill.backends.connections import new_connection
 from yokesill.backends.http_backend import HttpBackendClient
@@ -33,7 +32,6 @@
 from yokesill.routing.options import RoutingOptions
 from yokesill.routing.router import Router
 
-BENCH = Path(__file__).parent
 FAN_OUTS = (8, 16, 64, 130)
 SUB_REQUESTS = 4000
 ROUNDS = 3
@@ -60,8 +58,8 @@
     scenario = Scenario.model_validate(scenario_of(fan_out))
     state = ReplicatedState()
     documents = documents_of(scenario, place_servers(scenario, "127.0.0.1", FIRST_PORT))
-    for revision, (key, value) in enumerate(documents.items(), start=1):
-        state.merge(StoredObject(key, revision, "bench", value))
+    for number, (key, value) in enumerate(documents.items(), start=1):
+        state.merge(StoredObject(key, number, "bench", value))
     catalog = Catalog(state)
     catalog.refresh(documents)
     name = ServiceName("bench", "wide")
@@ -94,12 +92,10 @@
 
 def main() -> int:
     """Measure every fan-out with both kinds, in turns."""
-    folder = BENCH / "results"
-    folder.mkdir(exist_ok=True)
     rows = []
     print(f"{'fan-out':>8} {'h11 us':>9} {'httptools us':>13} {'ratio':>6}")
     for fan_out in FAN_OUTS:
-        path = folder / "wide.tmp.yaml"
+        path = folder() / "wide.tmp.yaml"
         path.write_text(yaml.safe_dump(scenario_of(fan_out)))
         command = [sys.executable, "-m", "yokesill.cli.main", "emulate", str(path), "--store-port", "0"]
         servers = subprocess.Popen(
@@ -119,7 +115,7 @@
         h11, httptools = (statistics.median(figures[kind]) for kind in KINDS)
         rows.append({"fan_out": fan_out, "h11_us": h11, "httptools_us": httptools})
         print(f"{fan_out:>8} {h11:9.0f} {httptools:13.0f} {httptools / h11:6.2f}", flush=True)
-    (folder / "subrequest.json").write_text(json.dumps(rows, indent=1) + "\n")
+    write_results("subrequest", {"revision": revision(), "rows": rows})
     return 0
 
 
