A reply that ends its own query does no harm

That can end the query before the reply itself is taken in, and the router then raised KeyError, which ends the node.

Change: after a report is taken in, the router asks whether the attempt is still live.

Measured: the new test raised KeyError before and passes now.

--- a/src/yokesill/routing/fanout.py
+++ b/src/yokesill/routing/fanout.py
@@ -59,6 +59,10 @@
         """Return one shard's progress."""
         return self._shards[shard_id]
 
+    def has_attempt(self, attempt_id: str) -> bool:
+        """Whether the attempt is live and of this fan-out."""
+        return attempt_id in self._shard_of_attempt
+
     def shard_of(self, attempt_id: str) -> ShardProgress:
         """Return the shard of a live attempt."""
         return self._shard_of_attempt[attempt_id]
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -59,6 +59,10 @@
         """Return an attempt of this query that has not ended."""
         return self._fanout.shard_of(attempt_id).live[attempt_id]
 
+    def has_attempt(self, attempt_id: str) -> bool:
+        """Whether the attempt is still live: what its reply told may have ended the query meanwhile."""
+        return self._fanout.has_attempt(attempt_id)
+
     def defect(self, partial: Partial) -> Reason | None:
         """Return why a part must not be merged, or ``None``."""
         return self._fanout.defect(partial)
--- a/src/yokesill/routing/router.py
+++ b/src/yokesill/routing/router.py
@@ -142,6 +142,8 @@
         if machine is None or server is None:
             return
         self._observe(server, event.report, now, actions)
+        if not machine.has_attempt(event.attempt_id):
+            return
         machine.service.count_shed(False)
         # A part that must not be merged is the server's fault, however quickly it came.
         defect = machine.defect(event.partial)
@@ -165,8 +167,9 @@
             server.back_off(now)
         elif reason in SERVER_FAULTS and server.failed(now):
             self.servers.generation += 1
-        machine.failed(event.attempt_id, event.failure, now, actions)
-        self._forget_if_finished(machine)
+        if machine.has_attempt(event.attempt_id):
+            machine.failed(event.attempt_id, event.failure, now, actions)
+            self._forget_if_finished(machine)
 
     def _end_attempt(self, attempt_id: str) -> tuple[QueryMachine | None, ServerState | None, float]:
         machine = self._context.attempt_owners.get(attempt_id)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -27,13 +27,16 @@
 CLASS = "rules: [{then: {wait_ms: 1000, hedge: {quantile: 0.9}}}]"
 
 
-def make_router(shards: int, replicas: int, **options: object) -> Router:
+def make_router(shards: int, replicas: int, shared_server: bool = False, **options: object) -> Router:
     ranges = split_key_space(shards)
     compiled_shards = tuple(
         CompiledShard(
             f"s{index}",
             each,
-            tuple(Replica(address=f"10.0.{index}.{number}:1", zone="z1") for number in range(replicas)),
+            tuple(
+                Replica(address=f"10.0.{0 if shared_server else index}.{number}:1", zone="z1")
+                for number in range(replicas)
+            ),
         )
         for index, each in enumerate(ranges)
     )
@@ -88,6 +91,17 @@
     assert all(server.in_flight == 0 for server in router.servers.all())
 
 
+def test_a_report_that_ends_its_own_query_is_harmless() -> None:
+    # One server holds both shards and has one slot: one shard is sent, the other waits.
+    router = make_router(2, 1, initial_limit=1.0, shared_server=True)
+    (send,) = sends(arrive(router, 1, 0.0))
+    failure = Failure(Reason.SNAPSHOT_UNAVAILABLE, Verdict.NOT_RUN)
+    empty = ServerReport("1", frozenset(), LoadReport(4, 0, 0))
+    actions = router.on_event(ev.AttemptFailed(send.attempt.attempt_id, failure, empty), 0.01)
+    assert len([each for each in actions if isinstance(each, ev.Refuse)]) == 1
+    assert router.queries_in_flight == 0
+
+
 def test_a_given_up_query_is_refused_in_the_same_step() -> None:
     router = make_router(1, 1, retries=False)
     (send,) = sends(arrive(router, 1, 0.0))
