Reports that were overtaken are ignored

Change: a server's report counts only if no request sent later was answered already; a shard whose servers all seem to hold something else waits for other replies also after a re-plan, as long as the deadline allows.

Ruled out: a clock or sequence in the back ends' replies (their wire is not ours).

--- a/bench/subrequest.py
+++ b/bench/subrequest.py
@@ -72,7 +72,8 @@
         await anyio.lowlevel.checkpoint()
         driver.feed(ServiceInstalled(catalog.services[name]))
         for server in list(router.servers.all()):
-            driver.feed(ServerObserved(server.address, await backends.check(server.address)))
+            report = await backends.check(server.address)
+            driver.feed(ServerObserved(server.address, report, anyio.current_time()))
         await ask(driver, name, 3, "warm")
         started = time.process_time()
         await ask(driver, name, queries, "run")
--- a/src/yokesill/backends/health.py
+++ b/src/yokesill/backends/health.py
@@ -45,5 +45,6 @@
 
     async def _check(self, address: str) -> None:
         async with self._limiter:
+            asked_at = anyio.current_time()
             report = await self._backends.check(address)
-        self._driver.feed(ServerObserved(address, report))
+        self._driver.feed(ServerObserved(address, report, asked_at))
--- a/src/yokesill/routing/events.py
+++ b/src/yokesill/routing/events.py
@@ -64,10 +64,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerObserved:
-    """A health check of a server ended; ``report`` is ``None`` when it did not answer."""
+    """A health check, sent at ``asked_at`` (s), ended; ``report`` is ``None`` without an answer."""
 
     address: str
     report: ServerReport | None
+    asked_at: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -138,8 +138,8 @@
         self._finish_if_settled(now, actions)
 
     def _ask(self, progress: ShardProgress, now: float, actions: list[Action]) -> None:
-        if not self._replanned and self._fanout.dropped_by_all(progress):
-            # The other shards' replies will tell which snapshot is held everywhere now.
+        if self._fanout.dropped_by_all(progress):
+            # Other replies will tell which snapshot is held everywhere now.
             self._retry_later(progress, now, actions)
         else:
             self._fanout.dispatch(progress, now, actions)
--- a/src/yokesill/routing/router.py
+++ b/src/yokesill/routing/router.py
@@ -79,8 +79,8 @@
                 machine = self._queries.pop(query_id, None)
                 if machine is not None:
                     machine.abandon(now, actions)
-            case ev.ServerObserved(address, report):
-                self._server_observed(address, report, now, actions)
+            case ev.ServerObserved():
+                self._server_observed(event, now, actions)
             case ev.ServerLeaving(address, incarnation):
                 self._server_leaving(address, incarnation, now)
             case ev.ServiceInstalled(service):
@@ -141,7 +141,7 @@
         machine, server, sent_at = self._end_attempt(event.attempt_id)
         if machine is None or server is None:
             return
-        self._observe(server, event.report, now, actions)
+        self._observe(server, event.report, sent_at, now, actions)
         if not machine.has_attempt(event.attempt_id):
             return
         machine.service.count_shed(False)
@@ -157,10 +157,10 @@
         self._forget_if_finished(machine)
 
     def _attempt_failed(self, event: ev.AttemptFailed, now: float, actions: list[ev.Action]) -> None:
-        machine, server, _ = self._end_attempt(event.attempt_id)
+        machine, server, sent_at = self._end_attempt(event.attempt_id)
         if machine is None or server is None:
             return
-        self._observe(server, event.report, now, actions)
+        self._observe(server, event.report, sent_at, now, actions)
         reason = event.failure.reason
         machine.service.count_shed(reason is Reason.SHED)
         if reason is Reason.SHED:
@@ -182,12 +182,17 @@
     # --- servers ---
 
     def _observe(
-        self, server: ServerState, report: ServerReport | None, now: float, actions: list[ev.Action]
+        self,
+        server: ServerState,
+        report: ServerReport | None,
+        asked_at: float,
+        now: float,
+        actions: list[ev.Action],
     ) -> None:
         if report is None:
             return
         was_leaving, held = server.state == LEAVING, server.servable()
-        if server.observe(report, now):
+        if server.observe(report, asked_at, now):
             self.servers.generation += 1
             self._reconsider(held - server.servable(), now, actions)
         if report.leaving and not was_leaving:
@@ -205,17 +210,15 @@
             machine.wait_over(waiter.shard_id, now, actions)
             self._forget_if_finished(machine)
 
-    def _server_observed(
-        self, address: str, report: ServerReport | None, now: float, actions: list[ev.Action]
-    ) -> None:
-        server = self.servers.get(address)
+    def _server_observed(self, event: ev.ServerObserved, now: float, actions: list[ev.Action]) -> None:
+        server = self.servers.get(event.address)
         if server is None:
             return
-        if report is None:
+        if event.report is None:
             if server.failed(now):
                 self.servers.generation += 1
             return
-        self._observe(server, report, now, actions)
+        self._observe(server, event.report, event.asked_at, now, actions)
         self._context.freed.append(server)
 
     def _server_leaving(self, address: str, incarnation: str, now: float) -> None:
--- a/src/yokesill/routing/servers.py
+++ b/src/yokesill/routing/servers.py
@@ -43,6 +43,7 @@
         self._ejected_until = 0.0
         self._decreased_at = 0.0
         self._leaving_as = ""
+        self._report_asked_at = float("-inf")
 
     def handle(self, event: str, now: float) -> bool:
         """Step the life-cycle chart; return whether the state changed."""
@@ -157,8 +158,15 @@
         self._ejected_until = now + min(self._options.ejection_ceiling, pause)
         self._ejections = min(self._ejections + 1, 10)
 
-    def observe(self, report: ServerReport, now: float) -> bool:
-        """Take in what the server said of itself; return whether routing must look again."""
+    def observe(self, report: ServerReport, asked_at: float, now: float) -> bool:
+        """Take in what the server said of itself; return whether routing must look again.
+
+        Replies overtake each other: a report is ignored when a request sent after the one that
+        it answers has been answered already.
+        """
+        if asked_at < self._report_asked_at:
+            return False
+        self._report_asked_at = asked_at
         changed = False
         self.heard_at = now
         if report.incarnation != self.incarnation:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -46,7 +46,7 @@
     router = Router(RoutingOptions(zone="z1", **options), random.Random(1))  # type: ignore[arg-type]
     router.on_event(ev.ServiceInstalled(service), 0.0)
     for server in list(router.servers.all()):
-        router.on_event(ev.ServerObserved(server.address, report(FIRST)), 0.0)
+        router.on_event(ev.ServerObserved(server.address, report(FIRST), 0.0), 0.0)
     return router
 
 
@@ -74,7 +74,7 @@
     # All servers of four shards have moved on; what the other four hold is not known yet.
     for server in list(router.servers.all()):
         if int(server.address.split(".")[2]) < 4:
-            router.on_event(ev.ServerObserved(server.address, report(Snapshot(1, 2))), 0.0)
+            router.on_event(ev.ServerObserved(server.address, report(Snapshot(1, 2)), 0.0), 0.0)
     router.servers.generation += 1
     actions = arrive(router, 1, 0.0)
     for step in range(1, 20):
@@ -91,6 +91,15 @@
     assert all(server.in_flight == 0 for server in router.servers.all())
 
 
+def test_a_report_that_was_overtaken_is_ignored() -> None:
+    router = make_router(1, 1)
+    (server,) = router.servers.all()
+    newer = report(Snapshot(1, 2))
+    router.on_event(ev.ServerObserved(server.address, newer, 0.02), 0.03)
+    router.on_event(ev.ServerObserved(server.address, report(FIRST), 0.01), 0.04)
+    assert server.holdings == {Snapshot(1, 2)}
+
+
 def test_a_report_that_ends_its_own_query_is_harmless() -> None:
     # One server holds both shards and has one slot: one shard is sent, the other waits.
     router = make_router(2, 1, initial_limit=1.0, shared_server=True)
--- a/tests/test_promises_once.py
+++ b/tests/test_promises_once.py
@@ -194,7 +194,7 @@
         report = await told._backends.check(address)
         model.set_faults(ServerFaults())
         marked = anyio.current_time()
-        told.driver.feed(ServerObserved(address, report))
+        told.driver.feed(ServerObserved(address, report, marked))
         await load_until(cluster, 6)
         return before, [each.started_at - marked for each in model.executions]
 
