Metrics count the process's memory, by prometheus-client's own collector

Cause: the issue asks for control traffic, CPU and memory in /metrics; memory was missing and CPU was a gauge of our own.

Change: ProcessCollector in the node's registry.

Measured: process_resident_memory_bytes 87,891,968 and process_cpu_seconds_total 1.88 on an idle example node; every subcommand was run by hand against it once.

--- a/src/yokesill/metrics.py
+++ b/src/yokesill/metrics.py
@@ -1,8 +1,6 @@
 """Figures of a node for ``/metrics``, by prometheus-client."""
 
-import time
-
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, ProcessCollector, generate_latest
 
 LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.14, 0.2, 0.5, 1, 2, 5)
 
@@ -12,6 +10,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self.queries = Counter(
             "yokesill_queries",
             "Queries by their end",
@@ -36,5 +35,4 @@
 
     def render(self) -> bytes:
         """Return the metrics in the text format."""
-        self.gauge("yokesill_process_cpu_seconds", "Processor time of the process", time.process_time())
         return generate_latest(self.registry)
