--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -1,4 +1,4 @@
-"""One query's life: fan out, hedge, retry, re-plan once, answer or give up.
+"""One query's life: fan out, hedge, retry, re-plan, answer or give up.
 
 The machine is driven by the router and appends its actions to the list it is given. Once it is
 given up on, its refusal is an action of the same step.
@@ -21,6 +21,7 @@
 DEFAULT_RETRY_AFTER_MS = 200
 FULL_COVERAGE = 1.0
 TIMER_SLACK = 1e-6
+MAXIMUM_REPLANS = 3
 FREE_RETRY_REASONS = frozenset({Reason.CONNECT_FAILED, Reason.SNAPSHOT_UNAVAILABLE, Reason.BACKEND_LEAVING})
 
 
@@ -49,7 +50,7 @@
         self._facts = facts
         self._context = context
         self._arrived_at = now
-        self._replanned = False
+        self._replans = 0
         self._retry_armed = False
         self._discarded_verdict = Verdict.NOT_RUN
         self._attempt_numbers = itertools.count(1)
@@ -145,18 +146,21 @@
             self._fanout.dispatch(progress, now, actions)
 
     def _replan(self, now: float, actions: list[Action]) -> bool:
-        """Start over once at another common snapshot; every old partial is discarded."""
-        if self._replanned:
+        """Start over at another common snapshot; every old partial is discarded.
+
+        What unasked servers hold may be old news, so one re-plan is not always enough.
+        """
+        if self._replans >= MAXIMUM_REPLANS:
             return False
         snapshot = self.service.pin(self._context.servers, self.query.key_hash)
         if snapshot is None or snapshot == self._fanout.snapshot:
             return False
         if not self.service.fully_held(snapshot, self.query.key_hash):
             return False
-        verdict = self._fanout.verdict()
+        verdict = max(self._discarded_verdict, self._fanout.verdict())
         if not self.query.repeatable and verdict is not Verdict.NOT_RUN:
             return False
-        self._replanned = True
+        self._replans += 1
         self._discarded_verdict = verdict
         self._fanout.close(now, actions)
         self._fanout = Fanout(self, snapshot, self._context, self._attempt_numbers)
--- a/src/yokesill/routing/router.py
+++ b/src/yokesill/routing/router.py
@@ -200,7 +200,7 @@
 
     def _reconsider(self, dropped: set[ShardKey], now: float, actions: list[ev.Action]) -> None:
         """Let who waits for a snapshot that a server dropped look again; nobody may hold it now."""
-        for key in dropped:
+        for key in sorted(dropped, key=str):
             for waiter in self._context.waiting.evict(key):
                 self._end_wait(waiter, now, actions)
 
--- a/src/yokesill/routing/waiting.py
+++ b/src/yokesill/routing/waiting.py
@@ -98,8 +98,9 @@
         current = max(self._served.get(name.namespace, floor), floor)
         self._served[name.namespace] = current + 1.0 / share
 
-    def _turn(self, key: ShardKey, waiter: Waiter) -> tuple[int, float, float]:
-        return (waiter.order[0], self._served.get(key[0].namespace, 0.0), waiter.order[1])
+    def _turn(self, key: ShardKey, waiter: Waiter) -> tuple[int, float, float, int]:
+        priority, deadline, sequence = waiter.order
+        return (priority, self._served.get(key[0].namespace, 0.0), deadline, sequence)
 
     def _head(self, key: ShardKey) -> Waiter | None:
         queue = self._queues.get(key)
