A shard whose servers seem to hold something else is asked all the same

Cause: with three of twelve orders of ready tasks, 61 of 400 queries of one node were refused after a flip of all servers at once: the node pinned version 3, known at seven shards of eight, and nobody asked the eighth's servers, whose old news said version 1 or 2, until their health check.

--- a/src/yokesill/routing/fanout.py
+++ b/src/yokesill/routing/fanout.py
@@ -140,6 +140,18 @@
         if server is not None:
             self._send(progress, server, now, actions)
 
+    def ask_doubtful(self, progress: ShardProgress, now: float, actions: list[Action]) -> bool:
+        """Ask a server that is not known to hold the snapshot; it declines, or tells otherwise.
+
+        Returns whether there was one that was not tried yet.
+        """
+        untried = [each for each in progress.servers if each.address not in progress.tried]
+        ready = [each for each in untried if each.may_take(now)]
+        if not ready:
+            return False
+        self._send(progress, min(ready, key=lambda each: each.heard_at), now, actions)
+        return True
+
     def can_hedge(self, progress: ShardProgress, now: float) -> bool:
         """Whether some untried server may take one more request."""
         return any(
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -139,11 +139,11 @@
         self._finish_if_settled(now, actions)
 
     def _ask(self, progress: ShardProgress, now: float, actions: list[Action]) -> None:
-        if self._fanout.dropped_by_all(progress):
+        if not self._fanout.dropped_by_all(progress):
+            self._fanout.dispatch(progress, now, actions)
+        elif not self._fanout.ask_doubtful(progress, now, actions):
             # Other replies will tell which snapshot is held everywhere now.
             self._retry_later(progress, now, actions)
-        else:
-            self._fanout.dispatch(progress, now, actions)
 
     def _replan(self, now: float, actions: list[Action]) -> bool:
         """Start over at another common snapshot; every old partial is discarded.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -46,13 +46,13 @@
     return Scenario.model_validate({**yaml.safe_load(SCENARIO), **changes})
 
 
-def run_virtual(main: Callable[[], Awaitable[Any]]) -> Any:
+def run_virtual(main: Callable[[], Awaitable[Any]], scheduling: int = SCHEDULING_SEED) -> Any:
     """Run ``main`` in virtual time: sleeping costs nothing and every run takes the same course.
 
     trio shuffles the tasks that are ready; what it offers Hypothesis makes that the same each time.
     """
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
-    trio._core._run._r.seed(SCHEDULING_SEED)
+    trio._core._run._r.seed(scheduling)
     clock = trio.testing.MockClock(autojump_threshold=0)
     return anyio.run(main, backend="trio", backend_options={"clock": clock})
 
@@ -63,6 +63,7 @@
     seed: int = 1,
     scenario: Scenario | None = None,
     settings: dict[str, dict[str, Any]] | None = None,
+    scheduling: int = SCHEDULING_SEED,
 ) -> Any:
     """Run ``body`` against a settled cluster in virtual time and return what it returns."""
 
@@ -79,7 +80,7 @@
             task_group.cancel_scope.cancel()
         return result
 
-    return run_virtual(main)
+    return run_virtual(main, scheduling)
 
 
 @pytest.fixture
--- a/tests/test_promises_queries.py
+++ b/tests/test_promises_queries.py
@@ -49,7 +49,9 @@
             task_group.start_soon(move)
             return await ask_many(cluster, 400, 0.005)
 
-    outcome["finals"] = run_cluster(body)
+    # Two of these orders of ready tasks once left a node's queries waiting for a shard's news.
+    runs = [run_cluster(body, scheduling=seed) for seed in (1, 7, 9)]
+    outcome["finals"] = [final for finals in runs for final in finals]
 
 
 @then("no answer mixes versions and no query is refused as long as a common version exists")
