Every node gets a full subset

Cause: a scenario with subsetting on in a running cluster (it had only been tested on its own) showed a node with one replica of a shard instead of two: under the bound the last nodes may find too few servers left.

Change: such a node takes the least loaded server above the bound.

Measured: the scenario passes, also after a node is lost (then every replica is used).

--- a/src/yokesill/backends/subsetting.py
+++ b/src/yokesill/backends/subsetting.py
@@ -46,10 +46,18 @@
                 picks.append(column)
                 if len(picks) == size:
                     break
+        while len(picks) < size:
+            # The last nodes may find too few servers below the bound: a full subset goes first.
+            picks.append(_least_loaded(load, preference[row].tolist(), picks))
+            load[picks[-1]] += 1
         chosen[nodes[row]] = tuple(servers[column] for column in picks)
     return chosen
 
 
+def _least_loaded(load: list[int], preference: list[int], picks: list[int]) -> int:
+    return min((column for column in preference if column not in picks), key=lambda column: load[column])
+
+
 def _weights(nodes: list[str], servers: list[str]) -> npt.NDArray[np.uint64]:
     """Return a rendezvous weight for each pair, mixed from the names' hashes (splitmix64's finish)."""
     node_hashes = np.array([_hash(each) for each in nodes], dtype=np.uint64)
