State and a method that nothing read are gone

Cause: a last read of the whole change: the detector kept when each member was heard of, a node kept its random source and an event that nobody waited for, and the hard deadline had a method that only called another.

Change: they are taken out; behaviour is as before.

Measured: format, lint, types and layers clean; the promise scenarios, the deciding parts, subsetting and the whole path pass (41 tests). The guards and specs were not run again for this.

--- a/src/yokesill/membership/detector.py
+++ b/src/yokesill/membership/detector.py
@@ -69,7 +69,6 @@
         self._next_probe = 0.0
         self._next_gossip = 0.0
         self._suspected_at: dict[str, float] = {}
-        self._heard: dict[str, float] = {}
         self._zone_heard: dict[str, float] = {}
         self._relays: dict[int, tuple[str, int, str]] = {}
 
@@ -271,7 +270,6 @@
         record = self.table.get(address)
         if record is None:
             return
-        self._heard[address] = now
         self._zone_heard[record.zone] = now
         self.table.cut_zones.discard(record.zone)
 
--- a/src/yokesill/node.py
+++ b/src/yokesill/node.py
@@ -88,10 +88,8 @@
         self.leaving_servers = LeavingServers(self.gossip, self._tell_router, self._incarnation_of)
         self.close_listener: Callable[[], Awaitable[None]] = _nothing_to_close
         self._backends = backends
-        self._random = random_source
         self._resync_wanted = anyio.Event()
         self._stop_wanted = anyio.Event()
-        self._stopped = anyio.Event()
         self._log = get_logger("node")
         self.gossip.on_change = self._configuration_changed
         self.gossip.on_server = self.leaving_servers.learn
@@ -117,7 +115,6 @@
             await self._stop_wanted.wait()
             await self._drain()
             task_group.cancel_scope.cancel()
-        self._stopped.set()
 
     def stop(self) -> None:
         """Begin a planned stop; ``run`` returns when it is complete."""
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -113,7 +113,7 @@
         elif kind is TimerKind.SOFT:
             self._soft_deadline(now, actions)
         elif kind is TimerKind.HARD:
-            self._hard_deadline(now, actions)
+            self._end(now, actions)
 
     def wait_over(self, shard_id: str, now: float, actions: list[Action]) -> None:
         """Ask for a shard whose turn has come, unless its answer could only come too late."""
@@ -261,9 +261,6 @@
         if coverage.fraction >= max(outcome.soft_minimum_coverage, self.query.minimum_coverage):
             self._answer(coverage, now, actions)
 
-    def _hard_deadline(self, now: float, actions: list[Action]) -> None:
-        self._end(now, actions)
-
     def _end(self, now: float, actions: list[Action]) -> None:
         """Answer with what there is, if the policy accepts it; refuse otherwise."""
         coverage = self._fanout.coverage()
