--- /dev/null
+++ b/src/yokesill/gateway/calls.py
@@ -0,0 +1,154 @@
+"""The attempts of one request at the servers of one service."""
+
+from yokesill.gateway.context import GatewayContext, LiveAttempt
+from yokesill.gateway.documents import Route
+from yokesill.gateway.events import Action, Note, SendAttempt
+from yokesill.gateway.messages import Attempt, GatewayRequest, ServerReply
+from yokesill.gateway.selection import choose_server
+from yokesill.verdict import Failure, Reason, Verdict
+
+LEAST_TIME_TO_SEND = 0.003
+NEVER = float("inf")
+
+
+class ServiceCall:
+    """Progress at one service: attempts under way, what came back, and what may have run.
+
+    ``reply`` is the answer that counts; ``fallback`` a failure that a server answered with, to be
+    passed on when nothing better comes. ``hedge_at`` is when another server is asked as well.
+    """
+
+    def __init__(self, service: str, request: GatewayRequest, route: Route, context: GatewayContext) -> None:
+        self.service = service
+        self.reply: ServerReply | None = None
+        self.fallback: ServerReply | None = None
+        self.closed = False
+        self.failure: Failure | None = None
+        self.hedge_at = NEVER
+        self.sent = 0
+        self.extras = 0
+        self._request = request
+        self._route = route
+        self._context = context
+        self._live: dict[int, LiveAttempt] = {}
+        self._tried: set[str] = set()
+        self._ran = 0
+        self._verdict = Verdict.NOT_RUN
+
+    @property
+    def open(self) -> bool:
+        """Whether it may still contribute."""
+        return self.reply is None and not self.closed
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the request may have run at this service."""
+        return Verdict.MAY_HAVE_RUN if self._live and self._verdict is Verdict.NOT_RUN else self._verdict
+
+    @property
+    def live_numbers(self) -> list[int]:
+        """The attempts under way."""
+        return list(self._live)
+
+    # --- sending ---
+
+    def begin(self, deadline: float, hedge_delay: float, now: float, actions: list[Action]) -> None:
+        """Send the first attempt, or close the call when there is nobody to send it to."""
+        self._context.budget(self.service).count_request(now)
+        if self._send("first", deadline, now, actions):
+            self.hedge_at = now + hedge_delay
+            return
+        self._close(Failure(Reason.NO_REPLICA, Verdict.NOT_RUN, f"no server of {self.service} can be asked"))
+
+    def hedge(self, deadline: float, delay: float, now: float, actions: list[Action]) -> None:
+        """Ask another server as well: the attempts under way are late."""
+        for attempt in self._live.values():
+            self._context.stall(attempt)
+        self.hedge_at = NEVER
+        if not self._route.repeatable or not self._may_run_again():
+            return
+        if self._send("hedge", deadline, now, actions):
+            self.hedge_at = now + delay
+
+    def _may_run_again(self) -> bool:
+        return self._ran + len(self._live) < self._route.attempts
+
+    def _send(self, cause: str, deadline: float, now: float, actions: list[Action]) -> bool:
+        context = self._context
+        if deadline - now < LEAST_TIME_TO_SEND:
+            return False
+        server = choose_server(
+            context.servers.of_service(self.service),
+            self._tried,
+            context.typical(self._route).median,
+            context.options.removed_grace,
+            now,
+            context.random_source,
+            last_resort=len(self._route.services) == 1,
+        )
+        if server is None:
+            return False
+        extra = cause != "first"
+        if extra and not context.budget(self.service).take(context.nodes, now):
+            actions.append(self._note("budget_spent", cause, server.record.instance, now))
+            return False
+        number = next(context.numbers)
+        live = LiveAttempt(number, self._request.request_id, server, now, extra)
+        context.live[number] = self._live[number] = live
+        server.in_flight += 1
+        self._tried.add(server.record.instance)
+        self.sent += 1
+        self.extras += extra
+        if extra:
+            actions.append(self._note("attempt_added", cause, server.record.instance, now))
+        limit = context.connection_limit(self.service)
+        actions.append(SendAttempt(Attempt(number, self._request, server.record, limit, deadline)))
+        return True
+
+    def _note(self, name: str, cause: str, instance: str, now: float) -> Note:
+        details: dict[str, object] = {
+            "request": self._request.request_id,
+            "service": self.service,
+            "cause": cause,
+            "instance": instance,
+            "after_ms": round((now - self._request.arrived_at) * 1000, 1),
+            "budget_left": round(self._context.budget(self.service).left(self._context.nodes, now), 1),
+        }
+        return Note(name, details)
+
+    # --- what attempts bring ---
+
+    def answered(self, number: int, reply: ServerReply) -> None:
+        """Take an attempt's answer; the first success counts."""
+        self._live.pop(number, None)
+        self._ran += 1
+        self._verdict = Verdict.RAN
+        if reply.succeeded:
+            self.reply = self.reply or reply
+        else:
+            self.fallback = reply
+
+    def failed(self, number: int, failure: Failure) -> None:
+        """Take an attempt's end without an answer."""
+        self._live.pop(number, None)
+        self.failure = failure
+        if failure.verdict is not Verdict.NOT_RUN:
+            self._ran += 1
+            self._verdict = max(self._verdict, failure.verdict)
+
+    def retry(self, deadline: float, delay: float, now: float, actions: list[Action]) -> None:
+        """After an attempt that brought no success: send another where that is allowed, or close."""
+        if not self.open or self._live:
+            return
+        may_repeat = self._route.repeatable or self._verdict is Verdict.NOT_RUN
+        if may_repeat and self._may_run_again() and self._send("retry", deadline, now, actions):
+            self.hedge_at = now + delay
+            return
+        self._close(
+            self.failure or Failure(Reason.BACKEND_ERROR, Verdict.RAN, "the server answered a failure")
+        )
+
+    def _close(self, failure: Failure) -> None:
+        self.closed = True
+        self.failure = failure
+        self.hedge_at = NEVER
--- /dev/null
+++ b/src/yokesill/gateway/context.py
@@ -0,0 +1,86 @@
+"""What the requests of one node share."""
+
+import itertools
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from yokesill.gateway.budget import ExtraAttemptBudget
+from yokesill.gateway.documents import Configuration, Route
+from yokesill.gateway.estimates import TypicalLatency
+from yokesill.gateway.options import GatewayOptions
+from yokesill.gateway.servers import ServerState, ServerTable
+
+
+@dataclass(slots=True)
+class LiveAttempt:
+    """An attempt without an end yet; ``extra`` when it was paid for by the budget."""
+
+    number: int
+    request_id: str
+    server: ServerState
+    sent_at: float
+    extra: bool
+    stalled: bool = False
+
+
+@dataclass(slots=True)
+class GatewayContext:
+    """Servers, budgets and estimates of a node; ``live`` are all attempts under way, by number."""
+
+    options: GatewayOptions
+    random_source: random.Random
+    servers: ServerTable
+    started_at: float
+    nodes: int
+    configuration: Configuration | None = None
+    live: dict[int, LiveAttempt] = field(default_factory=dict)
+    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    _budgets: dict[str, ExtraAttemptBudget] = field(default_factory=dict)
+    _typical: dict[str, TypicalLatency] = field(default_factory=dict)
+    _longest_patience: dict[str, float] = field(default_factory=dict)
+
+    def budget(self, service: str) -> ExtraAttemptBudget:
+        """Return the service's budget of extra attempts."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = ExtraAttemptBudget(self.options.budget, self.started_at)
+        return budget
+
+    def typical(self, route: Route) -> TypicalLatency:
+        """Return what the route's attempts usually take."""
+        typical = self._typical.get(route.name)
+        if typical is None:
+            typical = self._typical[route.name] = TypicalLatency(route.target)
+        return typical
+
+    def waited_before(self, route: Route, patience: float) -> float:
+        """Return how long the caller has waited before this request, in seconds.
+
+        Callers of one route wait equally long; one that waits less than the most patient has spent
+        the difference on an earlier try.
+        """
+        longest = max(patience, self._longest_patience.get(route.name, 0.0))
+        self._longest_patience[route.name] = longest
+        return longest - patience
+
+    def connection_limit(self, service: str) -> int:
+        """Return how many connections this node may hold to each of the service's servers."""
+        limits = self.configuration.services.get(service) if self.configuration else None
+        if limits is None:
+            return 1
+        return max(1, int(self.options.connection_share * limits.connections / max(1, self.nodes)))
+
+    def stall(self, attempt: LiveAttempt) -> None:
+        """Mark an attempt as late by its route's measure."""
+        if not attempt.stalled:
+            attempt.stalled = True
+            attempt.server.stalled += 1
+
+    def release(self, number: int) -> LiveAttempt | None:
+        """Take an ended attempt off its server; ``None`` when it had ended before."""
+        attempt = self.live.pop(number, None)
+        if attempt is not None:
+            attempt.server.in_flight -= 1
+            attempt.server.stalled -= attempt.stalled
+        return attempt
--- /dev/null
+++ b/src/yokesill/gateway/documents.py
@@ -0,0 +1,122 @@
+"""What operators configure for the gateway: routes, services and limits, versioned as a whole."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Gather:
+    """A route to one server of each of ``services``; their records are merged.
+
+    The answer holds the greatest ``greatest`` records; it needs the share ``minimum_coverage``
+    (0 to 1) of the services at least.
+    """
+
+    services: tuple[str, ...]
+    greatest: int
+    minimum_coverage: float
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """One part of a split."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Split:
+    """A route to one server of one service, chosen in proportion to the weights."""
+
+    parts: tuple[WeightedService, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """How one class of requests is answered.
+
+    ``timeout`` is the longest that a request is held and ``target`` the latency that it should
+    have, both in seconds. ``attempts`` bounds the servers that one request may run on (for each
+    service of a gather). ``priority`` 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeatable: bool
+    timeout: float
+    target: float
+    attempts: int
+    priority: int
+    destination: Gather | Split
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Every service that the route may reach."""
+        if isinstance(self.destination, Gather):
+            return self.destination.services
+        return tuple(part.service for part in self.destination.parts)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What a caller may send: sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 1_048_576
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLimits:
+    """What the servers of one service bear: connections to each, from all nodes together."""
+
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of everything that operators configure, compiled whole and swapped whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, ServiceLimits]
+    limits: RequestLimits = RequestLimits()
+    _by_host: dict[str, tuple[Route, ...]] = field(
+        init=False, repr=False, compare=False, default_factory=dict
+    )
+
+    def __post_init__(self) -> None:
+        """Order each host's routes by falling length of their prefix."""
+        for route in sorted(self.routes, key=lambda each: -len(each.prefix)):
+            self._by_host[route.host] = (*self._by_host.get(route.host, ()), route)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the host's route whose prefix begins ``path`` and is longest."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRecord:
+    """One incarnation of a server, as the registry lists it.
+
+    ``warmup`` is how much longer it is slow after its start, in seconds.
+    """
+
+    instance: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    leaving: bool = False
+    warmup: float = 0.0
+
+    @property
+    def address(self) -> str:
+        """``HOST:PORT``."""
+        return f"{self.host}:{self.port}"
--- /dev/null
+++ b/src/yokesill/gateway/events.py
@@ -0,0 +1,174 @@
+"""Typed events into the gateway's router and typed actions out of it."""
+
+import enum
+from dataclasses import dataclass
+
+from yokesill.gateway.documents import Configuration, ServerRecord
+from yokesill.gateway.messages import Attempt, GatewayRequest, RequestSummary, ServerReply
+from yokesill.verdict import Failure
+
+
+class TimerKind(enum.IntEnum):
+    """The decision points of a request."""
+
+    HEDGE = 1
+    SOFT = 2
+    HARD = 3
+
+
+# --- events ---
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller's request was read whole."""
+
+    request: GatewayRequest
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptAnswered:
+    """A server's whole answer came in; ``connected_in`` is how long connecting took (s), if it did."""
+
+    number: int
+    reply: ServerReply
+    connected_in: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt ended without a usable answer; the verdict says whether it may have run."""
+
+    number: int
+    failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer that the router set is due."""
+
+    key: str
+    kind: TimerKind
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller went away before its answer."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationLearnt:
+    """A version of the configuration was read from any source; older ones are ignored."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class ServerListed:
+    """A server's entry is new or has changed."""
+
+    record: ServerRecord
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRemoved:
+    """A server's entry is gone: no new work for it."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServersReplaced:
+    """All servers as of one moment."""
+
+    records: tuple[ServerRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodesCounted:
+    """How many nodes share the budgets and the servers' connections."""
+
+    count: int
+
+
+Event = (
+    RequestArrived
+    | AttemptAnswered
+    | AttemptFailed
+    | TimerFired
+    | CallerLeft
+    | ConfigurationLearnt
+    | ServerListed
+    | ServerRemoved
+    | ServersReplaced
+    | NodesCounted
+)
+
+
+# --- actions ---
+
+
+@dataclass(frozen=True, slots=True)
+class SendAttempt:
+    """Send the request to the attempt's server."""
+
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Break an attempt off; nothing that it still brings is looked at."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Feed ``TimerFired`` back at ``at`` (seconds); timers of ended requests are ignored."""
+
+    key: str
+    kind: TimerKind
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """The final answer: one server's, unchanged."""
+
+    key: str
+    reply: ServerReply
+    summary: RequestSummary
+
+
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """The final answer: the greatest records of the parts that are in, in falling order."""
+
+    key: str
+    records: bytes
+    signatures: tuple[bytes, ...]
+    missing: int
+    summary: RequestSummary
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """The final refusal, with a verdict and when to come back."""
+
+    key: str
+    failure: Failure
+    summary: RequestSummary | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A decision worth a line in the log: its name and its inputs."""
+
+    name: str
+    details: dict[str, object]
+
+
+Action = SendAttempt | CancelAttempt | SetTimer | PassOn | Gathered | Refuse | Note
+FinalAnswer = PassOn | Gathered | Refuse
--- /dev/null
+++ b/src/yokesill/gateway/messages.py
@@ -0,0 +1,81 @@
+"""What passes between the gateway's decisions and its I/O: requests, attempts, replies."""
+
+from dataclasses import dataclass, field
+
+from yokesill.gateway.documents import ServerRecord
+from yokesill.verdict import Verdict
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayRequest:
+    """A caller's request as it was read whole.
+
+    ``key`` names it within this node; ``request_id`` is the caller's own name for it.
+    ``arrived_at`` is in seconds of the node's clock; ``patience`` is how long the caller will wait
+    from then on, in seconds (``None``: it did not say).
+    """
+
+    key: str
+    request_id: str
+    method: bytes
+    host: str
+    path: str
+    target: bytes
+    headers: Headers
+    body: bytes
+    arrived_at: float
+    patience: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a server reported of itself: requests running and waiting, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReply:
+    """A server's whole answer. ``signature`` is the server's proof that it ran the request."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    signature: bytes | None = None
+    load: Load | None = None
+    leaving: bool = False
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether it is a signed success."""
+        return 200 <= self.status < 300 and self.signature is not None
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One sending of a request to one server; ``deadline`` in seconds of the node's clock."""
+
+    number: int
+    request: GatewayRequest
+    server: ServerRecord
+    connection_limit: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSummary:
+    """How a request went, for logs and metrics; times in seconds."""
+
+    route: str
+    version: int
+    verdict: Verdict
+    elapsed: float
+    covered: int = 1
+    asked: int = 1
+    attempts: int = 0
+    extra_attempts: int = 0
+    missing: tuple[str, ...] = field(default=())
--- /dev/null
+++ b/src/yokesill/gateway/request.py
@@ -0,0 +1,213 @@
+"""One request from its arrival to its final answer."""
+
+from yokesill.gateway.calls import NEVER, ServiceCall
+from yokesill.gateway.context import GatewayContext
+from yokesill.gateway.documents import Gather, Route
+from yokesill.gateway.events import (
+    Action,
+    CancelAttempt,
+    Gathered,
+    PassOn,
+    Refuse,
+    SetTimer,
+    TimerKind,
+)
+from yokesill.gateway.merge import greatest_records
+from yokesill.gateway.messages import GatewayRequest, RequestSummary, ServerReply
+from yokesill.verdict import Failure, Reason, Verdict, join
+
+LATEST_HEDGE_SHARE = 1.3
+SHED_RETRY_AFTER_MS = 100
+FAILED_RETRY_AFTER_MS = 250
+
+
+class RequestMachine:
+    """Decides for one request under the configuration that was in force when it arrived.
+
+    ``soft`` is when an answer that covers enough is given although parts are missing: the latest
+    moment at which it is still in time for the caller. ``hard`` is when it is given up.
+    """
+
+    def __init__(
+        self,
+        request: GatewayRequest,
+        route: Route,
+        services: tuple[str, ...],
+        version: int,
+        context: GatewayContext,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.done = False
+        self._version = version
+        self._context = context
+        self._calls = [ServiceCall(service, request, route, context) for service in services]
+        self._call_of: dict[int, ServiceCall] = {}
+        self._timer_at = NEVER
+        margin = context.options.answer_margin
+        patience = request.patience if request.patience is not None else route.timeout
+        self.hard = request.arrived_at + min(route.timeout, patience - margin)
+        waited = context.waited_before(route, patience)
+        remaining = route.target - waited - margin
+        self.soft = request.arrived_at + (remaining if remaining > 0 else route.target)
+
+    # --- events ---
+
+    def begin(self, now: float, actions: list[Action]) -> None:
+        """Send the first attempts and set the timers."""
+        delay = self._hedge_delay(now)
+        for call in self._calls:
+            call.begin(self.hard, delay, now, actions)
+            self._adopt(call)
+        if isinstance(self.route.destination, Gather):
+            actions.append(SetTimer(self.request.key, TimerKind.SOFT, self.soft))
+        actions.append(SetTimer(self.request.key, TimerKind.HARD, self.hard))
+        self._conclude(now, actions)
+        self._set_hedge_timer(actions)
+
+    def answered(self, number: int, reply: ServerReply, now: float, actions: list[Action]) -> None:
+        """Take an attempt's whole answer."""
+        call = self._call_of.pop(number)
+        call.answered(number, reply)
+        if not reply.succeeded and self.route.repeatable and reply.status >= 500 and not self.done:
+            self._retry(call, now, actions)
+        elif not reply.succeeded and not call.live_numbers:
+            call.closed = call.reply is None
+        self._conclude(now, actions)
+
+    def failed(self, number: int, failure: Failure, now: float, actions: list[Action]) -> None:
+        """Take an attempt's end without an answer."""
+        call = self._call_of.pop(number)
+        call.failed(number, failure)
+        if not self.done:
+            self._retry(call, now, actions)
+            self._conclude(now, actions)
+
+    def timer(self, kind: TimerKind, now: float, actions: list[Action]) -> None:
+        """Take a decision point."""
+        if self.done:
+            return
+        if kind is TimerKind.HEDGE:
+            self._hedge_due(now, actions)
+        elif kind is TimerKind.HARD:
+            self._give_up(now, actions)
+        self._conclude(now, actions)
+
+    def caller_left(self, actions: list[Action]) -> None:
+        """Break everything off: nobody waits for it."""
+        self.done = True
+        for number in list(self._call_of):
+            del self._call_of[number]
+            self._context.release(number)
+            actions.append(CancelAttempt(number))
+
+    # --- hedges and retries ---
+
+    def _hedge_delay(self, now: float) -> float:
+        """Return after how long an attempt counts as late, in seconds.
+
+        That is some typical latencies, but early enough for another server to answer in time.
+        """
+        options = self._context.options
+        gathers = isinstance(self.route.destination, Gather)
+        factor = options.gather_hedge_factor if gathers else options.single_hedge_factor
+        typical = self._context.typical(self.route).median
+        latest = self.soft - now - LATEST_HEDGE_SHARE * typical
+        delay = typical * factor
+        if typical < latest < delay:
+            delay = latest
+        return max(delay, options.minimum_hedge_delay)
+
+    def _hedge_due(self, now: float, actions: list[Action]) -> None:
+        self._timer_at = NEVER
+        delay = self._hedge_delay(now)
+        for call in self._calls:
+            if call.open and call.hedge_at <= now:
+                call.hedge(self.hard, delay, now, actions)
+                self._adopt(call)
+        self._set_hedge_timer(actions)
+
+    def _retry(self, call: ServiceCall, now: float, actions: list[Action]) -> None:
+        call.retry(self.hard, self._hedge_delay(now), now, actions)
+        self._adopt(call)
+        self._set_hedge_timer(actions)
+
+    def _adopt(self, call: ServiceCall) -> None:
+        for number in call.live_numbers:
+            self._call_of[number] = call
+
+    def _set_hedge_timer(self, actions: list[Action]) -> None:
+        due = min((call.hedge_at for call in self._calls if call.open), default=NEVER)
+        if due < self._timer_at and not self.done:
+            self._timer_at = due
+            actions.append(SetTimer(self.request.key, TimerKind.HEDGE, due))
+
+    # --- the final answer ---
+
+    def _conclude(self, now: float, actions: list[Action]) -> None:
+        """Answer as soon as that is right; at most once."""
+        if self.done:
+            return
+        if isinstance(self.route.destination, Gather):
+            self._conclude_gather(self.route.destination, now, actions)
+        else:
+            self._conclude_single(now, actions)
+
+    def _conclude_single(self, now: float, actions: list[Action]) -> None:
+        call = self._calls[0]
+        if call.open:
+            return
+        self.done = True
+        reply = call.reply or call.fallback
+        if reply is not None:
+            actions.append(PassOn(self.request.key, reply, self._summary(now)))
+            return
+        self._refuse(now, actions)
+
+    def _conclude_gather(self, gather: Gather, now: float, actions: list[Action]) -> None:
+        replies = [call.reply for call in self._calls if call.reply is not None]
+        enough = bool(replies) and len(replies) >= gather.minimum_coverage * len(self._calls)
+        if any(call.open for call in self._calls) and not (enough and now >= self.soft):
+            return
+        self.done = True
+        if not enough:
+            self._refuse(now, actions)
+            return
+        records = greatest_records((reply.body for reply in replies), gather.greatest)
+        signatures = tuple(reply.signature for reply in replies if reply.signature is not None)
+        missing = len(self._calls) - len(replies)
+        summary = self._summary(now)
+        actions.append(Gathered(self.request.key, records, signatures, missing, summary))
+
+    def _give_up(self, now: float, actions: list[Action]) -> None:
+        """The time is over: answer with what there is, or say that it is over."""
+        for call in self._calls:
+            if call.open:
+                call.closed = True
+                call.failure = Failure(Reason.TIMED_OUT, call.verdict, "no answer in time")
+        self._conclude(now, actions)
+
+    def _refuse(self, now: float, actions: list[Action]) -> None:
+        failures = [call.failure for call in self._calls if call.failure is not None]
+        verdict = join(call.verdict for call in self._calls)
+        reason = (
+            failures[0].reason if len({each.reason for each in failures}) == 1 else Reason.COVERAGE_TOO_LOW
+        )
+        detail = failures[0].detail if failures else "too few parts"
+        come_back = SHED_RETRY_AFTER_MS if verdict is Verdict.NOT_RUN else FAILED_RETRY_AFTER_MS
+        failure = Failure(reason, verdict, detail, come_back)
+        actions.append(Refuse(self.request.key, failure, self._summary(now)))
+
+    def _summary(self, now: float) -> RequestSummary:
+        covered = sum(call.reply is not None for call in self._calls)
+        return RequestSummary(
+            route=self.route.name,
+            version=self._version,
+            verdict=join(call.verdict for call in self._calls),
+            elapsed=now - self.request.arrived_at,
+            covered=covered,
+            asked=len(self._calls),
+            attempts=sum(call.sent for call in self._calls),
+            extra_attempts=sum(call.extras for call in self._calls),
+            missing=tuple(call.service for call in self._calls if call.reply is None),
+        )
--- /dev/null
+++ b/src/yokesill/gateway/router.py
@@ -0,0 +1,213 @@
+"""The gateway's one interface: typed events in, typed actions out."""
+
+import random
+
+from yokesill.gateway import events as ev
+from yokesill.gateway.context import GatewayContext, LiveAttempt
+from yokesill.gateway.documents import Configuration, Route, Split
+from yokesill.gateway.messages import GatewayRequest
+from yokesill.gateway.options import GatewayOptions
+from yokesill.gateway.request import RequestMachine
+from yokesill.gateway.servers import ServerTable
+from yokesill.gateway.splits import SplitCursor
+from yokesill.verdict import Failure, Reason, Verdict
+
+NOT_READY_RETRY_AFTER_MS = 300
+
+
+class GatewayRouter:
+    """All requests, servers and budgets of one node."""
+
+    def __init__(self, options: GatewayOptions, random_source: random.Random, now: float) -> None:
+        self.options = options
+        self.servers = ServerTable(options)
+        self._random = random_source
+        self._context = GatewayContext(options, random_source, self.servers, now, options.assumed_nodes)
+        self._requests: dict[str, RequestMachine] = {}
+        self._owners: dict[int, RequestMachine] = {}
+        self._cursors: dict[str, tuple[Split, SplitCursor]] = {}
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The newest configuration learnt."""
+        return self._context.configuration
+
+    @property
+    def in_flight(self) -> int:
+        """How many requests have no final answer yet."""
+        return len(self._requests)
+
+    @property
+    def nodes(self) -> int:
+        """How many nodes are taken to share the budgets."""
+        return self._context.nodes
+
+    def on_event(self, event: ev.Event, now: float) -> list[ev.Action]:
+        """Take one event; return what is to be done, in order."""
+        actions: list[ev.Action] = []
+        match event:
+            case ev.RequestArrived(request):
+                self._arrived(request, now, actions)
+            case ev.AttemptAnswered():
+                self._answered(event, now, actions)
+            case ev.AttemptFailed(number, failure):
+                self._failed(number, failure, now, actions)
+            case ev.TimerFired(key, kind):
+                machine = self._requests.get(key)
+                if machine is not None:
+                    machine.timer(kind, now, actions)
+                    self._settle(machine, actions)
+            case ev.CallerLeft(key):
+                self._caller_left(key, actions)
+            case ev.ConfigurationLearnt(configuration):
+                self._learn(configuration, actions)
+            case ev.NodesCounted(count):
+                self._context.nodes = max(1, count)
+            case _:
+                self._registry_event(event, now, actions)
+        return actions
+
+    def _registry_event(
+        self,
+        event: ev.ServerListed | ev.ServerRemoved | ev.ServersReplaced,
+        now: float,
+        actions: list[ev.Action],
+    ) -> None:
+        match event:
+            case ev.ServerListed(record):
+                if self.servers.put(record, now):
+                    actions.append(_server_note(record.instance, "leaving" if record.leaving else "listed"))
+            case ev.ServerRemoved(instance):
+                if self.servers.remove(instance, now):
+                    actions.append(_server_note(instance, "removed"))
+                self.servers.forget_removed(now)
+            case ev.ServersReplaced(records):
+                gone = self.servers.replace(records, now)
+                actions.extend(_server_note(instance, "removed") for instance in gone)
+
+    # --- requests ---
+
+    def _arrived(self, request: GatewayRequest, now: float, actions: list[ev.Action]) -> None:
+        configuration = self._context.configuration
+        if configuration is None:
+            failure = Failure(
+                Reason.NOT_READY, Verdict.NOT_RUN, "no configuration yet", NOT_READY_RETRY_AFTER_MS
+            )
+            actions.append(ev.Refuse(request.key, failure))
+            return
+        route = configuration.find(request.host, request.path)
+        if route is None:
+            detail = f"no route for {request.host}{request.path} in version {configuration.version}"
+            failure = Failure(Reason.UNKNOWN_SERVICE, Verdict.NOT_RUN, detail)
+            actions.append(ev.Refuse(request.key, failure))
+            return
+        services = self._services_of(route)
+        machine = RequestMachine(request, route, services, configuration.version, self._context)
+        self._requests[request.key] = machine
+        machine.begin(now, actions)
+        self._settle(machine, actions)
+
+    def _services_of(self, route: Route) -> tuple[str, ...]:
+        if not isinstance(route.destination, Split):
+            return route.destination.services
+        kept = self._cursors.get(route.name)
+        if kept is None or kept[0] != route.destination:
+            kept = (route.destination, SplitCursor(route.destination, self._random.random()))
+            self._cursors[route.name] = kept
+        return (kept[1].next(),)
+
+    def _settle(self, machine: RequestMachine, actions: list[ev.Action]) -> None:
+        """Keep track of a machine's new attempts, and drop it once it has its final answer."""
+        for action in actions:
+            if isinstance(action, ev.SendAttempt):
+                self._owners[action.attempt.number] = machine
+            elif isinstance(action, ev.CancelAttempt):
+                self._owners.pop(action.number, None)
+        if machine.done:
+            self._requests.pop(machine.request.key, None)
+
+    def _caller_left(self, key: str, actions: list[ev.Action]) -> None:
+        machine = self._requests.pop(key, None)
+        if machine is not None:
+            machine.caller_left(actions)
+            self._settle(machine, actions)
+
+    # --- attempts ---
+
+    def _answered(self, event: ev.AttemptAnswered, now: float, actions: list[ev.Action]) -> None:
+        attempt, machine = self._end(event.number)
+        if attempt is None or machine is None:
+            return
+        server, reply = attempt.server, event.reply
+        if event.connected_in is not None:
+            server.connected(event.connected_in)
+        typical = self._context.typical(machine.route)
+        if reply.status >= 500:
+            state = server.failed(attempt.sent_at, now)
+        else:
+            state = server.answered(attempt.sent_at, typical.median, reply.load, now)
+            typical.record(now - attempt.sent_at)
+        if reply.leaving:
+            server.leave()
+        self._note_state(attempt, state, reply.status, now, actions)
+        machine.answered(event.number, reply, now, actions)
+        self._settle(machine, actions)
+
+    def _failed(self, number: int, failure: Failure, now: float, actions: list[ev.Action]) -> None:
+        attempt, machine = self._end(number)
+        if attempt is None or machine is None:
+            return
+        details: dict[str, object] = {
+            "request": attempt.request_id,
+            "instance": attempt.server.record.instance,
+            "reason": failure.reason.value,
+            "verdict": failure.verdict.label,
+            "detail": failure.detail,
+            "after_ms": round((now - attempt.sent_at) * 1000, 1),
+        }
+        actions.append(ev.Note("attempt_failed", details))
+        if failure.reason is Reason.SHED:
+            attempt.server.shed(now)
+        elif failure.reason is Reason.BACKEND_LEAVING:
+            attempt.server.leave()
+        elif failure.reason is not Reason.OVERLOADED:
+            state = attempt.server.failed(attempt.sent_at, now)
+            self._note_state(attempt, state, failure.reason.value, now, actions)
+        machine.failed(number, failure, now, actions)
+        self._settle(machine, actions)
+
+    def _end(self, number: int) -> tuple[LiveAttempt | None, RequestMachine | None]:
+        return self._context.release(number), self._owners.pop(number, None)
+
+    def _note_state(
+        self, attempt: LiveAttempt, state: str | None, why: object, now: float, actions: list[ev.Action]
+    ) -> None:
+        if state is None:
+            return
+        details: dict[str, object] = {
+            "instance": attempt.server.record.instance,
+            "service": attempt.server.record.service,
+            "state": state,
+            "why": why,
+            "latency_ms": round((now - attempt.sent_at) * 1000, 1),
+        }
+        actions.append(ev.Note("server_state", details))
+
+    # --- configuration ---
+
+    def _learn(self, configuration: Configuration, actions: list[ev.Action]) -> None:
+        """Swap a newer version in, whole; an older one is ignored, from whatever source it comes."""
+        current = self._context.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._context.configuration = configuration
+        details: dict[str, object] = {
+            "version": configuration.version,
+            "before": current.version if current else None,
+            "routes": len(configuration.routes),
+        }
+        actions.append(ev.Note("configuration_applied", details))
+
+
+def _server_note(instance: str, change: str) -> ev.Note:
+    return ev.Note("server_entry", {"instance": instance, "change": change})
--- /dev/null
+++ b/src/yokesill/gateway/servers.py
@@ -0,0 +1,212 @@
+"""Servers as one node sees them: state, work in flight, speed, and what is known of their load."""
+
+from collections.abc import Iterable
+
+from yokesill.charts.tables import transition_table
+from yokesill.gateway.documents import ServerRecord
+from yokesill.gateway.messages import Load
+from yokesill.gateway.options import GatewayOptions
+
+COLD, ACTIVE, EJECTED, LEAVING = "cold", "active", "ejected", "leaving"
+SLOW_RATIO = 3.0
+SLOW_STREAK_TO_EJECT = 2
+SLOW_EJECTION, SLOW_EJECTION_CEILING = 0.5, 4.0
+FAILING_EJECTION, FAILING_EJECTION_CEILING = 0.5, 2.0
+SLOWNESS_WEIGHT = 0.3
+SLOWNESS_CEILING = 20.0
+LOAD_LIFETIME = 0.25
+SHED_PAUSE = 0.05
+COLD_SLOWNESS = 1.6
+LEAST_TYPICAL = 0.001
+
+
+class ServerState:
+    """One incarnation of a server; times in seconds of the node's clock.
+
+    ``stalled`` counts attempts that are late by their route's measure: while there are any, the
+    server may be paused or dark.
+    """
+
+    def __init__(self, record: ServerRecord, options: GatewayOptions, now: float) -> None:
+        self.record = record
+        self.in_flight = 0
+        self.stalled = 0
+        self.failing = False
+        self.removed_at: float | None = None
+        self.round_trip = options.assumed_round_trip(record.zone)
+        self._table = transition_table("server")
+        self._state = COLD
+        self._measured = False
+        self._slowness = 1.0
+        self._slow_streak = 0
+        self._failures = 0
+        self._judged_at = 0.0
+        self._ejected_until = 0.0
+        self._shed_until = 0.0
+        self._warm_at = now + record.warmup
+        self._load: Load | None = None
+        self._load_at = 0.0
+
+    @property
+    def state(self) -> str:
+        """The state of the chart ``server``."""
+        return self._state
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it gets no new work."""
+        return self._state == LEAVING or self.removed_at is not None
+
+    def update(self, record: ServerRecord, now: float) -> None:
+        """Take a newer entry of the same incarnation."""
+        self.record = record
+        self.removed_at = None
+        self._warm_at = now + record.warmup
+        if record.leaving:
+            self._handle("leaving")
+
+    def leave(self) -> None:
+        """Give it no new work: its own answer said that it leaves."""
+        self._handle("leaving")
+
+    def _handle(self, event: str) -> bool:
+        target = self._table.get((self._state, event))
+        if target is None or target == self._state:
+            return False
+        self._state = target
+        return True
+
+    # --- what choosing asks ---
+
+    def usable(self, now: float) -> bool:
+        """Whether it may get first attempts: not ejected, or its ejection is over and nobody tries it."""
+        if self._state != EJECTED:
+            return self.stalled == 0
+        return now >= self._ejected_until and self.in_flight == 0
+
+    def pausing(self, now: float) -> bool:
+        """Whether it rejected work just now."""
+        return now < self._shed_until
+
+    def slowness(self, now: float) -> float:
+        """How many times longer than usual its work takes."""
+        return max(self._slowness, COLD_SLOWNESS) if now < self._warm_at else self._slowness
+
+    def expected(self, typical: float, now: float) -> float:
+        """Return the expected latency of one more request that usually takes ``typical`` seconds."""
+        slots = max(1, self.record.slots)
+        busy = self.in_flight
+        if self._load is not None and now - self._load_at < LOAD_LIFETIME:
+            busy = max(busy, self._load.running + self._load.waiting)
+        queued = max(0, busy + 1 - slots)
+        work = typical * self.slowness(now)
+        return self.round_trip + work * (1.0 + queued / slots)
+
+    # --- what attempts teach ---
+
+    def connected(self, seconds: float) -> None:
+        """Take the time that connecting took; the least is the round trip."""
+        self.round_trip = min(self.round_trip, seconds) if self._measured else seconds
+        self._measured = True
+
+    def answered(self, sent_at: float, typical: float, load: Load | None, now: float) -> str | None:
+        """Take an answer to an attempt sent at ``sent_at``; return the new state if it changed."""
+        before = self._state
+        self.failing, self._failures = False, 0
+        if load is not None:
+            self._load, self._load_at = load, now
+        ratio = (now - sent_at - self.round_trip) / max(typical, LEAST_TYPICAL)
+        self._slowness += SLOWNESS_WEIGHT * (min(max(ratio, 0.1), SLOWNESS_CEILING) - self._slowness)
+        if ratio <= SLOW_RATIO:
+            self._slow_streak = 0
+            self._handle("answered")
+            self._handle("warmed")
+        elif sent_at >= self._judged_at:
+            # What waited in the same pause is one observation, not several.
+            self._judged_at = now
+            self._count_slow(now)
+        return self._state if self._state != before else None
+
+    def _count_slow(self, now: float) -> None:
+        self._slow_streak += 1
+        over = self._slow_streak - SLOW_STREAK_TO_EJECT
+        if over >= 0:
+            self._eject(min(SLOW_EJECTION * 2.0**over, SLOW_EJECTION_CEILING), now)
+
+    def failed(self, sent_at: float, now: float) -> str | None:
+        """Take a failure of the server itself; return the new state if it changed."""
+        before = self._state
+        if sent_at >= self._judged_at:
+            self._judged_at = now
+            self.failing = True
+            pause = FAILING_EJECTION * 2.0 ** min(self._failures, 8)
+            self._failures += 1
+            self._eject(min(pause, FAILING_EJECTION_CEILING), now)
+        return self._state if self._state != before else None
+
+    def shed(self, now: float) -> None:
+        """Take a rejection: it is full at this moment."""
+        self._shed_until = now + SHED_PAUSE
+
+    def _eject(self, seconds: float, now: float) -> None:
+        self._ejected_until = now + seconds
+        self._handle("failing")
+
+
+class ServerTable:
+    """All servers by instance and by service."""
+
+    def __init__(self, options: GatewayOptions) -> None:
+        self._options = options
+        self._by_instance: dict[str, ServerState] = {}
+        self._by_service: dict[str, dict[str, ServerState]] = {}
+
+    def __len__(self) -> int:
+        """How many servers are known."""
+        return len(self._by_instance)
+
+    def get(self, instance: str) -> ServerState | None:
+        """Return the server, if it is known."""
+        return self._by_instance.get(instance)
+
+    def of_service(self, service: str) -> Iterable[ServerState]:
+        """Return a service's servers."""
+        return self._by_service.get(service, {}).values()
+
+    def put(self, record: ServerRecord, now: float) -> bool:
+        """Take a server's entry; return whether anything but its warm-up changed."""
+        state = self._by_instance.get(record.instance)
+        if state is None:
+            state = ServerState(record, self._options, now)
+            self._by_instance[record.instance] = state
+            self._by_service.setdefault(record.service, {})[record.instance] = state
+            state.update(record, now)
+            return True
+        before = state.record
+        state.update(record, now)
+        return (before.leaving, before.address) != (record.leaving, record.address)
+
+    def remove(self, instance: str, now: float) -> bool:
+        """Give a server whose entry is gone no new work; return whether it was known."""
+        state = self._by_instance.get(instance)
+        if state is None or state.removed_at is not None:
+            return False
+        state.removed_at = now
+        return True
+
+    def replace(self, records: Iterable[ServerRecord], now: float) -> list[str]:
+        """Take a full list; return the instances that are gone."""
+        listed = {record.instance for record in records}
+        for record in records:
+            self.put(record, now)
+        gone = [instance for instance in self._by_instance if instance not in listed]
+        return [instance for instance in gone if self.remove(instance, now)]
+
+    def forget_removed(self, now: float) -> None:
+        """Drop servers that are long gone and have nothing in flight."""
+        for state in list(self._by_instance.values()):
+            if state.removed_at is None or state.in_flight:
+                continue
+            if now - state.removed_at > 2 * self._options.removed_grace:
+                del self._by_instance[state.record.instance]
+                del self._by_service[state.record.service][state.record.instance]
--- a/src/yokesill/logs.py
+++ b/src/yokesill/logs.py
@@ -1,15 +1,95 @@
-"""Structured logs: one JSON object a line on standard error, by structlog."""
+"""Structured logs: one JSON object a line on standard output, by structlog.
 
+Lines go through a bounded buffer and out by non-blocking writes, so that no request ever waits for
+a log: when whoever reads them is slower than they come, lines are dropped, counted, and the next
+line that goes out says how many.
+"""
+
+import json
 import logging
+import os
 import sys
+from collections import deque
+from typing import Any
 
 import structlog
 
 Logger = structlog.typing.FilteringBoundLogger
+BUFFER_BYTES = 1_048_576
+
+
+class LogOutput:
+    """Writes lines to a file descriptor without ever waiting for it.
+
+    ``dropped`` counts the lines that did not fit into the buffer.
+    """
+
+    def __init__(self, descriptor: int, limit: int = BUFFER_BYTES) -> None:
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._limit = limit
+        self._lines: deque[bytes] = deque()
+        self._size = 0
+        self._untold = 0
+
+    def write(self, line: str) -> None:
+        """Add a line and write what can be written now."""
+        data = line.encode() + b"\n"
+        if self._size + len(data) > self._limit:
+            self.dropped += 1
+            self._untold += 1
+        else:
+            self._append(data)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes at once; the rest stays in the buffer."""
+        while self._lines:
+            data = self._lines[0]
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._lines.clear()
+                self._size = 0
+                return
+            self._size -= written
+            if written < len(data):
+                self._lines[0] = data[written:]
+                return
+            self._lines.popleft()
+            self._tell_dropped()
+
+    def _tell_dropped(self) -> None:
+        if self._untold and not self._lines:
+            told, self._untold = self._untold, 0
+            self._append(json.dumps({"event": "log_lines_dropped", "count": told}).encode() + b"\n")
+
+    def _append(self, data: bytes) -> None:
+        self._lines.append(data)
+        self._size += len(data)
+
+
+class _LineLogger:
+    """What structlog hands rendered lines to."""
+
+    def __init__(self, output: LogOutput) -> None:
+        self.msg = output.write
+        self.debug = self.info = self.warning = self.error = self.critical = output.write
+
+
+def configure(level: str = "info", output: LogOutput | None = None) -> LogOutput:
+    """Send JSON lines of at least ``level`` (a ``logging`` level name) to ``output`` or standard output."""
+    if output is None:
+        descriptor = sys.stdout.fileno()
+        os.set_blocking(descriptor, False)
+        output = LogOutput(descriptor)
+    sink = output
 
+    def make_logger(*_arguments: Any) -> _LineLogger:
+        return _LineLogger(sink)
 
-def configure(level: str = "info") -> None:
-    """Send JSON lines of at least ``level`` (a ``logging`` level name) to standard error."""
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -19,9 +99,10 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelNamesMapping()[level.upper()]),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=make_logger,
         cache_logger_on_first_use=False,
     )
+    return sink
 
 
 def get_logger(component: str) -> Logger:
--- /dev/null
+++ b/src/yokesill/platform/feeds.py
@@ -0,0 +1,104 @@
+"""The store's kinds as feeds of the gateway's events."""
+
+from yokesill.gateway.events import (
+    ConfigurationLearnt,
+    Event,
+    ServerListed,
+    ServerRemoved,
+    ServersReplaced,
+)
+from yokesill.platform.documents import ObjectError, read_configuration, read_server
+from yokesill.platform.names import CONFIGURATION_KIND, CONFIGURATION_NAME, NODES_KIND, SERVERS_KIND
+from yokesill.platform.store import MetadataStore, StoredItem, StoreView
+from yokesill.serving.registry import Batch, Feed, HistoryLost, NodeDirectory, Problem
+from yokesill.verdict import Failure
+
+
+class ConfigurationFeed(Feed):
+    """The operator's configuration."""
+
+    name = "configuration"
+
+    def __init__(self, store: MetadataStore) -> None:
+        self._store = store
+
+    async def list(self) -> Batch | Failure:
+        """See ``Feed.list``."""
+        view = await self._store.list(CONFIGURATION_KIND)
+        return view if isinstance(view, Failure) else _configuration_batch(view)
+
+    async def changes(self, position: int, wait: float) -> Batch | HistoryLost | Failure:
+        """See ``Feed.changes``."""
+        view = await self._store.watch(CONFIGURATION_KIND, position, wait)
+        return _configuration_batch(view) if isinstance(view, StoreView) else view
+
+
+class ServerFeed(Feed):
+    """The servers' entries."""
+
+    name = "servers"
+
+    def __init__(self, store: MetadataStore) -> None:
+        self._store = store
+
+    async def list(self) -> Batch | Failure:
+        """See ``Feed.list``."""
+        view = await self._store.list(SERVERS_KIND)
+        if isinstance(view, Failure):
+            return view
+        events, problems = _server_events(view)
+        records = tuple(event.record for event in events if isinstance(event, ServerListed))
+        return Batch(view.at, (ServersReplaced(records),), problems)
+
+    async def changes(self, position: int, wait: float) -> Batch | HistoryLost | Failure:
+        """See ``Feed.changes``."""
+        view = await self._store.watch(SERVERS_KIND, position, wait)
+        if not isinstance(view, StoreView):
+            return view
+        events, problems = _server_events(view)
+        return Batch(view.at, events, problems)
+
+
+class StoredNodes(NodeDirectory):
+    """The nodes, each under an object of its own."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        self._store = store
+
+    async def announce(self, node: str, beat: int) -> Failure | None:
+        """See ``NodeDirectory.announce``."""
+        return await self._store.put(NODES_KIND, node, {"beat": beat})
+
+    async def nodes(self) -> dict[str, int] | Failure:
+        """See ``NodeDirectory.nodes``."""
+        view = await self._store.list(NODES_KIND, stale=True)
+        if isinstance(view, Failure):
+            return view
+        return {item.name: item.revision for item in view.items}
+
+
+def _configuration_batch(view: StoreView) -> Batch:
+    newest = [item for item in view.items if item.name == CONFIGURATION_NAME and not item.gone]
+    if not newest:
+        return Batch(view.at, ())
+    try:
+        return Batch(view.at, (ConfigurationLearnt(read_configuration(newest[-1].spec)),))
+    except ObjectError as error:
+        return Batch(view.at, (), (Problem(f"{CONFIGURATION_KIND}/{CONFIGURATION_NAME}", str(error)),))
+
+
+def _server_events(view: StoreView) -> tuple[tuple[Event, ...], tuple[Problem, ...]]:
+    events: list[Event] = []
+    problems: list[Problem] = []
+    for item in view.items:
+        try:
+            events.append(_server_event(item))
+        except ObjectError as error:
+            problems.append(Problem(f"{SERVERS_KIND}/{item.name}", str(error)))
+    return tuple(events), tuple(problems)
+
+
+def _server_event(item: StoredItem) -> Event:
+    if item.gone:
+        return ServerRemoved(item.name)
+    return ServerListed(read_server(item.name, item.spec))
--- /dev/null
+++ b/src/yokesill/platform/names.py
@@ -0,0 +1,19 @@
+"""The platform's names of headers, kinds and paths."""
+
+from yokesill.serving.names import HeaderNames
+
+HEADER_NAMES = HeaderNames(
+    request_id=b"x-yokesill-request-id",
+    deadline=b"x-yokesill-deadline-ms",
+    signature=b"x-yokesill-server-stamp",
+    expect_instance=b"x-yokesill-expect-instance",
+    load=b"x-yokesill-server-load",
+    not_executed=b"x-yokesill-not-executed",
+    parts=b"x-yokesill-part-stamps",
+    missing=b"x-yokesill-missing-parts",
+)
+READY_PATH = "/readiness"
+CONFIGURATION_KIND, CONFIGURATION_NAME = "config", "main"
+SERVERS_KIND = "servers"
+NODES_KIND = "yokesill-nodes"
+SETTINGS_VARIABLE = "YOKESILL_CONFIG"
--- /dev/null
+++ b/src/yokesill/platform/store.py
@@ -0,0 +1,98 @@
+"""Speaks to the platform's metadata store: lists, watches and single objects."""
+
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+from yokesill.serving.api_client import ApiClient, ApiReply
+from yokesill.serving.registry import HistoryLost
+from yokesill.verdict import Failure, Reason, Verdict
+
+OK, CREATED, NOT_FOUND, CONFLICT, GONE = 200, 201, 404, 409, 410
+TOO_MANY, UNAVAILABLE = 429, 503
+CALL_TIMEOUT = 2.0
+WATCH_MARGIN = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredItem:
+    """One object: its name, its last revision and what it says; ``gone`` when it was removed."""
+
+    name: str
+    revision: int
+    spec: Any
+    gone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StoreView:
+    """Objects or changes up to revision ``at``."""
+
+    at: int
+    items: tuple[StoredItem, ...]
+
+
+class MetadataStore:
+    """A client of the store; every call ends in bounded time."""
+
+    def __init__(self, client: ApiClient) -> None:
+        self._client = client
+
+    async def list(self, kind: str, stale: bool = False) -> StoreView | Failure:
+        """Return a kind's objects; all pages, as of the first page's revision."""
+        items: list[StoredItem] = []
+        first_at: int | None = None
+        after = ""
+        while True:
+            query = "&".join(part for part in ("stale=1" if stale else "", after) if part)
+            path = f"/objects/{kind}" + (f"?{query}" if query else "")
+            reply = await self._client.call("GET", path, CALL_TIMEOUT)
+            if isinstance(reply, Failure) or reply.status != OK:
+                return _failure(reply)
+            try:
+                page = [_item(each, gone=False) for each in reply.body["items"]]
+                first_at = reply.body["at"] if first_at is None else first_at
+                more = bool(reply.body.get("more"))
+            except (KeyError, TypeError) as error:
+                return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, f"a list of {kind}: {error!r}")
+            items.extend(page)
+            if not more or not page:
+                return StoreView(first_at, tuple(items))
+            after = f"after={quote(page[-1].name, safe='')}"
+
+    async def watch(self, kind: str, revision: int, wait: float) -> StoreView | HistoryLost | Failure:
+        """Return the changes of a kind after ``revision``; waits up to ``wait`` seconds for one."""
+        path = f"/objects/{kind}?watch={revision}&waitMs={int(wait * 1000)}"
+        reply = await self._client.call("GET", path, wait + WATCH_MARGIN)
+        if isinstance(reply, ApiReply) and reply.status == GONE:
+            return HistoryLost()
+        if isinstance(reply, Failure) or reply.status != OK:
+            return _failure(reply)
+        try:
+            items = tuple(_item(each["object"], bool(each["gone"])) for each in reply.body["events"])
+            return StoreView(reply.body["at"], items)
+        except (KeyError, TypeError) as error:
+            return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, f"changes of {kind}: {error!r}")
+
+    async def put(self, kind: str, name: str, spec: dict[str, Any]) -> Failure | None:
+        """Create an object, or replace what it says."""
+        body = {"meta": {"name": name}, "spec": spec}
+        reply = await self._client.call("POST", f"/objects/{kind}", CALL_TIMEOUT, body)
+        if isinstance(reply, ApiReply) and reply.status == CONFLICT:
+            reply = await self._client.call("PUT", f"/objects/{kind}/{quote(name)}", CALL_TIMEOUT, body)
+        if isinstance(reply, ApiReply) and reply.status in (OK, CREATED):
+            return None
+        return _failure(reply)
+
+
+def _item(item: Any, gone: bool) -> StoredItem:
+    meta = item["meta"]
+    return StoredItem(meta["name"], meta["revision"], item.get("spec"), gone or bool(meta.get("deleting")))
+
+
+def _failure(reply: ApiReply | Failure) -> Failure:
+    if isinstance(reply, Failure):
+        return reply
+    refused = reply.status in (TOO_MANY, UNAVAILABLE)
+    verdict = Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN
+    return Failure(Reason.BACKEND_ERROR, verdict, f"the store answered {reply.status}")
--- a/src/yokesill/query/driver.py
+++ b/src/yokesill/query/driver.py
@@ -6,10 +6,10 @@
 import anyio.abc
 
 from yokesill.backends.base import BackendClient
-from yokesill.query.timers import Timers
 from yokesill.routing import events as ev
 from yokesill.routing.messages import Attempt, QueryRequest
 from yokesill.routing.router import Router
+from yokesill.timers import Timers
 
 FinalAnswer = ev.Answer | ev.Refuse
 
--- /dev/null
+++ b/src/yokesill/serving/answers.py
@@ -0,0 +1,65 @@
+"""Turns a final answer into an HTTP status, headers and body."""
+
+from dataclasses import dataclass
+
+from yokesill.gateway.events import FinalAnswer, Gathered, PassOn, Refuse
+from yokesill.gateway.messages import Headers
+from yokesill.serving.names import HeaderNames
+from yokesill.verdict import Reason, Verdict
+
+NOT_FOUND, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 404, 502, 503, 504
+OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """What is sent to a caller; ``outcome`` names it in logs and metrics."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    outcome: str
+
+
+def to_http(final: FinalAnswer, request_id: str, names: HeaderNames) -> HttpAnswer:
+    """Return the HTTP answer of a final answer."""
+    match final:
+        case PassOn(_, reply):
+            outcome = "answered" if reply.succeeded else "server_failure"
+            return HttpAnswer(reply.status, reply.headers, reply.body, outcome)
+        case Gathered():
+            return _gathered(final, request_id, names)
+        case Refuse():
+            return refused(final, request_id, names)
+
+
+def _gathered(final: Gathered, request_id: str, names: HeaderNames) -> HttpAnswer:
+    headers: Headers = (
+        (names.request_id, request_id.encode("latin-1")),
+        (b"content-type", b"application/octet-stream"),
+        (names.parts, b", ".join(final.signatures)),
+        (names.missing, str(final.missing).encode()),
+    )
+    return HttpAnswer(OK, headers, final.records, "partial" if final.missing else "answered")
+
+
+def refused(final: Refuse, request_id: str, names: HeaderNames) -> HttpAnswer:
+    """Return a refusal: a status that promises no more than the verdict, and when to come back."""
+    failure = final.failure
+    headers: Headers = (
+        (names.request_id, request_id.encode("latin-1")),
+        (b"content-type", b"text/plain; charset=utf-8"),
+    )
+    status = _status_of(failure.reason, failure.verdict)
+    if failure.retry_after_ms:
+        headers = (*headers, (b"retry-after", f"{failure.retry_after_ms / 1000:.3f}".encode()))
+    body = f"{failure.reason.value} ({failure.verdict.label}): {failure.detail}\n".encode()
+    return HttpAnswer(status, headers, body, failure.reason.value)
+
+
+def _status_of(reason: Reason, verdict: Verdict) -> int:
+    if reason is Reason.UNKNOWN_SERVICE:
+        return NOT_FOUND
+    if verdict is Verdict.NOT_RUN:
+        return UNAVAILABLE
+    return GATEWAY_TIMEOUT if reason is Reason.TIMED_OUT else BAD_GATEWAY
--- /dev/null
+++ b/src/yokesill/serving/api_client.py
@@ -0,0 +1,100 @@
+"""JSON calls to one HTTP/1.1 API: bounded in time, with a failure and its verdict instead of exceptions."""
+
+import json
+import socket
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from yokesill.serving.settings import Address
+from yokesill.serving.upstream import Connector, ReplyError, UpstreamConnection, connect_tcp
+from yokesill.verdict import Failure, Reason, Verdict
+
+CONNECT_TIMEOUT = 1.0
+IDLE_SECONDS = 10.0
+KEEPALIVE_OPTIONS = ((socket.TCP_KEEPIDLE, 1), (socket.TCP_KEEPINTVL, 1), (socket.TCP_KEEPCNT, 3))
+BROKEN = (ReplyError, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+@dataclass(frozen=True, slots=True)
+class ApiReply:
+    """A whole reply; ``body`` is the decoded JSON, ``None`` where there is none."""
+
+    status: int
+    body: Any
+
+
+async def connect_with_probes(host: str, port: int) -> anyio.abc.ByteStream:
+    """Open a TCP connection on which the kernel notices within seconds that the other side is gone.
+
+    A long poll is silent by nature: without probes a silent cut would look like no news.
+    """
+    stream = await connect_tcp(host, port)
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in KEEPALIVE_OPTIONS:
+            raw.setsockopt(socket.IPPROTO_TCP, option, value)
+    return stream
+
+
+class ApiClient:
+    """Calls one API; idle connections are kept for further calls."""
+
+    def __init__(self, address: Address, connect: Connector = connect_with_probes) -> None:
+        self.calls = 0
+        self._address = address
+        self._connect = connect
+        self._idle: list[UpstreamConnection] = []
+
+    async def call(self, method: str, path: str, timeout: float, body: Any = None) -> ApiReply | Failure:
+        """Send one call and read its reply within ``timeout`` seconds.
+
+        A failure to connect is ``NOT_RUN``; any later one is ``MAY_HAVE_RUN``.
+        """
+        self.calls += 1
+        try:
+            connection = await self._take()
+        except (TimeoutError, *BROKEN) as error:
+            return Failure(Reason.CONNECT_FAILED, Verdict.NOT_RUN, f"{self._address}: {error!r}")
+        try:
+            with anyio.fail_after(timeout):
+                reader = await connection.exchange(self._encode(method, path, body), bodiless=False)
+            reply = ApiReply(reader.status, json.loads(reader.body) if reader.body else None)
+        except TimeoutError:
+            await self._drop(connection)
+            return Failure(Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN, f"no answer in {timeout:.1f} s")
+        except (ValueError, *BROKEN) as error:
+            await self._drop(connection)
+            return Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, repr(error))
+        except BaseException:
+            await self._drop(connection)
+            raise
+        if reader.keep_alive and not reader.surplus:
+            connection.reusable_until = anyio.current_time() + IDLE_SECONDS
+            self._idle.append(connection)
+        else:
+            await self._drop(connection)
+        return reply
+
+    async def _take(self) -> UpstreamConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable(anyio.current_time()):
+                return connection
+            await connection.aclose()
+        with anyio.fail_after(CONNECT_TIMEOUT):
+            return UpstreamConnection(await self._connect(self._address.host, self._address.port))
+
+    async def _drop(self, connection: UpstreamConnection) -> None:
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
+    def _encode(self, method: str, path: str, body: Any) -> bytes:
+        lines = [f"{method} {path} HTTP/1.1", f"host: {self._address}"]
+        content = b"" if body is None else json.dumps(body).encode()
+        if body is not None:
+            lines += ["content-type: application/json", f"content-length: {len(content)}"]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + content
--- /dev/null
+++ b/src/yokesill/serving/application.py
@@ -0,0 +1,166 @@
+"""The callers' side: an ASGI application that reads a request whole, runs it and answers it.
+
+Plain ASGI under uvicorn: the paths are operators' own, so there is nothing for a web framework to
+route, and serving nodes need not load one.
+"""
+
+import itertools
+from collections.abc import Awaitable, Callable, MutableMapping
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from yokesill.gateway.events import FinalAnswer
+from yokesill.gateway.messages import GatewayRequest, Headers
+from yokesill.serving.answers import HttpAnswer, to_http
+from yokesill.serving.driver import GatewayDriver
+from yokesill.serving.headers import end_to_end_headers
+from yokesill.serving.names import HeaderNames
+from yokesill.serving.observer import Observer
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+BAD_REQUEST, TOO_LARGE, HEADERS_TOO_LARGE, CLIENT_GONE = 400, 413, 431, 499
+MAXIMUM_REQUEST_ID = 128
+
+
+class CallerGoneError(Exception):
+    """The caller closed before its request was whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class BadRequest:
+    """A request that is not passed on, and why."""
+
+    status: int
+    detail: str
+
+
+class GatewayApplication:
+    """Answers callers; ``stopping`` makes every answer close its connection."""
+
+    def __init__(self, driver: GatewayDriver, names: HeaderNames, observer: Observer, prefix: str) -> None:
+        self.stopping = False
+        self.in_flight = 0
+        self._driver = driver
+        self._names = names
+        self._observer = observer
+        self._prefix = prefix
+        self._numbers = itertools.count(1)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        self.in_flight += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.in_flight -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        arrived_at = anyio.current_time()
+        try:
+            read = await self._read(scope, receive, arrived_at)
+        except CallerGoneError:
+            return
+        if isinstance(read, BadRequest):
+            self._observer.rejected(read.status, read.detail, scope["path"])
+            body = f"{read.detail}\n".encode()
+            await self._send(send, HttpAnswer(read.status, (), body, "rejected"), close=True)
+            return
+        final = await self._run(read, receive)
+        if final is None:
+            self._observer.caller_left(read)
+            return
+        answer = to_http(final, read.request_id, self._names)
+        self._observer.answered(read, final, answer)
+        await self._send(send, answer, close=self.stopping)
+
+    # --- reading ---
+
+    async def _read(self, scope: Scope, receive: Receive, arrived_at: float) -> GatewayRequest | BadRequest:
+        headers: Headers = tuple(scope["headers"])
+        configuration = self._driver.router.configuration
+        limits = configuration.limits if configuration else None
+        if limits and sum(len(name) + len(value) + 4 for name, value in headers) > limits.header_bytes:
+            return BadRequest(HEADERS_TOO_LARGE, f"the headers are larger than {limits.header_bytes} bytes")
+        body = await _read_body(receive, limits.body_bytes if limits else 0)
+        if body is None:
+            return BadRequest(TOO_LARGE, "the body is too large")
+        values = dict(headers)
+        request_id = values.get(self._names.request_id, b"").decode("latin-1")
+        if not 0 < len(request_id) <= MAXIMUM_REQUEST_ID:
+            return BadRequest(BAD_REQUEST, f"a {self._names.request_id.decode()} header is needed")
+        query = scope["query_string"]
+        return GatewayRequest(
+            key=f"{self._prefix}-{next(self._numbers)}",
+            request_id=request_id,
+            method=scope["method"].encode("latin-1"),
+            host=_host_name(values.get(b"host", b"")),
+            path=scope["raw_path"].decode("latin-1"),
+            target=scope["raw_path"] + (b"?" + query if query else b""),
+            headers=end_to_end_headers(headers),
+            body=body,
+            arrived_at=arrived_at,
+            patience=_patience(values.get(self._names.deadline)),
+        )
+
+    # --- running ---
+
+    async def _run(self, request: GatewayRequest, receive: Receive) -> FinalAnswer | None:
+        """Run the request; ``None`` when the caller left, which breaks its attempts off."""
+        final: FinalAnswer | None = None
+
+        async def watch_caller() -> None:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            task_group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(watch_caller)
+            final = await self._driver.execute(request)
+            task_group.cancel_scope.cancel()
+        return final
+
+    # --- answering ---
+
+    async def _send(self, send: Send, answer: HttpAnswer, close: bool) -> None:
+        headers = [*answer.headers, (b"content-length", str(len(answer.body)).encode())]
+        if close:
+            headers.append((b"connection", b"close"))
+        await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+        await send({"type": "http.response.body", "body": answer.body})
+
+
+async def _read_body(receive: Receive, limit: int) -> bytes | None:
+    """Return the whole body, or ``None`` when it is larger than ``limit`` bytes."""
+    chunks: list[bytes] = []
+    size = 0
+    more = True
+    while more:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        chunk = message.get("body", b"")
+        size += len(chunk)
+        if size > limit:
+            return None
+        chunks.append(chunk)
+        more = message.get("more_body", False)
+    return b"".join(chunks)
+
+
+def _host_name(value: bytes) -> str:
+    """Return a ``Host`` header's name without its port, in lower case."""
+    return value.decode("latin-1").rpartition("@")[2].split(":")[0].lower()
+
+
+def _patience(value: bytes | None) -> float | None:
+    """Read milliseconds; ``None`` when the caller did not say how long it waits."""
+    if value is None or not value.isdigit():
+        return None
+    return int(value) / 1000
--- /dev/null
+++ b/src/yokesill/serving/follower.py
@@ -0,0 +1,76 @@
+"""Follows the registry's feeds: lists, then waits for changes, and starts over where history is lost."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from yokesill.gateway.events import Event
+from yokesill.logs import get_logger
+from yokesill.serving.registry import Batch, Feed, HistoryLost
+from yokesill.verdict import Failure
+
+FIRST_PAUSE, PAUSE_GROWTH, LONGEST_PAUSE = 0.2, 1.7, 1.2
+WATCH_TIME = 25.0
+
+
+class FeedFollower:
+    """Keeps the router up to date with one feed.
+
+    ``gathering_time`` (s) passes after each batch of changes, so that changes in quick succession
+    come in one call. ``known`` is set once the feed was listed.
+    """
+
+    def __init__(
+        self, feed: Feed, feed_router: Callable[[Event], None], gathering_time: float, source: random.Random
+    ) -> None:
+        self.known = anyio.Event()
+        self.connected = False
+        self.calls = 0
+        self._feed = feed
+        self._feed_router = feed_router
+        self._gathering_time = gathering_time
+        self._random = source
+        self._position: int | None = None
+        self._pause = FIRST_PAUSE
+        self._log = get_logger("registry")
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            self.calls += 1
+            outcome = await self._next()
+            if isinstance(outcome, Batch):
+                self._take(outcome)
+                self._mark(True, "")
+                self._pause = FIRST_PAUSE
+                if outcome.events:
+                    await anyio.sleep(self._gathering_time)
+            elif isinstance(outcome, HistoryLost):
+                self._log.info("registry_history_lost", feed=self._feed.name, position=self._position)
+                self._position = None
+            else:
+                self._mark(False, f"{outcome.reason}: {outcome.detail}")
+                await anyio.sleep(self._pause * (0.5 + self._random.random()))
+                self._pause = min(LONGEST_PAUSE, self._pause * PAUSE_GROWTH)
+
+    async def _next(self) -> Batch | HistoryLost | Failure:
+        if self._position is None:
+            return await self._feed.list()
+        return await self._feed.changes(self._position, WATCH_TIME)
+
+    def _take(self, batch: Batch) -> None:
+        for event in batch.events:
+            self._feed_router(event)
+        for problem in batch.problems:
+            self._log.error("entry_rejected", place=problem.place, problem=problem.message)
+        self._position = batch.position
+        self.known.set()
+
+    def _mark(self, connected: bool, why: str) -> None:
+        """Tell of a lost or regained registry, once each."""
+        if connected == self.connected:
+            return
+        self.connected = connected
+        name = "registry_regained" if connected else "registry_lost"
+        self._log.info(name, feed=self._feed.name, position=self._position, why=why)
--- /dev/null
+++ b/src/yokesill/serving/headers.py
@@ -0,0 +1,30 @@
+"""Which headers are passed on: all but those that concern one connection only."""
+
+from collections.abc import Iterable
+
+from yokesill.gateway.messages import Headers
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+def end_to_end_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers (names in lower case) that go on to the other side."""
+    pairs = list(headers)
+    named = {
+        token.strip().lower() for name, value in pairs if name == b"connection" for token in value.split(b",")
+    }
+    return tuple(pair for pair in pairs if pair[0] not in HOP_BY_HOP and pair[0] not in named)
--- /dev/null
+++ b/src/yokesill/serving/http_reply.py
@@ -0,0 +1,94 @@
+"""Collects one HTTP/1.1 reply from httptools, uvicorn's parser; parses nothing itself."""
+
+import httptools
+
+MAXIMUM_HEAD_BYTES = 64 * 1024
+MAXIMUM_BODY_BYTES = 32 * 1024 * 1024
+NO_CONTENT, NOT_MODIFIED = 204, 304
+
+
+class ReplyError(Exception):
+    """The bytes are not a reply, or not a whole one."""
+
+
+class HttpReplyReader:
+    """One reply to one request; httptools calls the ``on_`` methods.
+
+    ``surplus`` is set when bytes follow the reply's end: the connection must not be used again.
+    """
+
+    def __init__(self, bodiless: bool = False) -> None:
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = b""
+        self.keep_alive = False
+        self.complete = False
+        self.surplus = False
+        self._bodiless = bodiless
+        self._parser = httptools.HttpResponseParser(self)
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._framed = False
+        self._head_done = False
+
+    def feed(self, data: bytes) -> None:
+        """Take received bytes; raises ``ReplyError`` when they are no reply."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self.complete:
+                raise ReplyError(f"not a reply: {error}") from error
+            self.surplus = True
+        if self._size > MAXIMUM_BODY_BYTES:
+            raise ReplyError("the reply is too large")
+
+    def end_of_stream(self) -> None:
+        """The server closed orderly: that ends a reply without a length, and breaks any other off."""
+        if not self._head_done or self._framed:
+            raise ReplyError("the server closed within a reply")
+        self._finish()
+        self.keep_alive = False
+
+    def on_message_begin(self) -> None:
+        """A reply begins; a second one was not asked for."""
+        if self.complete:
+            self.surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        if self.complete:
+            return
+        self._size += len(name) + len(value)
+        name = name.lower()
+        self.headers.append((name, value))
+        if name in (b"content-length", b"transfer-encoding"):
+            self._framed = True
+
+    def on_headers_complete(self) -> None:
+        """The head was read; interim replies (1xx) are passed over."""
+        if self.complete:
+            return
+        self.status = self._parser.get_status_code()
+        self.keep_alive = self._parser.should_keep_alive()
+        self._head_done = True
+        if self._bodiless and self.status >= 200:
+            self._finish()
+
+    def on_body(self, chunk: bytes) -> None:
+        """Take a piece of the body."""
+        if not self.complete:
+            self._chunks.append(chunk)
+            self._size += len(chunk)
+
+    def on_message_complete(self) -> None:
+        """The reply ends."""
+        if self.complete:
+            return
+        if self.status < 200:
+            self.headers, self._head_done, self._framed = [], False, False
+            return
+        self._finish()
+
+    def _finish(self) -> None:
+        self.body = b"".join(self._chunks)
+        self.complete = True
--- /dev/null
+++ b/src/yokesill/serving/process.py
@@ -0,0 +1,168 @@
+"""Wires one gateway node together, from start to the end of a planned stop."""
+
+import random
+from dataclasses import dataclass
+
+import anyio
+
+from yokesill.charts.tables import transition_table
+from yokesill.gateway.events import ConfigurationLearnt, Event, NodesCounted
+from yokesill.gateway.options import GatewayOptions
+from yokesill.gateway.router import GatewayRouter
+from yokesill.logs import LogOutput, get_logger
+from yokesill.serving.application import GatewayApplication
+from yokesill.serving.driver import GatewayDriver
+from yokesill.serving.figures import GatewayFigures
+from yokesill.serving.follower import FeedFollower
+from yokesill.serving.listener import Listener, create_listener
+from yokesill.serving.names import HeaderNames
+from yokesill.serving.node_count import NodeCounter
+from yokesill.serving.observer import Observer
+from yokesill.serving.probes import ProbeApplication
+from yokesill.serving.registry import Feed, NodeDirectory
+from yokesill.serving.server_client import ServerClient
+from yokesill.serving.settings import GatewaySettings
+
+CONFIGURATION_GATHERING, SERVERS_GATHERING = 0.3, 0.6
+POLL = 0.02
+LOG_FLUSH_INTERVAL = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a node is connected to: the registry's feeds and the words spoken with callers."""
+
+    configuration: Feed
+    servers: Feed
+    nodes: NodeDirectory
+    names: HeaderNames
+    ready_path: str
+
+
+class GatewayProcess:
+    """One node of the gateway."""
+
+    def __init__(
+        self, settings: GatewaySettings, surroundings: Surroundings, source: random.Random, output: LogOutput
+    ) -> None:
+        self.settings = settings
+        self._output = output
+        self._random = source
+        self._surroundings = surroundings
+        self._table = transition_table("gateway")
+        self._state = "starting"
+        self._stop_wanted = anyio.Event()
+        self._log = get_logger("gateway")
+        self.figures = GatewayFigures()
+
+    # --- life cycle ---
+
+    async def run(self) -> None:
+        """Serve; returns once a planned stop is complete."""
+        self._build(anyio.current_time())
+        async with anyio.create_task_group() as task_group:
+            for part in (self.driver.run, *(each.run for each in self._followers), self._counter.run):
+                task_group.start_soon(part)
+            task_group.start_soon(self._flush_logs)
+            await self._listen()
+            task_group.start_soon(self._become_ready)
+            await self._stop_wanted.wait()
+            await self._drain()
+            task_group.cancel_scope.cancel()
+        self._log.info("stopped", node=self.settings.node)
+        self._output.flush()
+
+    def stop(self) -> None:
+        """Begin a planned stop; ``run`` returns when it is complete."""
+        self._stop_wanted.set()
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should come here."""
+        return self._state == "serving"
+
+    def _build(self, now: float) -> None:
+        settings, around = self.settings, self._surroundings
+        options = GatewayOptions(zone=settings.zone, regions=settings.regions, budget=settings.budget)
+        self.router = GatewayRouter(options, self._random, now)
+        self._client = ServerClient(around.names)
+        observer = Observer(get_logger("requests"), self.figures)
+        self.driver = GatewayDriver(self.router, self._client, observer.note)
+        prefix = f"{settings.node}-{self._random.getrandbits(32):08x}"
+        self._application = GatewayApplication(self.driver, around.names, observer, prefix)
+        self._followers = (
+            FeedFollower(around.configuration, self._learn, CONFIGURATION_GATHERING, self._random),
+            FeedFollower(around.servers, self.driver.feed, SERVERS_GATHERING, self._random),
+        )
+        self._counter = NodeCounter(around.nodes, settings.node, self._count_nodes, self._random)
+        self._probes = ProbeApplication(around.ready_path, lambda: self.ready, self._render_figures)
+        self._front = create_listener(self._application)
+        self._side: list[Listener] = []
+
+    async def _listen(self) -> None:
+        await self._front.start(self.settings.callers)
+        for address in (self.settings.probes, self.settings.metrics):
+            if address is not None:
+                listener = create_listener(self._probes)
+                await listener.start(address)
+                self._side.append(listener)
+        self._log.info("started", node=self.settings.node, callers=str(self.settings.callers))
+
+    async def _become_ready(self) -> None:
+        for follower in self._followers:
+            await follower.known.wait()
+        while self.router.configuration is None:
+            await anyio.sleep(POLL)
+        self._enter("learnt")
+
+    async def _drain(self) -> None:
+        """Say that this node is not ready, serve who still comes, then finish what is in flight."""
+        self._application.stopping = True
+        if self._enter("stop") == "withdrawing":
+            await anyio.sleep(self.settings.withdraw_time)
+            self._enter("withdrawn")
+        await self._front.close_listener()
+        with anyio.move_on_after(self.settings.drain_time) as bound:
+            self._front.close_idle_connections()
+            while self._application.in_flight or self._front.server_state.connections:
+                await anyio.sleep(POLL)
+        cut = self._application.in_flight
+        self._enter("time_over" if bound.cancelled_caught else "idle", cut=cut)
+
+    def _enter(self, event: str, **details: object) -> str:
+        before = self._state
+        self._state = self._table.get((before, event), before)
+        if self._state != before:
+            self._log.info("state", before=before, state=self._state, **details)
+        return self._state
+
+    # --- what is learnt ---
+
+    def _learn(self, event: Event) -> None:
+        self.driver.feed(event)
+        if isinstance(event, ConfigurationLearnt) and self.router.configuration is not None:
+            self._front.set_idle_timeout(self.router.configuration.limits.idle_timeout)
+
+    def _count_nodes(self, count: int) -> None:
+        self.driver.feed(NodesCounted(count))
+
+    # --- figures and logs ---
+
+    def _render_figures(self) -> bytes:
+        gauge = self.figures.gauge
+        configuration = self.router.configuration
+        gauge("yokesill_version", "Configuration version", configuration.version if configuration else 0)
+        gauge("yokesill_servers", "Servers known", len(self.router.servers))
+        gauge("yokesill_nodes", "Nodes that share the budgets", self.router.nodes)
+        gauge("yokesill_in_flight", "Requests without a final answer", self.router.in_flight)
+        gauge("yokesill_connections_opened", "Connections to servers", self._client.connections_opened)
+        gauge("yokesill_log_lines_dropped", "Log lines that did not fit", self._output.dropped)
+        gauge(
+            "yokesill_registry_calls", "Calls that follow feeds", sum(each.calls for each in self._followers)
+        )
+        return self.figures.render()
+
+    async def _flush_logs(self) -> None:
+        while True:
+            await anyio.sleep(LOG_FLUSH_INTERVAL)
+            self._output.flush()
--- /dev/null
+++ b/src/yokesill/serving/registry.py
@@ -0,0 +1,59 @@
+"""Where a node learns its configuration and servers: the registry behind an abstract interface.
+
+The registry keeps every change under a rising position. A feed is followed by listing it once and
+then asking for changes after the last position seen.
+"""
+
+import abc
+from dataclasses import dataclass
+
+from yokesill.gateway.events import Event
+from yokesill.verdict import Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """An entry that can't be used, and why; the state before it is kept."""
+
+    place: str
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Events up to ``position``, in order; ``complete`` when they are all there is at that moment."""
+
+    position: int
+    events: tuple[Event, ...]
+    problems: tuple[Problem, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """Changes after the asked position are not kept any more: list again."""
+
+
+class Feed(abc.ABC):
+    """One kind of entries."""
+
+    name: str
+
+    @abc.abstractmethod
+    async def list(self) -> Batch | Failure:
+        """Return everything as of now; a missing entry counts as removed."""
+
+    @abc.abstractmethod
+    async def changes(self, position: int, wait: float) -> Batch | HistoryLost | Failure:
+        """Return the changes after ``position``; with none, wait up to ``wait`` seconds for one."""
+
+
+class NodeDirectory(abc.ABC):
+    """The nodes that share budgets and connections."""
+
+    @abc.abstractmethod
+    async def announce(self, node: str, beat: int) -> Failure | None:
+        """Say that ``node`` is there; ``beat`` rises with each call."""
+
+    @abc.abstractmethod
+    async def nodes(self) -> dict[str, int] | Failure:
+        """Return each announced node with the position of its last announcement; may be seconds old."""
--- /dev/null
+++ b/src/yokesill/serving/settings.py
@@ -0,0 +1,64 @@
+"""Settings of a gateway node, in the product's own terms; whoever reads a file fills them in."""
+
+from dataclasses import dataclass, field
+
+from yokesill.gateway.budget import BudgetTerms
+
+STOP_MARGIN = 0.4
+WITHDRAW_SHARE = 0.5
+WITHDRAW_CEILING = 3.2
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IPv4 address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """``HOST:PORT``."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsProblem:
+    """One mistake in a settings file, and where it stands."""
+
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        """``PLACE: MESSAGE``."""
+        return f"{self.place}: {self.message}"
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Who and where a node is, and the bounds that it keeps; times in seconds.
+
+    ``stop_grace`` is the time from the request to stop until the process is killed.
+    """
+
+    node: str
+    zone: str
+    callers: Address
+    probes: Address
+    registry: Address
+    metrics: Address | None = None
+    peers: Address | None = None
+    seeds: tuple[Address, ...] = ()
+    regions: dict[str, str] = field(default_factory=dict)
+    budget: BudgetTerms = BudgetTerms(ratio=0.1, allowance=10.0, window=10.0)  # noqa: RUF009 (frozen)
+    stop_grace: float = 6.0
+    log_level: str = "info"
+
+    @property
+    def withdraw_time(self) -> float:
+        """How long a stopping node still takes callers, so that whoever sends them learns of it."""
+        return min(WITHDRAW_CEILING, self.stop_grace * WITHDRAW_SHARE)
+
+    @property
+    def drain_time(self) -> float:
+        """How long after withdrawing what is in flight may still take."""
+        return max(0.0, self.stop_grace - STOP_MARGIN - self.withdraw_time)
--- /dev/null
+++ b/src/yokesill/serving/upstream.py
@@ -0,0 +1,124 @@
+"""Connections to servers: a bounded set for each incarnation, one request at a time on each.
+
+A connection whose reply was not read to its end, or after whose reply more bytes came, is closed
+and never used again. Over anyio streams, so that the same code runs in virtual time.
+"""
+
+import select
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+
+from yokesill.serving.http_reply import HttpReplyReader, ReplyError
+
+READ_BYTES = 64 * 1024
+IDLE_SHARE = 0.8
+IDLE_DEFAULT = 60.0
+POLLED_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
+Connector = Callable[[str, int], Awaitable[anyio.abc.ByteStream]]
+
+
+async def connect_tcp(host: str, port: int) -> anyio.abc.ByteStream:
+    """Open a TCP connection."""
+    return await anyio.connect_tcp(host, port)
+
+
+class UpstreamConnection:
+    """One open connection; ``reusable_until`` (s) is when the server may close it for idleness."""
+
+    def __init__(self, stream: anyio.abc.ByteStream) -> None:
+        self.reusable_until = 0.0
+        self._stream = stream
+        self._poll: select.poll | None = None
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+        if raw is not None:
+            self._poll = select.poll()
+            self._poll.register(raw, POLLED_EVENTS)
+
+    def usable(self, now: float) -> bool:
+        """Whether it is still open and quiet: nothing came in while nobody asked."""
+        if now >= self.reusable_until:
+            return False
+        return self._poll is None or not self._poll.poll(0)
+
+    async def exchange(self, request: bytes, bodiless: bool) -> HttpReplyReader:
+        """Send a request and read its whole reply.
+
+        Raises ``ReplyError``, ``OSError`` or an anyio resource error.
+        """
+        await self._stream.send(request)
+        reader = HttpReplyReader(bodiless)
+        while not reader.complete:
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                reader.end_of_stream()
+            else:
+                reader.feed(data)
+        return reader
+
+    async def aclose(self) -> None:
+        """Close it at once."""
+        await anyio.aclose_forcefully(self._stream)
+
+
+class ConnectionSet:
+    """Connections to one incarnation of a server."""
+
+    def __init__(self, host: str, port: int, connect: Connector) -> None:
+        self.busy = 0
+        self._host = host
+        self._port = port
+        self._connect = connect
+        self._idle: list[UpstreamConnection] = []
+
+    async def take_idle(self, now: float) -> UpstreamConnection | None:
+        """Return an open connection that was used lately; the caller counts as using it."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable(now):
+                self.busy += 1
+                return connection
+            await connection.aclose()
+        return None
+
+    async def open(self) -> UpstreamConnection:
+        """Open a connection; the caller counts as using it from now on. Raises ``OSError``."""
+        self.busy += 1
+        try:
+            return UpstreamConnection(await self._connect(self._host, self._port))
+        except BaseException:
+            self.busy -= 1
+            raise
+
+    def give_back(self, connection: UpstreamConnection, reusable_until: float) -> None:
+        """Keep a connection whose reply was read to its end."""
+        self.busy -= 1
+        connection.reusable_until = reusable_until
+        self._idle.append(connection)
+
+    async def drop(self, connection: UpstreamConnection) -> None:
+        """Close a connection that must not be used again, also when the caller is cancelled."""
+        self.busy -= 1
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+
+def idle_time(keep_alive: bytes | None) -> float:
+    """Return how long a connection may rest, in seconds, by the server's ``Keep-Alive`` header."""
+    if keep_alive is None:
+        return IDLE_DEFAULT
+    for part in keep_alive.split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return int(value) * IDLE_SHARE
+    return IDLE_DEFAULT
+
+
+__all__ = ["ConnectionSet", "Connector", "ReplyError", "UpstreamConnection", "connect_tcp", "idle_time"]
--- a/src/yokesill/query/timers.py
+++ b/src/yokesill/timers.py
@@ -3,22 +3,23 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from typing import Generic, TypeVar
 
 import anyio
 
-from yokesill.routing.events import TimerFired
+TimerEvent = TypeVar("TimerEvent")
 
 
-class Timers:
-    """Calls ``fire`` with each ``TimerFired`` when it is due."""
+class Timers(Generic[TimerEvent]):
+    """Calls ``fire`` with each timer's event when it is due."""
 
-    def __init__(self, fire: Callable[[TimerFired], None]) -> None:
+    def __init__(self, fire: Callable[[TimerEvent], None]) -> None:
         self._fire = fire
-        self._heap: list[tuple[float, int, TimerFired]] = []
+        self._heap: list[tuple[float, int, TimerEvent]] = []
         self._sequence = itertools.count()
         self._earlier = anyio.Event()
 
-    def set(self, at: float, event: TimerFired) -> None:
+    def set(self, at: float, event: TimerEvent) -> None:
         """Fire ``event`` at ``at``, in seconds of the node's clock."""
         first = self._heap[0][0] if self._heap else float("inf")
         heapq.heappush(self._heap, (at, next(self._sequence), event))
