--- a/src/yokesill/gateway/servers.py
+++ b/src/yokesill/gateway/servers.py
@@ -17,6 +17,7 @@
 LOAD_LIFETIME = 0.25
 SHED_PAUSE = 0.05
 COLD_SLOWNESS = 1.6
+NOTICED_SLOWNESS = 2.0
 LEAST_TYPICAL = 0.001
 
 
@@ -89,8 +90,9 @@
         return now < self._shed_until
 
     def slowness(self, now: float) -> float:
-        """How many times longer than usual its work takes."""
-        return max(self._slowness, COLD_SLOWNESS) if now < self._warm_at else self._slowness
+        """How many times longer than usual its work takes; what work varies by anyway does not count."""
+        noticed = self._slowness if self._slowness >= NOTICED_SLOWNESS else 1.0
+        return max(noticed, COLD_SLOWNESS) if now < self._warm_at else noticed
 
     def expected(self, typical: float, now: float) -> float:
         """Return the expected latency of one more request that usually takes ``typical`` seconds."""
