--- /dev/null
+++ b/tests/gateway/test_budget.py
@@ -0,0 +1,68 @@
+"""The budget of extra attempts holds in every window, summed over all nodes, whatever comes."""
+
+import random
+
+from harness import TERMS, RouterHarness, failure, gather_route, single_route
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yokesill.gateway.budget import ExtraAttemptBudget
+from yokesill.verdict import Reason, Verdict
+
+
+def allowed(requests: list[float], end: float) -> float:
+    """What the contract allows in the window that ends at ``end``, by its three counts."""
+    counts = [
+        sum(end - back - TERMS.window < at <= end - back for at in requests)
+        for back in (0.0, TERMS.window, TERMS.window / 2)
+    ]
+    return TERMS.ratio * max(counts) + TERMS.allowance
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.integers(1, 12), st.integers(0, 10_000))
+def test_no_window_holds_more_than_the_contract_allows(nodes: int, seed: int) -> None:
+    source = random.Random(seed)
+    budgets = [ExtraAttemptBudget(TERMS, 0.0) for _ in range(nodes)]
+    requests: list[float] = []
+    extras: list[float] = []
+    now = 0.0
+    for _ in range(2000):
+        now += source.expovariate(60.0)
+        node = source.randrange(nodes)
+        if source.random() < 0.02:
+            budgets[node] = ExtraAttemptBudget(TERMS, now)
+        budgets[node].count_request(now)
+        requests.append(now)
+        while source.random() < 0.8 and budgets[node].take(nodes, now):
+            extras.append(now)
+    for end in extras:
+        spent = sum(end - TERMS.window < at <= end for at in extras)
+        assert spent <= allowed(requests, end)
+
+
+def test_a_node_that_just_started_has_no_allowance_yet() -> None:
+    budget = ExtraAttemptBudget(TERMS, 50.0)
+    assert not budget.take(1, 50.0)
+    assert budget.take(1, 51.0)
+
+
+def test_more_nodes_mean_a_smaller_share_each() -> None:
+    budget = ExtraAttemptBudget(TERMS, 0.0)
+    assert budget.left(1, 100.0) > 5 * budget.left(8, 100.0) > 0
+
+
+def test_without_budget_there_is_no_hedge_and_the_log_says_so() -> None:
+    harness = RouterHarness(gather_route(), nodes=10_000)
+    key = harness.arrive()
+    harness.advance(0.5)
+    assert len(harness.of(key)) == 4
+    assert "budget_spent" in {note.name for note in harness.notes}
+
+
+def test_arrivals_that_servers_reject_are_paid_for_too() -> None:
+    harness = RouterHarness(single_route(attempts=5), nodes=10_000)
+    key = harness.arrive("/one/x", 6.0)
+    harness.fail(harness.of(key)[0], failure(Reason.SHED, Verdict.NOT_RUN))
+    assert len(harness.of(key)) == 1
+    assert [note.name for note in harness.notes][-1] == "budget_spent"
--- /dev/null
+++ b/tests/gateway/test_servers.py
@@ -0,0 +1,168 @@
+"""Which servers get work: near ones, sound ones, never leaving ones."""
+
+from harness import RouterHarness, failure, gather_route, reply, server, single_route
+
+from yokesill.gateway import events as ev
+from yokesill.gateway.messages import Load, ServerReply
+from yokesill.verdict import Reason, Verdict
+
+ONE_SHARD = gather_route(services=("s1",))
+
+
+def ask(harness: RouterHarness, latency: float = 0.02) -> str:
+    """Ask once; the first server answers after ``latency``. Returns its instance."""
+    key = harness.arrive()
+    attempt = harness.of(key)[0]
+    harness.advance(latency)
+    for each in harness.of(key):
+        harness.answer(each)
+    harness.advance(0.05)
+    return attempt.server.instance
+
+
+def test_the_nearest_server_gets_the_work() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    assert {ask(harness) for _ in range(20)} == {"s1-z1"}
+
+
+def test_work_goes_further_when_the_near_server_is_full() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.warm_up()
+    keys = [harness.arrive() for _ in range(4)]
+    zones = [harness.of(key)[0].server.zone for key in keys]
+    assert zones.count("z2") >= 1
+
+
+def test_a_reported_queue_moves_work_away() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.warm_up()
+    key = harness.arrive()
+    busy = ServerReply(200, (), b"", b"sig", Load(2, 6, 2))
+    harness.answer(harness.of(key)[0], busy)
+    assert harness.of(harness.arrive())[0].server.zone == "z2"
+    harness.advance(1.0)
+    assert harness.of(harness.arrive())[0].server.zone == "z1"
+
+
+def test_one_slow_answer_is_a_pause_two_in_a_row_are_a_slow_server() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.warm_up()
+    assert ask(harness, 0.15) == "s1-z1"
+    assert ask(harness, 0.15) == "s1-z1"
+    assert ask(harness) == "s1-z2"
+    assert any(note.details.get("state") == "ejected" for note in harness.notes)
+
+
+def test_a_pause_does_not_keep_work_away_once_it_is_over() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.warm_up()
+    ask(harness, 0.15)
+    assert [ask(harness) for _ in range(5)] == ["s1-z1"] * 5
+
+
+def test_a_slow_server_is_tried_again_and_comes_back() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.warm_up()
+    ask(harness, 0.15)
+    ask(harness, 0.15)
+    harness.advance(1.0)
+    ask(harness)
+    assert [ask(harness) for _ in range(3)] == ["s1-z1"] * 3
+
+
+def test_while_an_attempt_is_stalled_its_server_gets_no_first_attempts() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.warm_up()
+    stalled = harness.of(harness.arrive())[0]
+    harness.advance(0.06)
+    assert harness.of(harness.arrive())[0].server.instance != stalled.server.instance
+
+
+def test_a_dark_shard_costs_neither_budget_nor_time() -> None:
+    harness = RouterHarness(gather_route())
+    for _ in range(3):
+        key = harness.arrive()
+        for attempt in harness.of(key):
+            if attempt.server.service != "s1":
+                harness.answer(attempt)
+        harness.advance(1.6)
+        for attempt in harness.of(key):
+            harness.fail(attempt, failure(Reason.TIMED_OUT))
+    key = harness.arrive()
+    rest = harness.of(key)
+    assert {each.server.service for each in rest} == {"s2", "s3", "s4"}
+    for attempt in rest:
+        harness.answer(attempt)
+    assert isinstance(harness.finals[key], ev.Gathered)
+
+
+def test_a_single_request_tries_a_failing_server_rather_than_nobody() -> None:
+    harness = RouterHarness(single_route(), servers=(server("a", "desk"),))
+    for _ in range(3):
+        key = harness.arrive("/one/x", 6.0)
+        harness.fail(harness.of(key)[0])
+    assert len(harness.of(harness.arrive("/one/x", 6.0))) == 1
+
+
+def test_a_leaving_server_gets_no_new_work_of_any_kind() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.feed(ev.ServerListed(server("s1-z1", "s1", leaving=True)))
+    harness.advance(60.0)
+    assert {ask(harness) for _ in range(10)} == {"s1-z2"}
+    key = harness.arrive()
+    harness.fail(harness.of(key)[0])
+    assert {each.server.instance for each in harness.of(key)} == {"s1-z2"}
+
+
+def test_an_entry_that_vanished_is_a_last_resort_for_a_moment_only() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.feed(ev.ServerRemoved("s1-z1"))
+    assert ask(harness) == "s1-z2"
+    harness.feed(ev.ServerRemoved("s1-z2"))
+    assert ask(harness) in {"s1-z1", "s1-z2"}
+    harness.advance(2.0)
+    assert harness.of(harness.arrive()) == []
+    harness.feed(ev.ServerListed(server("s1-z1", "s1")))
+    assert ask(harness) == "s1-z1"
+
+
+def test_a_full_list_removes_whom_it_does_not_name() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.feed(ev.ServersReplaced((server("s1-z2", "s1", "z2"),)))
+    assert ask(harness) == "s1-z2"
+
+
+def test_a_reused_address_is_another_server() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    key = harness.arrive()
+    first = harness.of(key)[0]
+    harness.fail(first, failure(Reason.BACKEND_LEAVING, Verdict.NOT_RUN))
+    again = harness.of(key)[1]
+    assert again.server.instance != first.server.instance
+    harness.answer(again)
+    assert {ask(harness) for _ in range(5)} == {again.server.instance}
+
+
+def test_a_server_that_rejects_is_left_alone_for_a_moment_but_not_ejected() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    key = harness.arrive()
+    harness.fail(harness.of(key)[0], failure(Reason.SHED, Verdict.NOT_RUN))
+    harness.answer(harness.of(key)[1])
+    assert harness.of(harness.arrive())[0].server.instance == "s1-z2"
+    harness.advance(0.2)
+    assert ask(harness) == "s1-z1"
+
+
+def test_connections_to_a_server_are_shared_among_the_nodes() -> None:
+    harness = RouterHarness(ONE_SHARD, nodes=8)
+    limit = harness.of(harness.arrive())[0].connection_limit
+    assert 8 * limit <= 100 < 8 * (limit + 3)
+
+
+def test_a_failing_servers_error_counts_against_it() -> None:
+    harness = RouterHarness(single_route())
+    key = harness.arrive("/one/x", 6.0)
+    first = harness.of(key)[0]
+    harness.answer(first, reply(status=500))
+    harness.answer(harness.of(key)[1])
+    assert harness.of(harness.arrive("/one/x", 6.0))[0].server.instance != first.server.instance
--- /dev/null
+++ b/tests/platform/store_standin.py
@@ -0,0 +1,119 @@
+"""A stand-in of the platform's metadata store, in memory and in virtual time.
+
+Lists in pages, long polls, history that is forgotten, compare by revision, and the faults of the
+real one: down, silent, throttled, answers lost after their effect.
+"""
+
+import json
+import re
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import anyio
+from memory_servers import Heard, MemoryServer, MemoryStream
+
+PAGE = 3
+
+
+@dataclass
+class StoreStandin:
+    """Objects by kind and name; ``log`` are the changes that are still remembered."""
+
+    revision: int = 0
+    objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
+    log: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
+    forgotten: int = 0
+    mode: str = "up"
+    lose_answers: int = 0
+    calls: list[str] = field(default_factory=list)
+    changed: anyio.Event | None = None
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        self.revision += 1
+        item = {"meta": {"name": name, "revision": self.revision}, "spec": spec, "status": None}
+        self.objects[(kind, name)] = item
+        self._remember(kind, item, False)
+
+    def remove(self, kind: str, name: str) -> None:
+        self.revision += 1
+        item = self.objects.pop((kind, name))
+        item["meta"]["revision"] = self.revision
+        self._remember(kind, item, True)
+
+    def forget_history(self) -> None:
+        self.log.clear()
+        self.forgotten = self.revision
+        self._wake()
+
+    def _remember(self, kind: str, item: dict[str, Any], gone: bool) -> None:
+        self.log.append((self.revision, kind, json.loads(json.dumps(item)), gone))
+        self._wake()
+
+    def _wake(self) -> None:
+        if self.changed is not None:
+            self.changed.set()
+
+    async def script(self, _server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        """Answer one call."""
+        method, target, _ = heard.head.split("\r\n")[0].split(" ")
+        self.calls.append(f"{method} {target}")
+        if self.mode == "silent":
+            await anyio.sleep_forever()
+        if self.mode in ("busy", "throttled"):
+            await self._reply(stream, 503 if self.mode == "busy" else 429, None)
+            return
+        status, body = await self._answer(method, target, heard.body)
+        if self.lose_answers and method != "GET":
+            self.lose_answers -= 1
+            await stream.aclose()
+            return
+        await self._reply(stream, status, body)
+
+    async def _reply(self, stream: MemoryStream, status: int, body: Any) -> None:
+        content = json.dumps(body).encode()
+        head = (
+            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
+        )
+        await stream.send(head.encode() + content)
+
+    async def _answer(self, method: str, target: str, content: bytes) -> tuple[int, Any]:
+        parts = urlsplit(target)
+        query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
+        match = re.fullmatch(r"/objects/([^/]+)(?:/([^/]+))?", parts.path)
+        assert match is not None, target
+        kind, name = match[1], unquote(match[2]) if match[2] else None
+        if method == "POST":
+            body = json.loads(content)
+            if (kind, body["meta"]["name"]) in self.objects:
+                return 409, self.objects[(kind, body["meta"]["name"])]
+            self.put(kind, body["meta"]["name"], body["spec"])
+            return 200, self.objects[(kind, body["meta"]["name"])]
+        if method == "PUT" and name is not None:
+            self.put(kind, name, json.loads(content)["spec"])
+            return 200, self.objects[(kind, name)]
+        if "watch" in query:
+            return await self._watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
+        return self._list(kind, query.get("after", ""))
+
+    def _list(self, kind: str, after: str) -> tuple[int, Any]:
+        names = sorted(each for of, each in self.objects if of == kind and each > after)
+        items = [self.objects[(kind, each)] for each in names[:PAGE]]
+        return 200, {"items": items, "more": len(names) > PAGE, "at": self.revision}
+
+    async def _watch(self, kind: str, revision: int, wait: float) -> tuple[int, Any]:
+        with anyio.move_on_after(wait):
+            while True:
+                if revision < self.forgotten:
+                    return 410, None
+                events = [
+                    {"object": item, "gone": gone}
+                    for at, of, item, gone in self.log
+                    if of == kind and at > revision
+                ]
+                if events:
+                    return 200, {"events": events, "at": self.revision}
+                if self.changed is None or self.changed.is_set():
+                    self.changed = anyio.Event()
+                await self.changed.wait()
+        return 200, {"events": [], "at": self.revision}
--- /dev/null
+++ b/tests/platform/test_following_the_store.py
@@ -0,0 +1,218 @@
+"""A node follows the store through what the platform does to it."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from conftest import run_virtual
+from memory_servers import MemoryServer
+from store_standin import StoreStandin
+
+from yokesill.gateway import events as ev
+from yokesill.platform.feeds import ConfigurationFeed, ServerFeed, StoredNodes
+from yokesill.platform.store import MetadataStore
+from yokesill.serving.api_client import ApiClient
+from yokesill.serving.follower import FeedFollower
+from yokesill.serving.node_count import NodeCounter
+from yokesill.serving.settings import Address
+
+CONFIG: dict[str, Any] = {
+    "configVersion": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "a.example",
+            "pathPrefix": "/x/",
+            "routeType": "idempotent",
+            "timeoutMs": 800,
+            "service": "s1",
+        }
+    ],
+    "services": [{"name": "s1", "healthPath": "/health", "maxConnections": 26}],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 1000,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+}
+
+
+def entry(service: str = "s1", state: str = "ready") -> dict[str, Any]:
+    return {"service": service, "address": "10.0.0.9:80", "zone": "z1", "capacity": 2, "state": state}
+
+
+class Followed:
+    """What a follower of both feeds was told."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, standin: StoreStandin) -> None:
+        self.events: list[ev.Event] = []
+        self.server = MemoryServer(standin.script, tasks)
+        self.store = MetadataStore(ApiClient(Address("10.0.0.1", 80), self.server.connect))
+        source = random.Random(3)
+        feeds = (ConfigurationFeed(self.store), ServerFeed(self.store))
+        self.followers = [FeedFollower(feed, self.events.append, 0.3, source) for feed in feeds]
+        for follower in self.followers:
+            tasks.start_soon(follower.run)
+
+    def servers(self) -> dict[str, bool]:
+        """Each known server and whether it leaves, from the events alone."""
+        known: dict[str, bool] = {}
+        for event in self.events:
+            if isinstance(event, ev.ServersReplaced):
+                known = {record.instance: record.leaving for record in event.records}
+            elif isinstance(event, ev.ServerListed):
+                known[event.record.instance] = event.record.leaving
+            elif isinstance(event, ev.ServerRemoved):
+                known.pop(event.instance, None)
+        return known
+
+    def versions(self) -> list[int]:
+        return [
+            each.configuration.version for each in self.events if isinstance(each, ev.ConfigurationLearnt)
+        ]
+
+
+def following(main: Callable[[StoreStandin, Followed], Awaitable[None]]) -> None:
+    async def run() -> None:
+        standin = StoreStandin()
+        standin.put("config", "main", CONFIG)
+        for number in range(8):
+            standin.put("servers", f"i-{number}", entry())
+        async with anyio.create_task_group() as tasks:
+            followed = Followed(tasks, standin)
+            await anyio.sleep(1.0)
+            await main(standin, followed)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+def test_everything_is_learnt_at_start_over_several_pages() -> None:
+    async def main(_standin: StoreStandin, followed: Followed) -> None:
+        assert followed.versions() == [7]
+        assert len(followed.servers()) == 8
+
+    following(main)
+
+
+def test_changes_arrive_within_the_gathering_time_and_quiet_costs_few_calls() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        standin.put("config", "main", {**CONFIG, "configVersion": 9})
+        standin.put("servers", "i-0", entry(state="draining"))
+        standin.remove("servers", "i-1")
+        await anyio.sleep(0.7)
+        assert followed.versions() == [7, 9]
+        assert followed.servers()["i-0"] is True
+        assert "i-1" not in followed.servers()
+        before = len(standin.calls)
+        await anyio.sleep(60.0)
+        assert len(standin.calls) - before <= 6
+
+    following(main)
+
+
+def test_many_changes_in_quick_succession_are_gathered() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        before = len(standin.calls)
+        for version in range(10, 40):
+            standin.put("config", "main", {**CONFIG, "configVersion": version})
+            await anyio.sleep(0.05)
+        await anyio.sleep(0.5)
+        assert followed.versions()[-1] == 39
+        assert len(standin.calls) - before <= 12
+
+    following(main)
+
+
+def test_after_lost_history_everything_is_listed_again_and_whoever_left_meanwhile_is_gone() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        del standin.objects[("servers", "i-2")]
+        standin.revision += 1
+        standin.forget_history()
+        await anyio.sleep(1.0)
+        assert "i-2" not in followed.servers()
+        assert len(followed.servers()) == 7
+
+    following(main)
+
+
+def test_a_store_that_was_down_is_followed_again_within_a_second_or_two() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        for mode in ("busy", "throttled"):
+            standin.mode = mode
+            standin.forget_history()
+            await anyio.sleep(10.0)
+            standin.mode = "up"
+            standin.put("servers", f"i-{mode}", entry())
+            await anyio.sleep(2.5)
+            assert f"i-{mode}" in followed.servers()
+        assert len(followed.servers()) == 10
+
+    following(main)
+
+
+def test_a_silent_store_is_given_up_and_asked_again() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        standin.mode = "silent"
+        standin.forget_history()
+        await anyio.sleep(8.0)
+        standin.mode = "up"
+        standin.put("config", "main", {**CONFIG, "configVersion": 11})
+        await anyio.sleep(4.0)
+        assert followed.versions()[-1] == 11
+
+    following(main)
+
+
+def test_an_entry_that_cannot_be_read_changes_nothing_and_is_told() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        broken = {**CONFIG, "configVersion": 12, "routes": [{"name": "r1"}]}
+        standin.put("config", "main", broken)
+        standin.put("servers", "i-bad", {"service": "s1", "address": "nowhere"})
+        standin.put("servers", "i-9", entry())
+        await anyio.sleep(1.0)
+        assert followed.versions() == [7]
+        assert "i-bad" not in followed.servers()
+        assert "i-9" in followed.servers()
+
+    following(main)
+
+
+def test_nodes_are_counted_also_when_answers_to_announcements_are_lost() -> None:
+    async def run() -> None:
+        standin = StoreStandin(lose_answers=3)
+        counts: dict[str, int] = {}
+        async with anyio.create_task_group() as tasks:
+            for number in range(4):
+                server = MemoryServer(standin.script, tasks)
+                store = MetadataStore(ApiClient(Address("10.0.0.1", 80), server.connect))
+                name = f"n{number}"
+
+                def counted(count: int, name: str = name) -> None:
+                    counts[name] = count
+
+                counter = NodeCounter(StoredNodes(store), name, counted, random.Random(number))
+                tasks.start_soon(counter.run)
+            await anyio.sleep(30.0)
+            assert counts == {f"n{number}": 4 for number in range(4)}
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+def test_a_node_that_stopped_announcing_itself_is_not_counted_for_ever() -> None:
+    async def run() -> None:
+        standin = StoreStandin()
+        standin.put("yokesill-nodes", "gone", {"beat": 1})
+        counts: list[int] = []
+        async with anyio.create_task_group() as tasks:
+            server = MemoryServer(standin.script, tasks)
+            store = MetadataStore(ApiClient(Address("10.0.0.1", 80), server.connect))
+            tasks.start_soon(NodeCounter(StoredNodes(store), "n1", counts.append, random.Random(1)).run)
+            await anyio.sleep(600.0)
+            assert counts == [2, 1]
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
--- /dev/null
+++ b/tests/platform/test_reading.py
@@ -0,0 +1,90 @@
+"""What the platform writes, read into the product's own terms; every mistake with its place."""
+
+import copy
+from typing import Any
+
+import pytest
+from test_following_the_store import CONFIG
+
+from yokesill.gateway.documents import Gather, Split
+from yokesill.platform.documents import ObjectError, read_configuration, read_server
+from yokesill.platform.settings import parse_settings
+from yokesill.serving.settings import Address, GatewaySettings
+
+SETTINGS = """
+nodeName = "front-1"
+ip = "10.1.0.9"
+zone = "z1"
+portRange = [7380, 7395]
+seedNodes = ["10.1.0.9:8106"]
+unheardOf = 3
+[zones]
+z1 = "r1"
+[listenAddrs]
+front = "10.1.0.9:8104"
+ready = "10.1.0.9:8108"
+[bounds]
+graceS = 6
+retryBudgetRatio = 0.2
+retryWindowS = 10
+retrySlack = 56
+[platform]
+address = "10.200.1.7:8102"
+"""
+
+
+def changed(**changes: Any) -> dict[str, Any]:
+    spec = copy.deepcopy(CONFIG)
+    spec["routes"][0].update(changes)
+    return spec
+
+
+def test_a_route_to_one_service_a_split_and_a_gather() -> None:
+    single = read_configuration(CONFIG).routes[0].destination
+    assert isinstance(single, Split)
+    assert single.parts[0].service == "s1"
+    weights = [{"service": "s1", "weight": 3}, {"service": "s2", "weight": 1}]
+    split = read_configuration(changed(backends=weights)).routes[0].destination
+    assert isinstance(split, Split)
+    assert [(part.service, part.weight) for part in split.parts] == [("s1", 3), ("s2", 1)]
+    wide = changed(gather=["s1", "s2"], topK=5, minCoverage=0.75, targetLatencyMs=56, maxAttempts=2)
+    route = read_configuration(wide).routes[0]
+    assert route.destination == Gather(("s1", "s2"), 5, 0.75)
+    assert (route.target, route.attempts, route.repeatable) == (0.056, 2, True)
+
+
+@pytest.mark.parametrize(
+    ("changes", "place"),
+    [
+        ({"timeoutMs": "soon"}, "routes.r1.timeoutMs"),
+        ({"host": None}, "routes.r1.host"),
+        ({"gather": ["s1"], "topK": 5}, "routes.r1.minCoverage"),
+        ({"backends": [{"service": "s1"}]}, "routes.r1.weight"),
+    ],
+)
+def test_a_mistake_in_a_configuration_names_its_place(changes: dict[str, Any], place: str) -> None:
+    with pytest.raises(ObjectError, match=place):
+        read_configuration(changed(**changes))
+
+
+@pytest.mark.parametrize("spec", [None, [], {}, {"service": "s1"}, {"service": "s1", "address": "x"}])
+def test_a_mistake_in_a_servers_entry_names_the_server(spec: Any) -> None:
+    with pytest.raises(ObjectError, match=r"servers\.i-1"):
+        read_server("i-1", spec)
+
+
+def test_settings_are_read_and_unknown_fields_passed_over() -> None:
+    settings = parse_settings(SETTINGS)
+    assert isinstance(settings, GatewaySettings)
+    assert settings.callers == Address("10.1.0.9", 8104)
+    assert settings.metrics == Address("10.1.0.9", 7380)
+    assert (settings.budget.ratio, settings.budget.allowance) == (0.2, 56.0)
+
+
+def test_every_mistake_in_settings_is_told_with_its_place() -> None:
+    broken = SETTINGS.replace('"10.1.0.9:8104"', '"nowhere"').replace("graceS = 6", 'graceS = "long"')
+    broken = broken.replace('zone = "z1"\n', "")
+    problems = parse_settings(broken)
+    assert isinstance(problems, list)
+    assert {each.place for each in problems} == {"zone", "listenAddrs.front", "bounds.graceS"}
+    assert isinstance(parse_settings("= nonsense"), list)
--- /dev/null
+++ b/tests/serving/memory_servers.py
@@ -0,0 +1,143 @@
+"""Servers in memory: byte streams in virtual time, answering by a script."""
+
+import math
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+
+from yokesill.gateway.documents import ServerRecord
+from yokesill.gateway.messages import Attempt, GatewayRequest
+
+RECORD = ServerRecord("i-1", "desk", "10.0.0.1", 80, "z1", 2)
+
+
+class MemoryStream(anyio.abc.ByteStream):
+    """One side of a connection; ``closed_by_peer`` and ``reset`` end what is received."""
+
+    def __init__(self) -> None:
+        self.inbox_send, self.inbox = anyio.create_memory_object_stream[bytes](math.inf)
+        self.peer: MemoryStream | None = None
+        self.reset = False
+        self.closed = False
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        try:
+            return await self.inbox.receive()
+        except anyio.EndOfStream:
+            if self.reset:
+                raise anyio.BrokenResourceError from None
+            raise
+
+    async def send(self, item: bytes) -> None:
+        assert self.peer is not None
+        if self.peer.closed:
+            raise anyio.BrokenResourceError
+        self.peer.inbox_send.send_nowait(item)
+
+    async def send_eof(self) -> None:
+        raise NotImplementedError
+
+    async def aclose(self) -> None:
+        self.closed = True
+        if self.peer is not None:
+            self.peer.inbox_send.close()
+
+
+def connected_pair() -> tuple[MemoryStream, MemoryStream]:
+    near, far = MemoryStream(), MemoryStream()
+    near.peer, far.peer = far, near
+    return near, far
+
+
+@dataclass
+class Heard:
+    """One request as a server read it."""
+
+    head: str
+    connection: int
+    body: bytes = b""
+
+    def header(self, name: str) -> str | None:
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(": ")
+            if key == name:
+                return value
+        return None
+
+
+Script = Callable[["MemoryServer", MemoryStream, Heard], Awaitable[None]]
+
+
+@dataclass
+class MemoryServer:
+    """Runs ``script`` for each request that it reads."""
+
+    script: Script
+    tasks: anyio.abc.TaskGroup
+    heard: list[Heard] = field(default_factory=list)
+    opened: int = 0
+    refuse: bool = False
+
+    async def connect(self, _host: str, _port: int) -> MemoryStream:
+        if self.refuse:
+            raise ConnectionRefusedError
+        self.opened += 1
+        near, far = connected_pair()
+        self.tasks.start_soon(self._serve, far, self.opened)
+        return near
+
+    async def _serve(self, stream: MemoryStream, number: int) -> None:
+        buffer = b""
+        while True:
+            try:
+                buffer += await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+            while b"\r\n\r\n" in buffer:
+                head, _, rest = buffer.partition(b"\r\n\r\n")
+                heard = Heard(head.decode(), number)
+                length = int(heard.header("content-length") or 0)
+                if len(rest) < length:
+                    break
+                heard.body, buffer = rest[:length], rest[length:]
+                self.heard.append(heard)
+                try:
+                    await self.script(self, stream, heard)
+                except anyio.BrokenResourceError:
+                    return
+                if stream.closed:
+                    return
+
+
+def answer_bytes(
+    request_id: str | None,
+    body: bytes = b"hello",
+    status: str = "200 OK",
+    extra: str = "",
+    framed: bool = True,
+) -> bytes:
+    lines = [f"HTTP/1.1 {status}"]
+    if request_id is not None:
+        lines.append(f"Request-Id: {request_id}")
+    lines.append("Server-Signature: sig")
+    if framed:
+        lines.append(f"Content-Length: {len(body)}")
+    if extra:
+        lines.append(extra)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def well(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+    """Answer as a sound server does."""
+    await stream.send(answer_bytes(heard.header("request-id")))
+
+
+def attempt(number: int = 1, method: bytes = b"GET", body: bytes = b"", seconds: float = 1.0) -> Attempt:
+    now = anyio.current_time()
+    headers = ((b"host", b"shop.example"), (b"request-id", b"id-%d" % number), (b"x-own", b"1"))
+    request = GatewayRequest(
+        f"k{number}", f"id-{number}", method, "shop.example", "/one/x", b"/one/x?q=1", headers, body, now, 2.0
+    )
+    return Attempt(number, request, RECORD, 2, now + seconds)
--- /dev/null
+++ b/tests/serving/test_server_client.py
@@ -0,0 +1,241 @@
+"""Only a whole answer to this very request counts, and the verdict says what may have run."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+from conftest import run_virtual
+from memory_servers import Heard, MemoryServer, MemoryStream, Script, answer_bytes, attempt, well
+
+from yokesill.gateway.events import AttemptAnswered, AttemptFailed
+from yokesill.serving.names import HeaderNames
+from yokesill.serving.server_client import ServerClient
+from yokesill.verdict import Reason, Verdict
+
+Outcome = AttemptAnswered | AttemptFailed
+
+
+def with_server(script: Script, main: Callable[[MemoryServer, ServerClient], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            server = MemoryServer(script, tasks)
+            await main(server, ServerClient(HeaderNames(), server.connect))
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+def failed(outcome: Outcome, reason: Reason, verdict: Verdict) -> None:
+    assert isinstance(outcome, AttemptFailed), outcome
+    assert (outcome.failure.reason, outcome.failure.verdict) == (reason, verdict)
+
+
+def test_an_answer_comes_whole_and_the_connection_is_used_again() -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        first = await client.call(attempt(1))
+        second = await client.call(attempt(2))
+        assert isinstance(first, AttemptAnswered)
+        assert (first.reply.body, first.reply.signature) == (b"hello", b"sig")
+        assert isinstance(second, AttemptAnswered)
+        assert server.opened == 1
+
+    with_server(well, main)
+
+
+def test_what_is_sent_is_the_callers_request_with_what_is_left_of_its_time() -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        await client.call(attempt(1, b"POST", b"abc", seconds=0.7))
+        heard = server.heard[0]
+        assert heard.head.startswith("POST /one/x?q=1 HTTP/1.1\r\n")
+        assert (heard.header("x-own"), heard.header("content-length")) == ("1", "3")
+        assert heard.header("expect-instance") == "i-1"
+        assert 600 <= int(heard.header("request-deadline-ms") or 0) <= 700
+
+    with_server(well, main)
+
+
+async def _foreign(_server: MemoryServer, stream: MemoryStream, _heard: Heard) -> None:
+    await stream.send(answer_bytes("another"))
+
+
+async def _without_id(_server: MemoryServer, stream: MemoryStream, _heard: Heard) -> None:
+    await stream.send(answer_bytes(None))
+
+
+async def _coded(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+    await stream.send(answer_bytes(heard.header("request-id"), extra="Content-Encoding: gzip"))
+
+
+async def _cut(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+    await stream.send(answer_bytes(heard.header("request-id"))[:-2])
+    await stream.aclose()
+
+
+async def _noise(_server: MemoryServer, stream: MemoryStream, _heard: Heard) -> None:
+    await stream.send(b"\x00\x01 this is not HTTP\r\n\r\n")
+
+
+async def _unframed_reset(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+    await stream.send(answer_bytes(heard.header("request-id"), framed=False))
+    assert stream.peer is not None
+    stream.peer.reset = True
+    await stream.aclose()
+
+
+@pytest.mark.parametrize(
+    ("script", "reason"),
+    [
+        (_foreign, Reason.FOREIGN_REPLY),
+        (_without_id, Reason.FOREIGN_REPLY),
+        (_coded, Reason.MALFORMED_REPLY),
+        (_cut, Reason.MALFORMED_REPLY),
+        (_noise, Reason.MALFORMED_REPLY),
+        (_unframed_reset, Reason.CONNECTION_LOST),
+    ],
+)
+def test_what_is_not_this_requests_whole_answer_is_no_answer(script: Script, reason: Reason) -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        failed(await client.call(attempt(1)), reason, Verdict.MAY_HAVE_RUN)
+        await client.call(attempt(2))
+        assert server.opened == 2
+
+    with_server(script, main)
+
+
+def test_an_answer_without_a_length_ends_with_an_orderly_close() -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        await stream.send(answer_bytes(heard.header("request-id"), b"part one, ", framed=False))
+        await stream.send(b"part two")
+        await stream.aclose()
+
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        outcome = await client.call(attempt(1))
+        assert isinstance(outcome, AttemptAnswered)
+        assert outcome.reply.body == b"part one, part two"
+
+    with_server(script, main)
+
+
+def test_a_surplus_answer_is_never_taken_for_the_next_one() -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        own = answer_bytes(heard.header("request-id"))
+        await stream.send(own)
+        await stream.send(own)
+
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        assert isinstance(await client.call(attempt(1)), AttemptAnswered)
+        failed(await client.call(attempt(2)), Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN)
+        assert isinstance(await client.call(attempt(3)), AttemptAnswered)
+        assert server.opened == 2
+
+    with_server(script, main)
+
+
+def test_bytes_after_an_answer_close_the_connection() -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        await stream.send(answer_bytes(heard.header("request-id")) + b"HTTP/1.1 200 OK\r\n")
+
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        assert isinstance(await client.call(attempt(1)), AttemptAnswered)
+        assert isinstance(await client.call(attempt(2)), AttemptAnswered)
+        assert server.opened == 2
+
+    with_server(script, main)
+
+
+@pytest.mark.parametrize(
+    ("status", "extra", "reason"),
+    [
+        ("503 Service Unavailable", "Not-Executed: 1", Reason.SHED),
+        ("429 Too Many Requests", "Not-Executed: 1", Reason.SHED),
+        ("421 Misdirected Request", "Other: 1", Reason.BACKEND_LEAVING),
+    ],
+)
+def test_a_promise_that_it_did_not_run_is_kept_apart(status: str, extra: str, reason: Reason) -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, _heard: Heard) -> None:
+        await stream.send(answer_bytes(None, b"", status, extra))
+
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        failed(await client.call(attempt(1)), reason, Verdict.NOT_RUN)
+
+    with_server(script, main)
+
+
+def test_a_plain_503_promises_nothing() -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        await stream.send(answer_bytes(heard.header("request-id"), b"", "503 Service Unavailable"))
+
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        outcome = await client.call(attempt(1))
+        assert isinstance(outcome, AttemptAnswered)
+        assert (outcome.reply.status, outcome.reply.succeeded) == (503, False)
+
+    with_server(script, main)
+
+
+def test_a_silent_server_ends_the_attempt_at_its_deadline() -> None:
+    async def script(_server: MemoryServer, _stream: MemoryStream, _heard: Heard) -> None:
+        return None
+
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        started = anyio.current_time()
+        failed(await client.call(attempt(1, seconds=0.5)), Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN)
+        assert anyio.current_time() - started == pytest.approx(0.5)
+
+    with_server(script, main)
+
+
+def test_a_refused_connection_has_not_run() -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        server.refuse = True
+        failed(await client.call(attempt(1)), Reason.CONNECT_FAILED, Verdict.NOT_RUN)
+
+    with_server(well, main)
+
+
+def test_no_more_connections_than_allowed_are_opened() -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        await anyio.sleep(0.1)
+        await stream.send(answer_bytes(heard.header("request-id")))
+
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        outcomes: list[Outcome] = []
+
+        async def one(number: int) -> None:
+            outcomes.append(await client.call(attempt(number)))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(1, 4):
+                tasks.start_soon(one, number)
+        assert server.opened == 2
+        refused = [each for each in outcomes if isinstance(each, AttemptFailed)]
+        assert [each.failure.reason for each in refused] == [Reason.OVERLOADED]
+
+    with_server(script, main)
+
+
+def test_a_cancelled_attempt_closes_its_connection() -> None:
+    async def script(_server: MemoryServer, _stream: MemoryStream, _heard: Heard) -> None:
+        return None
+
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        with anyio.move_on_after(0.05):
+            await client.call(attempt(1))
+        server.script = well
+        assert isinstance(await client.call(attempt(2)), AttemptAnswered)
+        assert server.opened == 2
+
+    with_server(script, main)
+
+
+def test_a_head_request_has_no_body_whatever_length_is_told() -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        head, _, _ = answer_bytes(heard.header("request-id"), b"12345").partition(b"12345")
+        await stream.send(head)
+
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        outcome = await client.call(attempt(1, b"HEAD"))
+        assert isinstance(outcome, AttemptAnswered)
+        assert outcome.reply.body == b""
+
+    with_server(script, main)
