Attempts wait for a connection, what never left costs no budget, and answers start in time

Ruled out: too few servers (all answered within 40 ms). Changes: attempts wait their turn for a connection; a server with none free is not the first choice; what never left this node is sent elsewhere for nothing; a starting node counts at once; what comes within 0.12 s before the first configuration waits for it; charts are read flattened, without sismic. The margin before the aim is 11.5 ms on a kept connection, 14.5 ms on a fresh one, and the lateness of the node's own timers.

--- a/src/yokesill/backends/http_backend.py
+++ b/src/yokesill/backends/http_backend.py
@@ -16,7 +16,7 @@
     decode_reply,
     encode_attempt,
 )
-from yokesill.charts.tables import transition_table
+from yokesill.charts.flat import transition_table
 from yokesill.comm.network import split_address
 from yokesill.routing.events import AttemptAnswered, AttemptFailed
 from yokesill.routing.messages import Attempt, ServerReport
--- a/src/yokesill/charts/tables.py
+++ b/src/yokesill/charts/tables.py
@@ -1,16 +1,15 @@
-"""Hot charts, flattened: the same YAML files, read by sismic, as a transition table.
+"""Charts read by sismic, and the hot ones flattened to transition tables.
 
 sismic's interpreter needs about 200 us an event, too much for charts that step thousands of
 times a second. Only flat charts without guards or actions can be flattened; others are refused.
 """
 
-from functools import cache
 from importlib import resources
 
 from sismic.io import import_from_yaml
 from sismic.model import Statechart
 
-TransitionTable = dict[tuple[str, str], str]
+from yokesill.charts.flat import TransitionTable
 
 
 def load_chart(name: str) -> Statechart:
@@ -21,8 +20,7 @@
     return chart
 
 
-@cache
-def transition_table(name: str) -> TransitionTable:
+def flatten_chart(name: str) -> TransitionTable:
     """Return the chart ``name`` as ``{(state, event): next state}``.
 
     Raises ``ValueError`` for a chart with guards, actions or nested states.
--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -9,6 +9,7 @@
 
 LEAST_TIME_TO_SEND = 0.003
 NEVER = float("inf")
+NEVER_LEFT = frozenset({Reason.OVERLOADED, Reason.CONNECT_FAILED})
 
 
 class ServiceCall:
@@ -33,6 +34,7 @@
         self._live: dict[int, LiveAttempt] = {}
         self._tried: set[str] = set()
         self._ran = 0
+        self._arrived = False
         self._verdict = Verdict.NOT_RUN
 
     @property
@@ -77,18 +79,20 @@
         context = self._context
         if deadline - now < LEAST_TIME_TO_SEND:
             return False
+        limit = context.connection_limit(self.service)
         server = choose_server(
             context.servers.of_service(self.service),
             self._tried,
             context.typical(self._route).median,
             context.options.removed_grace,
+            limit,
             now,
             context.random_source,
             last_resort=len(self._route.services) == 1,
         )
         if server is None:
             return False
-        extra = cause != "first"
+        extra = self._arrived or bool(self._live)
         if extra and not context.budget(self.service).take(context.nodes, now):
             actions.append(self._note("budget_spent", cause, server.record.instance, now))
             return False
@@ -99,9 +103,8 @@
         self._tried.add(server.record.instance)
         self.sent += 1
         self.extras += extra
-        if extra:
+        if cause != "first":
             actions.append(self._note("attempt_added", cause, server.record.instance, now))
-        limit = context.connection_limit(self.service)
         actions.append(SendAttempt(Attempt(number, self._request, server.record, limit, deadline)))
         return True
 
@@ -121,6 +124,7 @@
     def answered(self, number: int, reply: ServerReply) -> None:
         """Take an attempt's answer; the first success counts."""
         self._live.pop(number, None)
+        self._arrived = True
         self._ran += 1
         self._verdict = Verdict.RAN
         if reply.succeeded:
@@ -132,6 +136,7 @@
         """Take an attempt's end without an answer."""
         self._live.pop(number, None)
         self.failure = failure
+        self._arrived = self._arrived or failure.reason not in NEVER_LEFT
         if failure.verdict is not Verdict.NOT_RUN:
             self._ran += 1
             self._verdict = max(self._verdict, failure.verdict)
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -11,6 +11,8 @@
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.servers import ServerState, ServerTable
 
+LATENESS_WEIGHT, LATENESS_CEILING = 0.2, 0.05
+
 
 @dataclass(slots=True)
 class LiveAttempt:
@@ -26,7 +28,11 @@
 
 @dataclass(slots=True)
 class GatewayContext:
-    """Servers, budgets and estimates of a node; ``live`` are all attempts under way, by number."""
+    """Servers, budgets and estimates of a node; ``live`` are all attempts under way, by number.
+
+    ``lateness`` is how late this node's own timers come, in seconds: a machine that is slow or busy
+    must begin to answer earlier.
+    """
 
     options: GatewayOptions
     random_source: random.Random
@@ -34,6 +40,7 @@
     started_at: float
     nodes: int
     configuration: Configuration | None = None
+    lateness: float = 0.0
     live: dict[int, LiveAttempt] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
     _budgets: dict[str, ExtraAttemptBudget] = field(default_factory=dict)
@@ -64,6 +71,10 @@
         self._longest_patience[route.name] = longest
         return longest - patience
 
+    def observe_lateness(self, seconds: float) -> None:
+        """Take how late one timer came."""
+        self.lateness += LATENESS_WEIGHT * (min(seconds, LATENESS_CEILING) - self.lateness)
+
     def connection_limit(self, service: str) -> int:
         """Return how many connections this node may hold to each of the service's servers."""
         limits = self.configuration.services.get(service) if self.configuration else None
--- a/src/yokesill/gateway/messages.py
+++ b/src/yokesill/gateway/messages.py
@@ -14,7 +14,8 @@
 
     ``key`` names it within this node; ``request_id`` is the caller's own name for it.
     ``arrived_at`` is in seconds of the node's clock; ``patience`` is how long the caller will wait
-    from then on, in seconds (``None``: it did not say).
+    from then on, in seconds (``None``: it did not say). ``fresh_connection``: it connected for this
+    request, so that its way here took longer.
     """
 
     key: str
@@ -27,6 +28,7 @@
     body: bytes
     arrived_at: float
     patience: float | None
+    fresh_connection: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/yokesill/gateway/options.py
+++ b/src/yokesill/gateway/options.py
@@ -11,17 +11,18 @@
 class GatewayOptions:
     """Options of one node's router; times in seconds.
 
-    ``answer_margin`` is the way back to the caller: connecting, the request's way here and the
-    answer's way there, none of which this node can see. ``hedge_factor`` says after how many
-    typical latencies an attempt counts as stalled. ``assumed_nodes`` stands in until the nodes were
-    counted. ``removed_grace`` is how long a server whose entry is gone may still be a last resort:
-    entries also vanish when the registry was down.
+    ``fresh_margin`` is what of a caller's latency this node cannot see: connecting, the request's way
+    here and the answer's way back; ``kept_margin`` the same without connecting. The hedge factors say
+    after how many typical latencies an attempt counts as stalled. ``assumed_nodes`` stands in until
+    the nodes were counted. ``removed_grace`` is how long a server whose entry is gone may still be a
+    last resort: entries also vanish when the registry was down.
     """
 
     zone: str
     regions: dict[str, str] = field(default_factory=dict)
     budget: BudgetTerms = DEFAULT_BUDGET
-    answer_margin: float = 0.012
+    fresh_margin: float = 0.0145
+    kept_margin: float = 0.0115
     gather_hedge_factor: float = 2.0
     single_hedge_factor: float = 2.5
     minimum_hedge_delay: float = 0.004
--- a/src/yokesill/gateway/request.py
+++ b/src/yokesill/gateway/request.py
@@ -44,7 +44,9 @@
         self._calls = [ServiceCall(service, request, route, context) for service in services]
         self._call_of: dict[int, ServiceCall] = {}
         self._timer_at = NEVER
-        margin = context.options.answer_margin
+        options = context.options
+        margin = options.fresh_margin if request.fresh_connection else options.kept_margin
+        margin += context.lateness
         patience = request.patience if request.patience is not None else route.timeout
         self.hard = request.arrived_at + min(route.timeout, patience - margin)
         waited = context.waited_before(route, patience)
@@ -87,6 +89,8 @@
         """Take a decision point."""
         if self.done:
             return
+        due = {TimerKind.HEDGE: self._timer_at, TimerKind.SOFT: self.soft, TimerKind.HARD: self.hard}[kind]
+        self._context.observe_lateness(max(0.0, now - due))
         if kind is TimerKind.HEDGE:
             self._hedge_due(now, actions)
         elif kind is TimerKind.HARD:
--- a/src/yokesill/gateway/selection.py
+++ b/src/yokesill/gateway/selection.py
@@ -14,13 +14,15 @@
     tried: Collection[str],
     typical: float,
     removed_grace: float,
+    connection_limit: int,
     now: float,
     source: random.Random,
     last_resort: bool,
 ) -> ServerState | None:
     """Return the server with the least expected latency, the nearest among near equals.
 
-    Sound servers come first, then those that rejected work just now, then those that are slow,
+    Sound servers with a free connection come first, then other sound ones, then those that rejected
+    work just now, then those that are slow,
     stalled or paused. Failing ones are left alone until their ejection is over, unless
     ``last_resort``. Servers whose entry vanished a moment ago serve when there is nobody else.
     """
@@ -30,7 +32,8 @@
     sound = [each for each in ranked if each.usable(now)]
     ready = [each for each in sound if not each.pausing(now)]
     slow = [each for each in ranked if not each.failing]
-    pool = ready or sound or slow or (ranked if last_resort else [])
+    free = [each for each in ready if each.in_flight < connection_limit]
+    pool = free or ready or sound or slow or (ranked if last_resort else [])
     if not pool:
         return None
     costs = [(each.expected(typical, now), each) for each in pool]
--- a/src/yokesill/gateway/servers.py
+++ b/src/yokesill/gateway/servers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from yokesill.charts.tables import transition_table
+from yokesill.charts.flat import transition_table
 from yokesill.gateway.distances import ZoneDistances
 from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.messages import Load
--- a/src/yokesill/routing/servers.py
+++ b/src/yokesill/routing/servers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from yokesill.charts.tables import transition_table
+from yokesill.charts.flat import transition_table
 from yokesill.resources.documents import Replica
 from yokesill.resources.keys import ServiceName
 from yokesill.routing.messages import LoadReport, ServerReport, Snapshot
--- a/src/yokesill/serving/application.py
+++ b/src/yokesill/serving/application.py
@@ -20,12 +20,14 @@
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.observer import Observer
 
+FRESH_CONNECTION = "yokesill.fresh_connection"
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
 BAD_REQUEST, TOO_LARGE, HEADERS_TOO_LARGE, CLIENT_GONE = 400, 413, 431, 499
 MAXIMUM_REQUEST_ID = 128
+FIRST_LEARNING_PATIENCE = 0.12
 
 
 class CallerGoneError(Exception):
@@ -41,10 +43,14 @@
 
 
 class GatewayApplication:
-    """Answers callers; ``stopping`` makes every answer close its connection."""
+    """Answers callers; ``stopping`` makes every answer close its connection.
+
+    ``known`` is set once there is a configuration: what comes just before waits for it a moment.
+    """
 
     def __init__(self, driver: GatewayDriver, names: HeaderNames, observer: Observer, prefix: str) -> None:
         self.stopping = False
+        self.known = anyio.Event()
         self.in_flight = 0
         self._driver = driver
         self._names = names
@@ -64,6 +70,9 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived_at = anyio.current_time()
+        if not self.known.is_set():
+            with anyio.move_on_after(FIRST_LEARNING_PATIENCE):
+                await self.known.wait()
         try:
             read = await self._read(scope, receive, arrived_at)
         except CallerGoneError:
@@ -108,6 +117,7 @@
             body=body,
             arrived_at=arrived_at,
             patience=_patience(values.get(self._names.deadline)),
+            fresh_connection=scope.get(FRESH_CONNECTION, True),
         )
 
     # --- running ---
--- a/src/yokesill/serving/listener.py
+++ b/src/yokesill/serving/listener.py
@@ -8,6 +8,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from yokesill.frontend.server import EmbeddedServer
+from yokesill.serving.application import FRESH_CONNECTION
 from yokesill.serving.settings import Address
 
 BACKLOG = 512
@@ -25,6 +26,7 @@
     """uvicorn's connection; one that is silent from the start, or slow to send a head, is closed."""
 
     _bound: asyncio.TimerHandle | None = None
+    _fresh = True
 
     def connection_made(self, transport: Any) -> None:
         """Expect a first request within the idle time-out."""
@@ -34,6 +36,8 @@
     def on_message_begin(self) -> None:
         """Expect the whole head within the header time-out."""
         super().on_message_begin()
+        self.scope[FRESH_CONNECTION] = self._fresh  # type: ignore[literal-required]
+        self._fresh = False
         self._set_bound(getattr(self.config, "header_timeout", DEFAULT_HEADER_TIMEOUT))
 
     def on_headers_complete(self) -> None:
--- a/src/yokesill/serving/node_count.py
+++ b/src/yokesill/serving/node_count.py
@@ -15,7 +15,8 @@
 
 RENEWAL = 120.0
 EXPIRY = 400.0
-FIRST_COUNT, COUNT_INTERVAL, RETRY_INTERVAL = 2.0, 10.0, 1.0
+EARLY_COUNTS = (0.0, 2.0, 4.0)
+COUNT_INTERVAL, RETRY_INTERVAL = 10.0, 1.0
 
 
 class NodeCounter:
@@ -50,12 +51,18 @@
                 await anyio.sleep(RETRY_INTERVAL * (0.5 + self._random.random()))
 
     async def _follow(self) -> None:
-        await anyio.sleep(FIRST_COUNT)
+        """Count at once, for a node that starts again, soon after for one that starts with others."""
+        for pause in EARLY_COUNTS:
+            await anyio.sleep(pause)
+            await self._count_once()
         while True:
-            nodes = await self._directory.nodes()
-            if not isinstance(nodes, Failure):
-                self._take(nodes, anyio.current_time())
             await anyio.sleep(COUNT_INTERVAL * (0.8 + 0.4 * self._random.random()))
+            await self._count_once()
+
+    async def _count_once(self) -> None:
+        nodes = await self._directory.nodes()
+        if not isinstance(nodes, Failure):
+            self._take(nodes, anyio.current_time())
 
     def _take(self, nodes: dict[str, int], now: float) -> None:
         for node, position in nodes.items():
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from yokesill.charts.tables import transition_table
+from yokesill.charts.flat import transition_table
 from yokesill.gateway.events import ConfigurationLearnt, Event, NodesCounted
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.router import GatewayRouter
@@ -27,7 +27,7 @@
 from yokesill.serving.upstream import connect_tcp
 
 CONFIGURATION_GATHERING, SERVERS_GATHERING = 0.3, 0.6
-POLL = 0.05
+POLL = 0.01
 LOG_FLUSH_INTERVAL = 0.5
 
 
@@ -119,6 +119,7 @@
     async def _become_ready(self) -> None:
         while not self._knows_enough():
             await anyio.sleep(POLL)
+        self._application.known.set()
         self._enter("learnt")
 
     async def _drain(self) -> None:
--- a/src/yokesill/serving/server_client.py
+++ b/src/yokesill/serving/server_client.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from yokesill.charts.tables import transition_table
+from yokesill.charts.flat import transition_table
 from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.gateway.messages import Attempt, GatewayRequest, Headers, Load, ServerReply
@@ -94,11 +94,14 @@
     ) -> tuple[UpstreamConnection, float | None] | AttemptFailed:
         """Return a connection, and how long connecting took (s) where it is new."""
         started = anyio.current_time()
-        idle = await connections.take_idle(started)
+        try:
+            with anyio.fail_after(attempt.deadline - started):
+                idle = await connections.reserve(attempt.connection_limit)
+        except TimeoutError:
+            return self._failed(attempt, "connecting", Reason.OVERLOADED, "all connections are in use")
         if idle is not None:
             return idle, None
-        if connections.busy >= attempt.connection_limit:
-            return self._failed(attempt, "connecting", Reason.OVERLOADED, "all connections are busy")
+        started = anyio.current_time()
         bound = min(CONNECT_TIMEOUT, attempt.deadline - started)
         try:
             with anyio.fail_after(bound):
--- a/src/yokesill/serving/upstream.py
+++ b/src/yokesill/serving/upstream.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import select
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -93,7 +94,7 @@
 
 
 class ConnectionSet:
-    """Connections to one incarnation of a server."""
+    """Connections to one incarnation of a server; whoever finds all in use waits its turn."""
 
     def __init__(self, host: str, port: int, connect: Connector) -> None:
         self.busy = 0
@@ -101,35 +102,40 @@
         self._port = port
         self._connect = connect
         self._idle: list[UpstreamConnection] = []
+        self._waiters: deque[anyio.Event] = deque()
 
-    async def take_idle(self, now: float) -> UpstreamConnection | None:
-        """Return an open connection that was used lately; the caller counts as using it."""
+    async def reserve(self, limit: int) -> UpstreamConnection | None:
+        """Wait until one of ``limit`` connections is free and count it as in use.
+
+        Returns an open one that was used lately, or ``None``: the caller opens one by ``open``.
+        """
+        while self.busy >= limit:
+            await self._wait()
+        self.busy += 1
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable(now):
-                self.busy += 1
+            if connection.usable(anyio.current_time()):
                 return connection
             await connection.aclose()
         return None
 
     async def open(self) -> UpstreamConnection:
-        """Open a connection; the caller counts as using it from now on. Raises ``OSError``."""
-        self.busy += 1
+        """Open the connection that was reserved. Raises ``OSError``, and gives the place back then."""
         try:
             return UpstreamConnection(await self._connect(self._host, self._port))
         except BaseException:
-            self.busy -= 1
+            self._free()
             raise
 
     def give_back(self, connection: UpstreamConnection, reusable_until: float) -> None:
         """Keep a connection whose reply was read to its end."""
-        self.busy -= 1
         connection.reusable_until = reusable_until
         self._idle.append(connection)
+        self._free()
 
     async def drop(self, connection: UpstreamConnection) -> None:
         """Close a connection that must not be used again, also when the caller is cancelled."""
-        self.busy -= 1
+        self._free()
         with anyio.CancelScope(shield=True):
             await connection.aclose()
 
@@ -138,6 +144,26 @@
         while self._idle:
             await self._idle.pop().aclose()
 
+    async def _wait(self) -> None:
+        turn = anyio.Event()
+        self._waiters.append(turn)
+        try:
+            await turn.wait()
+        except BaseException:
+            if turn.is_set():
+                self._wake_next()
+            else:
+                self._waiters.remove(turn)
+            raise
+
+    def _free(self) -> None:
+        self.busy -= 1
+        self._wake_next()
+
+    def _wake_next(self) -> None:
+        if self._waiters:
+            self._waiters.popleft().set()
+
 
 def idle_time(keep_alive: bytes | None) -> float:
     """Return how long a connection may rest, in seconds, by the server's ``Keep-Alive`` header."""
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -66,3 +66,19 @@
     harness.fail(harness.of(key)[0], failure(Reason.SHED, Verdict.NOT_RUN))
     assert len(harness.of(key)) == 1
     assert [note.name for note in harness.notes][-1] == "budget_spent"
+
+
+def test_what_never_left_this_node_is_sent_elsewhere_for_nothing() -> None:
+    for reason in (Reason.OVERLOADED, Reason.CONNECT_FAILED):
+        harness = RouterHarness(single_route(attempts=5), nodes=10_000)
+        key = harness.arrive("/one/x", 6.0)
+        harness.fail(harness.of(key)[0], failure(reason, Verdict.NOT_RUN))
+        assert len(harness.of(key)) == 2
+
+
+def test_what_may_have_arrived_is_paid_for_also_after_a_refused_connection() -> None:
+    harness = RouterHarness(single_route(attempts=5), nodes=10_000)
+    key = harness.arrive("/one/x", 6.0)
+    harness.fail(harness.of(key)[0], failure(Reason.CONNECT_FAILED, Verdict.NOT_RUN))
+    harness.fail(harness.of(key)[1], failure(Reason.CONNECTION_LOST))
+    assert len(harness.of(key)) == 2
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -197,3 +197,11 @@
     harness.answer(first, reply(status=500))
     harness.answer(harness.of(key)[1])
     assert harness.of(harness.arrive("/one/x", 6.0))[0].server.instance != first.server.instance
+
+
+def test_a_server_whose_connections_are_all_in_use_is_not_the_first_choice() -> None:
+    harness = RouterHarness(ONE_SHARD, nodes=90)
+    harness.warm_up()
+    first = harness.of(harness.arrive())[0]
+    assert first.connection_limit == 1
+    assert harness.of(harness.arrive())[0].server.instance != first.server.instance
--- a/tests/serving/test_application.py
+++ b/tests/serving/test_application.py
@@ -72,8 +72,12 @@
         self.driver = GatewayDriver(router, ServerClient(HeaderNames(), backend.connect), observer.note)
         self.application = GatewayApplication(self.driver, HeaderNames(), observer, "n1")
         if known is not None:
-            self.driver.feed(ev.ConfigurationLearnt(known))
-            self.driver.feed(ev.ServerListed(server("i-1", "desk")))
+            self.learn(known)
+
+    def learn(self, known: Configuration) -> None:
+        self.driver.feed(ev.ConfigurationLearnt(known))
+        self.driver.feed(ev.ServerListed(server("i-1", "desk")))
+        self.application.known.set()
 
     async def ask(
         self,
@@ -166,6 +170,20 @@
     serving(unknown, known=None)
 
 
+def test_a_request_that_comes_just_before_the_first_configuration_waits_for_it_a_moment() -> None:
+    async def main(served: Served) -> None:
+        async def learn() -> None:
+            await anyio.sleep(0.1)
+            served.learn(CONFIGURATION)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(learn)
+            answer = await served.ask()
+        assert answer.status == 200
+
+    serving(main, known=None)
+
+
 def test_a_refusal_promises_no_more_than_the_verdict() -> None:
     async def shed(_server: MemoryServer, stream: MemoryStream, _heard: Heard) -> None:
         await stream.send(b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
