--- a/src/yokesill/gateway/budget.py
+++ b/src/yokesill/gateway/budget.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass
 
 BUCKETS = 20
-RATIO_MARGIN = 0.85
-ALLOWANCE_MARGIN = 0.6
+RATIO_MARGIN = 0.9
+ALLOWANCE_MARGIN = 0.75
+WINDOWS_TO_FULL_ALLOWANCE = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +52,7 @@
     """One service's budget at one node.
 
     A node that has just started forgot what it spent before: its share of the allowance grows from
-    nothing over the first window.
+    nothing over the first two windows.
     """
 
     def __init__(self, terms: BudgetTerms, started_at: float) -> None:
@@ -66,7 +67,8 @@
 
     def left(self, nodes: int, now: float) -> float:
         """Return how many extra attempts this node may make now."""
-        age = min(1.0, (now - self._started_at) / self._terms.window)
+        windows = (now - self._started_at) / self._terms.window
+        age = min(1.0, windows / WINDOWS_TO_FULL_ALLOWANCE)
         allowance = ALLOWANCE_MARGIN * self._terms.allowance * age / max(1, nodes)
         earned = RATIO_MARGIN * self._terms.ratio * self._requests.total(now)
         return allowance + earned - self._extras.total(now)
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -30,8 +30,10 @@
     for _ in range(2000):
         now += source.expovariate(60.0)
         node = source.randrange(nodes)
-        if source.random() < 0.02:
+        if source.random() < 0.005:
             budgets[node] = ExtraAttemptBudget(TERMS, now)
+        if source.random() < 0.0005:
+            budgets = [ExtraAttemptBudget(TERMS, now) for _ in range(nodes)]
         budgets[node].count_request(now)
         requests.append(now)
         while source.random() < 0.8 and budgets[node].take(nodes, now):
