--- a/spec/check.py
+++ b/spec/check.py
@@ -1,6 +1,7 @@
 """Checks every model with spin, both ways: as it is, and with each seeded defect, which must be found."""
 
 import re
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -11,6 +12,7 @@
 DEPTH = 2_000_000
 MEMORY_MB = 4096
 LIMIT = 900
+TOOLS = ("spin", "gcc")
 
 
 @dataclass(frozen=True)
@@ -74,6 +76,9 @@
 
 def main() -> int:
     """Run every check; return 1 when one did not come out as it must."""
+    missing = [tool for tool in TOOLS if shutil.which(tool) is None]
+    if missing:
+        sys.exit(f"model checking needs {' and '.join(missing)}: apt-get install -y spin gcc libc6-dev")
     wrong = 0
     for run in RUNS:
         errors, states, complete = check(run)
--- a/src/yokesill/cli/main.py
+++ b/src/yokesill/cli/main.py
@@ -11,6 +11,7 @@
 
 COMMANDS = (
     "serve",
+    "gateway",
     "demo",
     "emulate",
     "apply",
--- a/src/yokesill/gateway/budget.py
+++ b/src/yokesill/gateway/budget.py
@@ -56,7 +56,7 @@
     """
 
     def __init__(self, terms: BudgetTerms, started_at: float) -> None:
-        self._terms = terms
+        self.terms = terms
         self._started_at = started_at
         self._requests = SlidingCount(terms.window)
         self._extras = SlidingCount(terms.window)
@@ -67,10 +67,10 @@
 
     def left(self, nodes: int, now: float) -> float:
         """Return how many extra attempts this node may make now."""
-        windows = (now - self._started_at) / self._terms.window
+        windows = (now - self._started_at) / self.terms.window
         age = min(1.0, windows / WINDOWS_TO_FULL_ALLOWANCE)
-        allowance = ALLOWANCE_MARGIN * self._terms.allowance * age / max(1, nodes)
-        earned = RATIO_MARGIN * self._terms.ratio * self._requests.total(now)
+        allowance = ALLOWANCE_MARGIN * self.terms.allowance * age / max(1, nodes)
+        earned = RATIO_MARGIN * self.terms.ratio * self._requests.total(now)
         return allowance + earned - self._extras.total(now)
 
     def take(self, nodes: int, now: float) -> bool:
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from yokesill.gateway.budget import ExtraAttemptBudget
+from yokesill.gateway.budget import BudgetTerms, ExtraAttemptBudget
 from yokesill.gateway.documents import Configuration, Route
 from yokesill.gateway.estimates import TypicalLatency
 from yokesill.gateway.options import GatewayOptions
@@ -43,6 +43,7 @@
     lateness: float = 0.0
     live: dict[int, LiveAttempt] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    _terms: BudgetTerms | None = None
     _budgets: dict[str, ExtraAttemptBudget] = field(default_factory=dict)
     _typical: dict[str, TypicalLatency] = field(default_factory=dict)
     _longest_patience: dict[str, float] = field(default_factory=dict)
@@ -51,9 +52,19 @@
         """Return the service's budget of extra attempts."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = ExtraAttemptBudget(self.options.budget, self.started_at)
+            terms = self._terms or self.options.budget
+            budget = self._budgets[service] = ExtraAttemptBudget(terms, self.started_at)
         return budget
 
+    def set_budget(self, terms: BudgetTerms) -> None:
+        """Keep every service to other terms; windows of another length are counted anew."""
+        for service, budget in list(self._budgets.items()):
+            if budget.terms.window == terms.window:
+                budget.terms = terms
+            else:
+                self._budgets[service] = ExtraAttemptBudget(terms, self.started_at)
+        self._terms = terms
+
     def typical(self, route: Route) -> TypicalLatency:
         """Return what the route's attempts usually take."""
         typical = self._typical.get(route.name)
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -3,6 +3,7 @@
 import random
 
 from yokesill.gateway import events as ev
+from yokesill.gateway.budget import BudgetTerms
 from yokesill.gateway.context import GatewayContext, LiveAttempt
 from yokesill.gateway.documents import Configuration, Route, Split
 from yokesill.gateway.messages import GatewayRequest
@@ -42,6 +43,10 @@
         """How many nodes are taken to share the budgets."""
         return self._context.nodes
 
+    def set_budget(self, terms: BudgetTerms) -> None:
+        """Keep to other terms from now on; what was spent still counts."""
+        self._context.set_budget(terms)
+
     def on_event(self, event: ev.Event, now: float) -> list[ev.Action]:
         """Take one event; return what is to be done, in order."""
         actions: list[ev.Action] = []
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -15,6 +15,7 @@
 from yokesill.platform.store import MetadataStore
 from yokesill.serving.api_client import ApiClient
 from yokesill.serving.process import GatewayProcess, Surroundings
+from yokesill.serving.reload import SettingsFollower
 from yokesill.serving.settings import GatewaySettings
 
 OK, INVALID = 0, 3
@@ -30,33 +31,36 @@
         return INVALID
     output = logs.configure(settings.log_level)
     process = GatewayProcess(settings, _surroundings(settings), random.Random(), output)
-    anyio.run(_serve, process, path)
+    follower = SettingsFollower(path, settings, load_settings, process.take_settings)
+    anyio.run(_serve, process, follower)
     return OK
 
 
 def _surroundings(settings: GatewaySettings) -> Surroundings:
-    store = MetadataStore(ApiClient(settings.registry))
+    client = ApiClient(settings.registry)
+    store = MetadataStore(client)
     return Surroundings(
-        ConfigurationFeed(store), ServerFeed(store), StoredNodes(store), HEADER_NAMES, READY_PATH
+        configuration=ConfigurationFeed(store),
+        servers=ServerFeed(store),
+        nodes=StoredNodes(store),
+        names=HEADER_NAMES,
+        ready_path=READY_PATH,
+        move_registry=client.move,
     )
 
 
-async def _serve(process: GatewayProcess, path: Path) -> None:
+async def _serve(process: GatewayProcess, follower: SettingsFollower) -> None:
     async with anyio.create_task_group() as task_group:
-        task_group.start_soon(_follow_signals, process, path)
+        task_group.start_soon(follower.run)
+        task_group.start_soon(_follow_signals, process, follower)
         await process.run()
         task_group.cancel_scope.cancel()
 
 
-async def _follow_signals(process: GatewayProcess, path: Path) -> None:
-    log = logs.get_logger("settings")
+async def _follow_signals(process: GatewayProcess, follower: SettingsFollower) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for number in signals:
-            if number != signal.SIGHUP:
-                process.stop()
-                continue
-            settings = load_settings(path)
-            if isinstance(settings, list):
-                log.error("settings_rejected", problems=[str(each) for each in settings])
+            if number == signal.SIGHUP:
+                follower.reload("signal")
             else:
-                log.info("settings_reloaded", changed=settings != process.settings)
+                process.stop()
--- a/src/yokesill/resources/documents.py
+++ b/src/yokesill/resources/documents.py
@@ -7,9 +7,18 @@
 
 import enum
 import re
-from typing import Annotated, Literal
-
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints, field_validator, model_validator
+from typing import Annotated, Any, Literal
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Discriminator,
+    Field,
+    StringConstraints,
+    Tag,
+    field_validator,
+    model_validator,
+)
 
 from yokesill.resources.hashing import KEY_SPACE, HashRange
 
@@ -133,11 +142,19 @@
     retry_after_ms: int = Field(default=1000, ge=0, le=3_600_000)
 
 
+def _kind_of_outcome(value: Any) -> str:
+    """Return which outcome is meant, so that a mistake in it is told once, not for each alternative."""
+    refuses = "refuse" in value if isinstance(value, dict) else isinstance(value, Refuse)
+    return "Refuse" if refuses else "Serve"
+
+
 class Rule(Document):
     """One rule: a CEL condition over request facts and live facts, and its outcome."""
 
     when: Annotated[str, StringConstraints(min_length=1, max_length=500)] = "true"
-    then: Serve | Refuse
+    then: Annotated[
+        Annotated[Serve, Tag("Serve")] | Annotated[Refuse, Tag("Refuse")], Discriminator(_kind_of_outcome)
+    ]
 
 
 class RequestClass(Document):
--- a/src/yokesill/resources/validation.py
+++ b/src/yokesill/resources/validation.py
@@ -1,5 +1,6 @@
 """Checks of documents: every error at once, each with its place."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -36,7 +37,8 @@
     try:
         document: AnyDocument = _ADAPTERS[key.kind].validate_python(value)
     except ValidationError as error:
-        return [_describe(each) for each in error.errors()]
+        errors = error.errors()
+        return [_describe(each) for each in errors if not _follows_from_another(each, errors)]
     return document
 
 
@@ -45,5 +47,12 @@
     return DocumentError(place or "(document)", str(error["msg"]).removeprefix("Value error, "))
 
 
+def _follows_from_another(error: Any, errors: Sequence[Any]) -> bool:
+    """Whether a list only counts as too short because items in it are wrong, which is told anyway."""
+    place = error["loc"]
+    within = (each for each in errors if each["loc"][: len(place)] == place and len(each["loc"]) > len(place))
+    return error["type"] == "too_short" and any(within)
+
+
 def _is_union_tag(part: object) -> bool:
     return part in ("Serve", "Refuse")
--- a/src/yokesill/serving/api_client.py
+++ b/src/yokesill/serving/api_client.py
@@ -57,6 +57,12 @@
         self._connect = connect
         self._idle: list[UpstreamConnection] = []
 
+    def move(self, address: Address) -> None:
+        """Call another address from now on."""
+        if address != self._address:
+            self._address = address
+            self._idle.clear()
+
     async def call(self, method: str, path: str, timeout: float, body: Any = None) -> ApiReply | Failure:
         """Send one call with a JSON body and read its JSON reply; see ``fetch``."""
         reply = await self.fetch(method, path, timeout, body)
--- a/src/yokesill/serving/peers.py
+++ b/src/yokesill/serving/peers.py
@@ -38,12 +38,16 @@
         self._random = source
         self._log = get_logger("peers")
 
+    def set_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Ask these from now on."""
+        self._seeds = list(seeds)
+
     async def run(self) -> None:
         """Ask until something was learnt, from a seed or from the registry."""
         await anyio.sleep(PATIENCE)
-        while self._seeds and not self._known():
+        while not self._known():
             self._random.shuffle(self._seeds)
-            for seed in self._seeds:
+            for seed in list(self._seeds):
                 if self._known() or await self._learn_from(seed):
                     return
             await anyio.sleep(PAUSE * (0.5 + self._random.random()))
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -1,6 +1,7 @@
 """Wires one gateway node together, from start to the end of a planned stop."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -22,7 +23,7 @@
 from yokesill.serving.probes import ProbeApplication
 from yokesill.serving.registry import Feed, NodeDirectory
 from yokesill.serving.server_client import ServerClient
-from yokesill.serving.settings import GatewaySettings
+from yokesill.serving.settings import Address, GatewaySettings
 from yokesill.serving.snapshots import encode_snapshot
 from yokesill.serving.upstream import connect_tcp
 
@@ -40,6 +41,7 @@
     nodes: NodeDirectory
     names: HeaderNames
     ready_path: str
+    move_registry: Callable[[Address], None] = lambda _address: None
 
 
 class GatewayProcess:
@@ -79,6 +81,13 @@
         """Begin a planned stop; ``run`` returns when it is complete."""
         self._stop_wanted.set()
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take changed settings over, as far as a running node can."""
+        self.settings = settings
+        self._surroundings.move_registry(settings.registry)
+        self._learner.set_seeds(settings.seeds)
+        self.router.set_budget(settings.budget)
+
     @property
     def ready(self) -> bool:
         """Whether callers should come here."""
--- /dev/null
+++ b/src/yokesill/serving/reload.py
@@ -0,0 +1,61 @@
+"""Takes changed settings over while a node runs: on a signal, or when the file changed without one."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+
+from yokesill.logs import get_logger
+from yokesill.serving.settings import GatewaySettings, SettingsProblem
+
+CHECK_INTERVAL = 2.0
+APPLIED = frozenset({"registry", "seeds", "stop_grace", "budget"})
+
+
+class SettingsFollower:
+    """Reads the settings again by ``load``; a file with mistakes changes nothing.
+
+    ``apply`` takes settings whose changes can take hold in a running node. What can't (addresses,
+    the zone) is told in the log and takes hold at the next start.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        current: GatewaySettings,
+        load: Callable[[Path], GatewaySettings | list[SettingsProblem]],
+        apply: Callable[[GatewaySettings], None],
+    ) -> None:
+        self._path = path
+        self._current = current
+        self._load = load
+        self._apply = apply
+        self._seen = self._stamp()
+        self._log = get_logger("settings")
+
+    async def run(self) -> None:
+        """Look for a changed file until cancelled."""
+        while True:
+            await anyio.sleep(CHECK_INTERVAL)
+            if self._stamp() != self._seen:
+                self.reload("file")
+
+    def reload(self, why: str) -> None:
+        """Read the file and take over what changed."""
+        self._seen = self._stamp()
+        newer = self._load(self._path)
+        if isinstance(newer, list):
+            self._log.error("settings_rejected", why=why, problems=[str(each) for each in newer])
+            return
+        changed = self._current.changes(newer)
+        waiting = [name for name in changed if name not in APPLIED]
+        self._log.info("settings_reloaded", why=why, changed=changed, at_next_start=waiting)
+        self._current = newer
+        self._apply(newer)
+
+    def _stamp(self) -> tuple[int, int] | None:
+        try:
+            status = self._path.stat()
+        except OSError:
+            return None
+        return (status.st_mtime_ns, status.st_size)
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -1,6 +1,6 @@
 """Settings of a gateway node, in the product's own terms; whoever reads a file fills them in."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 
 from yokesill.gateway.budget import BudgetTerms
 
@@ -53,6 +53,10 @@
     stop_grace: float = 6.0
     log_level: str = "info"
 
+    def changes(self, newer: "GatewaySettings") -> list[str]:
+        """Return the names of the fields in which ``newer`` differs."""
+        return [each.name for each in fields(self) if getattr(self, each.name) != getattr(newer, each.name)]
+
     @property
     def withdraw_time(self) -> float:
         """How long a stopping node still takes callers, so that whoever sends them learns of it."""
--- /dev/null
+++ b/tests/serving/test_reload.py
@@ -0,0 +1,67 @@
+"""Changed settings are taken over, with or without a signal; mistakes change nothing."""
+
+from dataclasses import replace
+from pathlib import Path
+
+import anyio
+from conftest import run_virtual
+from harness import RouterHarness, failure, single_route
+
+from yokesill.gateway.budget import BudgetTerms
+from yokesill.serving.reload import SettingsFollower
+from yokesill.serving.settings import Address, GatewaySettings, SettingsProblem
+
+BASE = GatewaySettings("n1", "z1", Address("h", 1), Address("h", 2), Address("store", 3))
+
+
+def follow(tmp_path: Path, text_after: str, signal: bool) -> list[GatewaySettings]:
+    """Change the file and return what was applied; the text names the store's host, "bad" is a mistake."""
+    file = tmp_path / "settings"
+    file.write_text("store")
+    applied: list[GatewaySettings] = []
+
+    def load(path: Path) -> GatewaySettings | list[SettingsProblem]:
+        text = path.read_text()
+        if text == "bad":
+            return [SettingsProblem("registry", "a mistake")]
+        return replace(BASE, registry=Address(text, 3))
+
+    async def run() -> None:
+        follower = SettingsFollower(file, BASE, load, applied.append)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            await anyio.sleep(5.0)
+            assert applied == []
+            file.write_text(text_after)
+            if signal:
+                follower.reload("signal")
+            await anyio.sleep(5.0)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+    return applied
+
+
+def test_a_signal_reads_the_file_again(tmp_path: Path) -> None:
+    (taken,) = follow(tmp_path, "elsewhere", signal=True)
+    assert BASE.changes(taken) == ["registry"]
+
+
+def test_a_file_that_changed_without_a_signal_is_noticed(tmp_path: Path) -> None:
+    (taken,) = follow(tmp_path, "elsewhere", signal=False)
+    assert taken.registry.host == "elsewhere"
+
+
+def test_a_file_with_mistakes_changes_nothing(tmp_path: Path) -> None:
+    assert follow(tmp_path, "bad", signal=True) == []
+
+
+def test_other_budget_terms_hold_at_once_and_what_was_spent_still_counts() -> None:
+    harness = RouterHarness(single_route(attempts=5))
+    key = harness.arrive("/one/x", 6.0)
+    harness.fail(harness.of(key)[0])
+    assert len(harness.of(key)) == 2
+    harness.router.set_budget(BudgetTerms(ratio=0.0, allowance=1.4, window=10.0))
+    key = harness.arrive("/one/x", 6.0)
+    harness.fail(harness.of(key)[0], failure())
+    assert len(harness.of(key)) == 1
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -21,6 +21,15 @@
 SERVICE = "/v1/namespaces/lima/services/hours"
 VIEWER = {"Authorization": "Bearer viewer-secret"}
 
+DOCUMENT = """
+key: namespaces/lima/services/hours
+kind: service
+shard_maps: [{epoch: 1, shards: [{id: s0, range: {start: 0, end: 4294967296}}]}]
+classes:
+  c:
+    rules: [{when: "true", then: {wait_ms: 5}}, {when: "true", then: {wait_ms: 5}}, {then: {wait_ms: 5}}]
+"""
+
 BAD_QUERIES: list[tuple[str, Any, dict[str, str], int, str]] = [
     (PATH, b"{nonsense", {}, 400, "malformed_json"),
     (PATH, [1], {}, 400, "invalid_request"),
@@ -166,3 +175,16 @@
     gap = [{"epoch": 1, "shards": [{"id": "s0", "range": {"start": 5, "end": 9}}]}]
     path.write_text(yaml.safe_dump({**service, "shard_maps": gap}))
     assert "gap at 0" in str(read_documents(path)[1][0])
+
+
+def test_each_mistake_in_an_outcome_is_told_once_at_its_place(tmp_path: Path) -> None:
+    documents = yaml.safe_load(DOCUMENT)
+    rules = documents["classes"]["c"]["rules"]
+    rules[0]["then"] = {"wait_msec": 5, "wait_ms": "long"}
+    rules[1]["then"] = {"refuse": "no", "retry": 3}
+    rules[2]["then"] = "soon"
+    file = tmp_path / "documents.yaml"
+    file.write_text(yaml.safe_dump(documents))
+    _, errors = read_documents(file)
+    places = sorted(error.place.split("rules.")[-1] for error in errors)
+    assert places == ["0.then.wait_ms", "0.then.wait_msec", "1.then.retry", "2.then"]
