--- /dev/null
+++ b/src/yokesill/routing/hedging.py
@@ -0,0 +1,59 @@
+"""When a query asks a second server of a shard while the first has not answered."""
+
+from yokesill.resources import documents
+from yokesill.routing.context import RoutingContext
+from yokesill.routing.events import Action, SetTimer, TimerKind
+from yokesill.routing.fanout import Fanout
+from yokesill.routing.messages import QueryRequest
+from yokesill.routing.service import ServiceState
+
+TIMER_SLACK = 1e-6
+
+
+class Hedging:
+    """One query's hedges, as its policy allows them; ``deadline`` in seconds of the node's clock."""
+
+    def __init__(
+        self,
+        policy: documents.Hedge | None,
+        query: QueryRequest,
+        service: ServiceState,
+        context: RoutingContext,
+        deadline: float,
+    ) -> None:
+        self._policy = policy
+        self._query = query
+        self._service = service
+        self._context = context
+        self._deadline = deadline
+
+    def arm(self, now: float, actions: list[Action]) -> None:
+        """Set the timer for attempts that are sent now."""
+        delay = self._delay(now)
+        if delay is not None and now + delay < self._deadline:
+            actions.append(SetTimer(self._query.query_id, TimerKind.HEDGE, now + delay))
+
+    def due(self, fanout: Fanout, now: float, actions: list[Action]) -> None:
+        """Hedge what is due; a shard that was sent later has its own turn."""
+        delay = self._delay(now)
+        if delay is None:
+            return
+        next_due = self._deadline
+        for progress in fanout.shards():
+            if not progress.open or len(progress.live) != 1:
+                continue
+            (attempt,) = progress.live.values()
+            due = attempt.sent_at + delay
+            if due > now + TIMER_SLACK:
+                next_due = min(next_due, due)
+            elif fanout.can_hedge(progress, now) and self._service.budget.take():
+                fanout.hedge(progress, now, actions)
+        if next_due < self._deadline:
+            actions.append(SetTimer(self._query.query_id, TimerKind.HEDGE, next_due))
+
+    def _delay(self, now: float) -> float | None:
+        """Return after how long an attempt is late (s); ``None`` when nothing may be hedged."""
+        if self._policy is None or not self._query.repeatable or not self._context.options.hedging:
+            return None
+        observed = self._service.latency_of(self._query.request_class).quantile(self._policy.quantile, now)
+        return None if observed is None else max(observed, self._policy.minimum_delay_ms / 1000)
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -13,6 +13,7 @@
 from yokesill.routing.context import RoutingContext
 from yokesill.routing.events import Action, Answer, Refuse, SetTimer, TimerKind
 from yokesill.routing.fanout import Fanout
+from yokesill.routing.hedging import Hedging
 from yokesill.routing.messages import Coverage, Partial, QueryRequest, Snapshot
 from yokesill.routing.progress import LiveAttempt, ShardProgress
 from yokesill.routing.service import ServiceState
@@ -20,7 +21,6 @@
 
 DEFAULT_RETRY_AFTER_MS = 200
 FULL_COVERAGE = 1.0
-TIMER_SLACK = 1e-6
 MAXIMUM_REPLANS = 3
 FREE_RETRY_REASONS = frozenset({Reason.CONNECT_FAILED, Reason.SNAPSHOT_UNAVAILABLE, Reason.BACKEND_LEAVING})
 
@@ -55,6 +55,7 @@
         self._discarded_verdict = Verdict.NOT_RUN
         self._attempt_numbers = itertools.count(1)
         self._fanout = Fanout(self, snapshot, context, self._attempt_numbers)
+        self._hedging = Hedging(serve.hedge, query, service, context, self.deadline)
 
     def live_attempt(self, attempt_id: str) -> LiveAttempt:
         """Return an attempt of this query that has not ended."""
@@ -107,7 +108,7 @@
     def timer(self, kind: TimerKind, now: float, actions: list[Action]) -> None:
         """Act at a decision point."""
         if kind is TimerKind.HEDGE:
-            self._hedge(now, actions)
+            self._hedging.due(self._fanout, now, actions)
         elif kind is TimerKind.RETRY:
             self._retry_due(now, actions)
         elif kind is TimerKind.SOFT:
@@ -135,7 +136,7 @@
     def _ask_all(self, now: float, actions: list[Action]) -> None:
         for progress in self._fanout.shards():
             self._ask(progress, now, actions)
-        self._arm_hedge(now, actions)
+        self._hedging.arm(now, actions)
         self._finish_if_settled(now, actions)
 
     def _ask(self, progress: ShardProgress, now: float, actions: list[Action]) -> None:
@@ -167,7 +168,7 @@
         self._ask_all(now, actions)
         return True
 
-    # --- retries and hedges ---
+    # --- retries ---
 
     def _may_retry(self, progress: ShardProgress, failure: Failure, now: float) -> bool:
         options = self._context.options
@@ -202,36 +203,6 @@
                 self._ask(progress, now, actions)
         self._finish_if_settled(now, actions)
 
-    def _hedge_delay(self, now: float) -> float | None:
-        hedge = self._serve.hedge
-        if hedge is None or not self.query.repeatable or not self._context.options.hedging:
-            return None
-        observed = self.service.latency_of(self.query.request_class).quantile(hedge.quantile, now)
-        return None if observed is None else max(observed, hedge.minimum_delay_ms / 1000)
-
-    def _arm_hedge(self, now: float, actions: list[Action]) -> None:
-        delay = self._hedge_delay(now)
-        if delay is not None and now + delay < self.deadline:
-            actions.append(SetTimer(self.query.query_id, TimerKind.HEDGE, now + delay))
-
-    def _hedge(self, now: float, actions: list[Action]) -> None:
-        """Hedge what is due; a shard that was sent later has its own turn."""
-        delay = self._hedge_delay(now)
-        if delay is None:
-            return
-        next_due = self.deadline
-        for progress in self._fanout.shards():
-            if not progress.open or len(progress.live) != 1:
-                continue
-            (attempt,) = progress.live.values()
-            due = attempt.sent_at + delay
-            if due > now + TIMER_SLACK:
-                next_due = min(next_due, due)
-            elif self._fanout.can_hedge(progress, now) and self.service.budget.take():
-                self._fanout.hedge(progress, now, actions)
-        if next_due < self.deadline:
-            actions.append(SetTimer(self.query.query_id, TimerKind.HEDGE, next_due))
-
     # --- ends ---
 
     def _minimum_coverage(self, serve: documents.Serve) -> float:
--- a/src/yokesill/serving/server_client.py
+++ b/src/yokesill/serving/server_client.py
@@ -23,6 +23,7 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 CONNECT_TIMEOUT = 1.0
+LONGEST_TURN = 0.5
 MISDIRECTED, OK, SERVER_ERROR = 421, 200, 500
 LOAD_FIELDS = 3
 VERDICT_OF_STATE = {
@@ -95,7 +96,8 @@
         """Return a connection, and how long connecting took (s) where it is new."""
         started = anyio.current_time()
         try:
-            with anyio.fail_after(attempt.deadline - started):
+            # Bounded: the server may begin to leave while somebody waits, and must get no new work then.
+            with anyio.fail_after(min(LONGEST_TURN, attempt.deadline - started)):
                 idle = await connections.reserve(attempt.connection_limit)
         except TimeoutError:
             return self._failed(attempt, "connecting", Reason.OVERLOADED, "all connections are in use")
--- a/tests/serving/test_server_client.py
+++ b/tests/serving/test_server_client.py
@@ -235,6 +235,23 @@
     with_server(script, main)
 
 
+def test_nobody_waits_long_for_a_connection_since_its_server_may_leave_meanwhile() -> None:
+    async def script(_server: MemoryServer, _stream: MemoryStream, _heard: Heard) -> None:
+        return None
+
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(client.call, attempt(1, seconds=20.0))
+            tasks.start_soon(client.call, attempt(2, seconds=20.0))
+            await anyio.sleep(0.01)
+            started = anyio.current_time()
+            failed(await client.call(attempt(3, seconds=20.0)), Reason.OVERLOADED, Verdict.NOT_RUN)
+            assert anyio.current_time() - started <= 0.5
+            tasks.cancel_scope.cancel()
+
+    with_server(script, main)
+
+
 def test_a_waiter_that_is_cancelled_passes_its_turn_on() -> None:
     async def script(server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
         await anyio.sleep(0.1 if len(server.heard) <= 2 else 0.0)
