One reader of HTTP replies for both interfaces; a request without time left is told so; one step less twice

comm/http_reply.py serves the product's own connections and the gateway's; the product's are now held to the same bounds on head and body. The two scenario steps that list a server as leaving share theirs.

--- a/src/yokesill/backends/httptools_connection.py
+++ b/src/yokesill/backends/httptools_connection.py
@@ -13,69 +13,21 @@
 import anyio
 import anyio.abc
 import httpcore
-import httptools
 
-MAXIMUM_HEAD_BYTES = 64 * 1024
-MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+from yokesill.comm.http_reply import HttpReplyReader, ReplyError
+
 READ_BYTES = 64 * 1024
 POLLED_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
-BODILESS_STATUS = frozenset({204, 304})
-
-
-class _Reply:
-    """Collects one reply; httptools calls its methods. What follows its end is not looked at."""
-
-    def __init__(self) -> None:
-        self.parser = httptools.HttpResponseParser(self)
-        self.status = 0
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-        self.head_bytes = 0
-        self.body_bytes = 0
-        self.framed = False
-        self.keep_alive = False
-        self.complete = False
-
-    def on_message_begin(self) -> None:
-        """A reply begins; a second one was not asked for, so the connection is not used again."""
-        if self.complete:
-            self.keep_alive = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
-        if self.complete:
-            return
-        self.headers.append((name, value))
-        self.head_bytes += len(name) + len(value)
-        if name.lower() in (b"content-length", b"transfer-encoding"):
-            self.framed = True
-
-    def on_headers_complete(self) -> None:
-        """The head was read."""
-        if not self.complete:
-            self.status = self.parser.get_status_code()
-            self.keep_alive = self.parser.should_keep_alive()
-
-    def on_body(self, chunk: bytes) -> None:
-        """Take a piece of the body."""
-        if not self.complete:
-            self.chunks.append(chunk)
-            self.body_bytes += len(chunk)
-
-    def on_message_complete(self) -> None:
-        """The reply ends."""
-        self.complete = True
 
 
 class _Body:
     """A body that was read already."""
 
-    def __init__(self, chunks: list[bytes]) -> None:
-        self._chunks = chunks
+    def __init__(self, content: bytes) -> None:
+        self._content = content
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
-        for chunk in self._chunks:
-            yield chunk
+        yield self._content
 
     async def aclose(self) -> None:
         """Nothing is left open."""
@@ -131,27 +83,23 @@
             raise httpcore.WriteError(str(error)) from error
 
     async def _read(self, stream: anyio.abc.SocketStream, timeout: float | None) -> httpcore.Response:
-        reply = _Reply()
-        received = 0
+        reader = HttpReplyReader()
         try:
             with _bound(timeout):
-                while not reply.complete:
-                    data = await stream.receive(READ_BYTES)
-                    received += len(data)
-                    reply.parser.feed_data(data)
-                    _check_bounds(reply, received)
+                while not reader.complete:
+                    reader.feed(await stream.receive(READ_BYTES))
         except TimeoutError as error:
             raise httpcore.ReadTimeout(str(error)) from error
-        except httptools.HttpParserError as error:
+        except ReplyError as error:
             raise httpcore.RemoteProtocolError(str(error)) from error
         except anyio.EndOfStream as error:
             raise httpcore.RemoteProtocolError("the server closed within a reply") from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             raise httpcore.ReadError(str(error)) from error
-        if not reply.framed and reply.status not in BODILESS_STATUS:
+        if not reader.framed:
             raise httpcore.RemoteProtocolError("the reply does not say where it ends")
-        self._closed = not reply.keep_alive
-        return httpcore.Response(reply.status, headers=reply.headers, content=_Body(reply.chunks))
+        self._closed = reader.surplus or not reader.keep_alive
+        return httpcore.Response(reader.status, headers=reader.headers, content=_Body(reader.body))
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -197,10 +145,3 @@
     stream: Any = request.stream
     body = b"".join([chunk async for chunk in stream])
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
-
-
-def _check_bounds(reply: _Reply, received: int) -> None:
-    if reply.head_bytes > MAXIMUM_HEAD_BYTES or reply.body_bytes > MAXIMUM_BODY_BYTES:
-        raise httpcore.RemoteProtocolError("the reply is too large")
-    if not reply.headers and received > MAXIMUM_HEAD_BYTES:
-        raise httpcore.RemoteProtocolError("the reply's head is too large")
--- a/src/yokesill/serving/http_reply.py
+++ b/src/yokesill/comm/http_reply.py
@@ -4,7 +4,7 @@
 
 MAXIMUM_HEAD_BYTES = 64 * 1024
 MAXIMUM_BODY_BYTES = 32 * 1024 * 1024
-NO_CONTENT, NOT_MODIFIED = 204, 304
+BODILESS_STATUS = frozenset({204, 304})
 
 
 class ReplyError(Exception):
@@ -27,20 +27,33 @@
         self._bodiless = bodiless
         self._parser = httptools.HttpResponseParser(self)
         self._chunks: list[bytes] = []
-        self._size = 0
+        self._received = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
         self._framed = False
         self._head_done = False
 
+    @property
+    def framed(self) -> bool:
+        """Whether the reply says where it ends; the others end with their connection."""
+        return self._framed or self.status in BODILESS_STATUS
+
     def feed(self, data: bytes) -> None:
-        """Take received bytes; raises ``ReplyError`` when they are no reply."""
+        """Take received bytes; raises ``ReplyError`` when they are no reply or too many."""
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             if not self.complete:
                 raise ReplyError(f"not a reply: {error}") from error
             self.surplus = True
-        if self._size > MAXIMUM_BODY_BYTES:
+        if self._body_bytes > MAXIMUM_BODY_BYTES:
             raise ReplyError("the reply is too large")
+        if self._head_bytes > MAXIMUM_HEAD_BYTES or self._endless_head():
+            raise ReplyError("the reply's head is too large")
+
+    def _endless_head(self) -> bool:
+        return not self._head_done and self._received > MAXIMUM_HEAD_BYTES
 
     def end_of_stream(self) -> None:
         """The server closed orderly: that ends a reply without a length, and breaks any other off."""
@@ -58,7 +71,7 @@
         """Take one header."""
         if self.complete:
             return
-        self._size += len(name) + len(value)
+        self._head_bytes += len(name) + len(value)
         name = name.lower()
         self.headers.append((name, value))
         if name in (b"content-length", b"transfer-encoding"):
@@ -78,7 +91,7 @@
         """Take a piece of the body."""
         if not self.complete:
             self._chunks.append(chunk)
-            self._size += len(chunk)
+            self._body_bytes += len(chunk)
 
     def on_message_complete(self) -> None:
         """The reply ends."""
--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -60,6 +60,9 @@
         if self._send("first", deadline, now, actions):
             self.hedge_at = now + hedge_delay
             return
+        if deadline - now < LEAST_TIME_TO_SEND:
+            self._close(Failure(Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN, "no time was left on arrival"))
+            return
         self._close(Failure(Reason.NO_REPLICA, Verdict.NOT_RUN, f"no server of {self.service} can be asked"))
 
     def hedge(self, deadline: float, delay: float, now: float, actions: list[Action]) -> None:
--- a/src/yokesill/serving/server_client.py
+++ b/src/yokesill/serving/server_client.py
@@ -6,11 +6,11 @@
 import anyio
 
 from yokesill.charts.flat import transition_table
+from yokesill.comm.http_reply import HttpReplyReader
 from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.gateway.messages import Attempt, GatewayRequest, Headers, Load, ServerReply
 from yokesill.serving.headers import end_to_end_headers
-from yokesill.serving.http_reply import HttpReplyReader
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.upstream import (
     ConnectionSet,
--- a/src/yokesill/serving/upstream.py
+++ b/src/yokesill/serving/upstream.py
@@ -12,7 +12,7 @@
 import anyio
 import anyio.abc
 
-from yokesill.serving.http_reply import HttpReplyReader, ReplyError
+from yokesill.comm.http_reply import HttpReplyReader, ReplyError
 
 READ_BYTES = 64 * 1024
 SENT_AT_ONCE_BYTES = 16 * 1024
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -90,6 +90,13 @@
         assert final.failure.reason is Reason.UNKNOWN_SERVICE
 
 
+def test_a_request_without_time_left_is_told_so() -> None:
+    harness = RouterHarness(single_route())
+    final = harness.finals[harness.arrive("/one/x", 0.015)]
+    assert isinstance(final, ev.Refuse)
+    assert (final.failure.reason, final.failure.verdict) == (Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN)
+
+
 def test_before_any_configuration_a_request_may_come_back() -> None:
     harness = RouterHarness()
     final = harness.finals[harness.arrive()]
--- a/tests/test_promises_once.py
+++ b/tests/test_promises_once.py
@@ -8,6 +8,7 @@
 from pytest_bdd import scenario, then, when
 
 from yokesill.emulator.faults import ServerFaults
+from yokesill.emulator.server_model import ServerModel
 from yokesill.routing.events import Answer, Refuse, ServerObserved
 from yokesill.simulation.cluster import SimulatedCluster
 from yokesill.store.base import Machine
@@ -164,14 +165,19 @@
 def test_list_leaving() -> None: ...
 
 
+async def list_first_as_leaving(cluster: SimulatedCluster) -> tuple[ServerModel, int, float]:
+    """List a server that has work as leaving: its model, what it ran before, and when."""
+    address, model = next(iter(cluster.models.items()))
+    await load_until(cluster, 1)
+    before = len(model.executions)
+    cluster.store_model.machines[address] = Machine(address, "server", True)
+    return model, before, anyio.current_time()
+
+
 @when("the machine list marks a server as leaving while every node sends it work")
 def list_leaving(outcome: dict[str, Any]) -> None:
     async def body(cluster: SimulatedCluster) -> Any:
-        address, model = next(iter(cluster.models.items()))
-        await load_until(cluster, 1)
-        before = len(model.executions)
-        cluster.store_model.machines[address] = Machine(address, "server", True)
-        marked = anyio.current_time()
+        model, before, marked = await list_first_as_leaving(cluster)
         await load_until(cluster, 6)
         return before, [each.started_at - marked for each in model.executions]
 
@@ -208,11 +214,7 @@
 @when("a server is listed as leaving and a node restarts afterwards")
 def restart_leaving(outcome: dict[str, Any]) -> None:
     async def body(cluster: SimulatedCluster) -> Any:
-        address, model = next(iter(cluster.models.items()))
-        await load_until(cluster, 1)
-        before = len(model.executions)
-        cluster.store_model.machines[address] = Machine(address, "server", True)
-        marked = anyio.current_time()
+        model, before, marked = await list_first_as_leaving(cluster)
         await anyio.sleep(10)
         # A watcher would read the list itself; the others can only learn from their peers.
         others = [index for index in range(6) if not cluster.node(index).watcher.watching]
