--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -82,6 +82,25 @@
         self._longest_patience[route.name] = longest
         return longest - patience
 
+    def forget_unused(self, before: Configuration | None) -> None:
+        """Drop what was learnt of routes and services that neither this nor the last version names.
+
+        Requests that began under the last version may still be under way.
+        """
+        versions = [each for each in (before, self.configuration) if each is not None]
+        routes = {route.name for each in versions for route in each.routes}
+        named = {name for each in versions for route in each.routes for name in route.services}
+        services = named.union(*(each.services for each in versions))
+        self._typical = {name: kept for name, kept in self._typical.items() if name in routes}
+        self._longest_patience = {
+            name: kept for name, kept in self._longest_patience.items() if name in routes
+        }
+        self._budgets = {name: kept for name, kept in self._budgets.items() if name in services}
+
+    def kept_estimates(self) -> int:
+        """How many routes and services something learnt is kept of."""
+        return len(self._typical) + len(self._longest_patience) + len(self._budgets)
+
     def observe_lateness(self, seconds: float) -> None:
         """Take how late one timer came."""
         self.lateness += LATENESS_WEIGHT * (min(seconds, LATENESS_CEILING) - self.lateness)
--- a/src/yokesill/gateway/events.py
+++ b/src/yokesill/gateway/events.py
@@ -162,6 +162,13 @@
     summary: RequestSummary | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ForgetServer:
+    """A server is long gone: nothing kept for it is needed any more."""
+
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class Note:
     """A decision worth a line in the log: its name and its inputs."""
@@ -170,5 +177,5 @@
     details: dict[str, object]
 
 
-Action = SendAttempt | CancelAttempt | SetTimer | PassOn | Gathered | Refuse | Note
+Action = SendAttempt | CancelAttempt | SetTimer | PassOn | Gathered | Refuse | ForgetServer | Note
 FinalAnswer = PassOn | Gathered | Refuse
--- a/src/yokesill/gateway/request.py
+++ b/src/yokesill/gateway/request.py
@@ -50,8 +50,10 @@
         patience = request.patience if request.patience is not None else route.timeout
         self.hard = request.arrived_at + min(route.timeout, patience - margin)
         waited = context.waited_before(route, patience)
-        remaining = route.target - waited - margin
-        self.soft = request.arrived_at + (remaining if remaining > 0 else route.target)
+        if waited >= route.target:
+            # Late whatever is done; or this caller is merely less patient than the most patient one.
+            waited = 0.0
+        self.soft = request.arrived_at + max(0.0, route.target - waited - margin)
 
     # --- events ---
 
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -43,6 +43,10 @@
         """How many nodes are taken to share the budgets."""
         return self._context.nodes
 
+    def kept_estimates(self) -> int:
+        """How many routes and services something learnt is kept of."""
+        return self._context.kept_estimates()
+
     def set_budget(self, terms: BudgetTerms) -> None:
         """Keep to other terms from now on; what was spent still counts."""
         self._context.set_budget(terms)
@@ -85,10 +89,10 @@
             case ev.ServerRemoved(instance):
                 if self.servers.remove(instance, now):
                     actions.append(_server_note(instance, "removed"))
-                self.servers.forget_removed(now)
             case ev.ServersReplaced(records):
                 gone = self.servers.replace(records, now)
                 actions.extend(_server_note(instance, "removed") for instance in gone)
+        actions.extend(ev.ForgetServer(instance) for instance in self.servers.forget_removed(now))
 
     # --- requests ---
 
@@ -206,6 +210,9 @@
         if current is not None and configuration.version <= current.version:
             return
         self._context.configuration = configuration
+        self._context.forget_unused(current)
+        names = {route.name for route in configuration.routes}
+        self._cursors = {name: kept for name, kept in self._cursors.items() if name in names}
         details: dict[str, object] = {
             "version": configuration.version,
             "before": current.version if current else None,
--- a/src/yokesill/gateway/servers.py
+++ b/src/yokesill/gateway/servers.py
@@ -200,11 +200,15 @@
         gone = [instance for instance in self._by_instance if instance not in listed]
         return [instance for instance in gone if self.remove(instance, now)]
 
-    def forget_removed(self, now: float) -> None:
-        """Drop servers that are long gone and have nothing in flight."""
-        for state in list(self._by_instance.values()):
-            if state.removed_at is None or state.in_flight:
-                continue
-            if now - state.removed_at > 2 * self._options.removed_grace:
-                del self._by_instance[state.record.instance]
-                del self._by_service[state.record.service][state.record.instance]
+    def forget_removed(self, now: float) -> list[str]:
+        """Drop servers that are long gone and have nothing in flight; return their instances."""
+        longest = 2 * self._options.removed_grace
+        gone = [
+            instance
+            for instance, state in self._by_instance.items()
+            if state.removed_at is not None and not state.in_flight and now - state.removed_at > longest
+        ]
+        for instance in gone:
+            state = self._by_instance.pop(instance)
+            del self._by_service[state.record.service][instance]
+        return gone
--- a/src/yokesill/serving/driver.py
+++ b/src/yokesill/serving/driver.py
@@ -75,6 +75,9 @@
                     scope.cancel()
             case ev.Note():
                 self._note(action)
+            case ev.ForgetServer(instance):
+                if self._tasks is not None:
+                    self._tasks.start_soon(self._client.forget, instance)
             case ev.PassOn(key) | ev.Gathered(key) | ev.Refuse(key):
                 self._finish(key, action)
 
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -180,3 +180,13 @@
         harness.answer(attempt)
     harness.advance(0.1)
     assert key in harness.finals
+
+
+def test_one_very_patient_caller_does_not_make_all_others_late() -> None:
+    harness = RouterHarness(gather_route())
+    harness.arrive(patience=60.0)
+    key = harness.arrive(patience=1.5)
+    for attempt in harness.of(key)[:3]:
+        harness.answer(attempt)
+    harness.advance(0.105)
+    assert key in harness.finals
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -1,6 +1,8 @@
 """Which servers get work: near ones, sound ones, never leaving ones."""
 
-from harness import RouterHarness, failure, gather_route, reply, server, single_route
+from dataclasses import replace
+
+from harness import RouterHarness, configuration, failure, gather_route, reply, server, single_route
 
 from yokesill.gateway import events as ev
 from yokesill.gateway.messages import Load, ServerReply
@@ -205,3 +207,35 @@
     first = harness.of(harness.arrive())[0]
     assert first.connection_limit == 1
     assert harness.of(harness.arrive())[0].server.instance != first.server.instance
+
+
+def test_a_server_that_is_long_gone_is_forgotten_with_all_that_is_kept_for_it() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    forgotten: list[str] = []
+    for number in range(50):
+        harness.feed(ev.ServerListed(server(f"n{number}", "s1")))
+        harness.advance(1.0)
+        actions = harness.feed(ev.ServerRemoved(f"n{number}"))
+        forgotten += [each.instance for each in actions if isinstance(each, ev.ForgetServer)]
+    assert len(harness.router.servers) < 10
+    assert forgotten[:3] == ["n0", "n1", "n2"]
+
+
+def test_a_server_with_work_in_flight_is_not_forgotten_yet() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    attempt = harness.of(harness.arrive())[0]
+    harness.feed(ev.ServerRemoved(attempt.server.instance))
+    harness.advance(60.0)
+    harness.feed(ev.ServerRemoved("nobody"))
+    assert harness.router.servers.get(attempt.server.instance) is not None
+
+
+def test_what_was_learnt_of_routes_that_are_gone_is_forgotten() -> None:
+    harness = RouterHarness(gather_route())
+    for version in range(2, 60):
+        route = replace(gather_route(services=(f"s{version}",)), name=f"r{version}")
+        harness.feed(ev.ConfigurationLearnt(configuration(version, route)))
+        harness.feed(ev.ServerListed(server(f"i{version}", f"s{version}")))
+        harness.arrive()
+        harness.advance(0.1)
+    assert harness.router.kept_estimates() <= 8
--- a/tests/serving/memory_servers.py
+++ b/tests/serving/memory_servers.py
@@ -82,6 +82,7 @@
     tasks: anyio.abc.TaskGroup
     heard: list[Heard] = field(default_factory=list)
     opened: int = 0
+    closed: int = 0
     refuse: bool = False
     window: int | None = None
 
@@ -100,6 +101,7 @@
             try:
                 buffer += await stream.receive()
             except (anyio.EndOfStream, anyio.BrokenResourceError):
+                self.closed += 1
                 return
             while b"\r\n\r\n" in buffer:
                 head, _, rest = buffer.partition(b"\r\n\r\n")
--- a/tests/serving/test_application.py
+++ b/tests/serving/test_application.py
@@ -224,3 +224,15 @@
         assert (await served.ask()).headers[b"connection"] == b"close"
 
     serving(main)
+
+
+def test_connections_to_a_forgotten_server_are_closed() -> None:
+    async def main(served: Served) -> None:
+        await served.ask()
+        served.driver.feed(ev.ServerRemoved("i-1"))
+        await anyio.sleep(10.0)
+        served.driver.feed(ev.ServerRemoved("nobody"))
+        await anyio.sleep(0.1)
+        assert served.backend.closed == 1
+
+    serving(main)
