What the change left dead is gone: an unread field and its branch, four constants, two export lists

Found on the last read of the whole change: ServerReply.leaving was never set, METRICS_PORT_OFFSET was 0, CLIENT_GONE and OK were unread, and ReplyError was passed on by a module that does not define it. Behaviour is as it was.

--- a/src/yokesill/gateway/messages.py
+++ b/src/yokesill/gateway/messages.py
@@ -49,7 +49,6 @@
     body: bytes
     signature: bytes | None = None
     load: Load | None = None
-    leaving: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -157,8 +157,6 @@
         else:
             state = server.answered(attempt.sent_at, typical.median, reply.load, now)
             typical.record(now - attempt.sent_at)
-        if reply.leaving:
-            server.leave()
         self._note_state(attempt, state, reply.status, now, actions)
         machine.answered(event.number, reply, now, actions)
         self._settle(machine, actions)
--- a/src/yokesill/gateway/selection.py
+++ b/src/yokesill/gateway/selection.py
@@ -22,9 +22,9 @@
     """Return the server with the least expected latency, the nearest among near equals.
 
     Sound servers with a free connection come first, then other sound ones, then those that rejected
-    work just now, then those that are slow,
-    stalled or paused. Failing ones are left alone until their ejection is over, unless
-    ``last_resort``. Servers whose entry vanished a moment ago serve when there is nobody else.
+    work just now, then those that are slow, stalled or paused. Failing ones are left alone until
+    their ejection is over, unless ``last_resort``. Servers whose entry vanished a moment ago serve
+    when there is nobody else.
     """
     candidates = [each for each in servers if each.record.instance not in tried]
     present = [each for each in candidates if not each.leaving]
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -7,8 +7,6 @@
 from yokesill.gateway.budget import BudgetTerms
 from yokesill.serving.settings import Address, GatewaySettings, SettingsProblem
 
-METRICS_PORT_OFFSET = 0
-
 
 class _Reader:
     """Takes fields out of the file's tables and collects what is wrong with them."""
@@ -91,7 +89,7 @@
         callers=reader.address("listenAddrs.front"),
         probes=reader.address("listenAddrs.ready"),
         registry=reader.address("platform.address"),
-        metrics=None if port is None else Address(reader.text("ip"), port + METRICS_PORT_OFFSET),
+        metrics=None if port is None else Address(reader.text("ip"), port),
         peers=reader.optional_address("listenAddrs.control"),
         seeds=reader.addresses("seedNodes"),
         regions=reader.texts("zones"),
--- a/src/yokesill/serving/api_client.py
+++ b/src/yokesill/serving/api_client.py
@@ -8,8 +8,9 @@
 import anyio
 import anyio.abc
 
+from yokesill.comm.http_reply import ReplyError
 from yokesill.serving.settings import Address
-from yokesill.serving.upstream import Connector, ReplyError, UpstreamConnection, connect_tcp
+from yokesill.serving.upstream import Connector, UpstreamConnection, connect_tcp
 from yokesill.verdict import Failure, Reason, Verdict
 
 CONNECT_TIMEOUT = 1.0
--- a/src/yokesill/serving/application.py
+++ b/src/yokesill/serving/application.py
@@ -25,7 +25,7 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
-BAD_REQUEST, TOO_LARGE, HEADERS_TOO_LARGE, CLIENT_GONE = 400, 413, 431, 499
+BAD_REQUEST, TOO_LARGE, HEADERS_TOO_LARGE = 400, 413, 431
 MAXIMUM_REQUEST_ID = 128
 FIRST_LEARNING_PATIENCE = 0.12
 
--- a/src/yokesill/serving/server_client.py
+++ b/src/yokesill/serving/server_client.py
@@ -6,16 +6,15 @@
 import anyio
 
 from yokesill.charts.flat import transition_table
-from yokesill.comm.http_reply import HttpReplyReader
+from yokesill.comm.http_reply import HttpReplyReader, ReplyError
 from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
-from yokesill.gateway.messages import Attempt, GatewayRequest, Headers, Load, ServerReply
+from yokesill.gateway.messages import Attempt, GatewayRequest, Load, ServerReply
 from yokesill.serving.headers import end_to_end_headers
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.upstream import (
     ConnectionSet,
     Connector,
-    ReplyError,
     UpstreamConnection,
     connect_tcp,
     idle_time,
@@ -24,7 +23,7 @@
 
 CONNECT_TIMEOUT = 1.0
 LONGEST_TURN = 0.5
-MISDIRECTED, OK, SERVER_ERROR = 421, 200, 500
+MISDIRECTED, SERVER_ERROR = 421, 500
 LOAD_FIELDS = 3
 VERDICT_OF_STATE = {
     "never_sent": Verdict.NOT_RUN,
@@ -194,6 +193,3 @@
         return None
     running, waiting, slots = (int(field) for field in fields)
     return Load(running, waiting, slots)
-
-
-__all__ = ["Headers", "ServerClient"]
--- a/src/yokesill/serving/upstream.py
+++ b/src/yokesill/serving/upstream.py
@@ -174,6 +174,3 @@
         if name.lower() == b"timeout" and value.isdigit():
             return int(value) * IDLE_SHARE
     return IDLE_DEFAULT
-
-
-__all__ = ["ConnectionSet", "Connector", "ReplyError", "UpstreamConnection", "connect_tcp", "idle_time"]
