--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check unit guards spec bench clean
+.PHONY: demo test check unit guards spec bench bench-platform clean
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -17,8 +17,8 @@
 test: check unit guards spec
 
 check: $(VENV)/.installed
-	$(BIN)/ruff format --check src tests spec bench
-	$(BIN)/ruff check src tests spec bench
+	$(BIN)/ruff format --check src tests spec bench deploy
+	$(BIN)/ruff check src tests spec bench deploy
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
@@ -34,5 +34,10 @@
 bench: $(VENV)/.installed
 	$(BIN)/python bench/run.py
 
+# The users' bench is not part of this repository: its path comes in FLEETBENCH.
+bench-platform:
+	@test -n "$(FLEETBENCH)" || { echo "set FLEETBENCH=PATH (the users' bench) and SITE=FILE; WHY=\"...\" goes into the journal"; exit 2; }
+	$(FLEETBENCH) score $(SITE) --why "$(WHY)"
+
 clean:
 	rm -rf $(VENV) build .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/src/yokesill/cli/main.py
+++ b/src/yokesill/cli/main.py
@@ -19,6 +19,7 @@
     "query",
     "status",
     "validate",
+    "explain",
     "load",
     "report",
 )
--- a/src/yokesill/serving/api_client.py
+++ b/src/yokesill/serving/api_client.py
@@ -18,6 +18,14 @@
 BROKEN = (ReplyError, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
+@dataclass(frozen=True, slots=True)
+class RawReply:
+    """A whole reply as it came."""
+
+    status: int
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class ApiReply:
     """A whole reply; ``body`` is the decoded JSON, ``None`` where there is none."""
@@ -50,6 +58,16 @@
         self._idle: list[UpstreamConnection] = []
 
     async def call(self, method: str, path: str, timeout: float, body: Any = None) -> ApiReply | Failure:
+        """Send one call with a JSON body and read its JSON reply; see ``fetch``."""
+        reply = await self.fetch(method, path, timeout, body)
+        if isinstance(reply, Failure):
+            return reply
+        try:
+            return ApiReply(reply.status, json.loads(reply.body) if reply.body else None)
+        except ValueError as error:
+            return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, repr(error))
+
+    async def fetch(self, method: str, path: str, timeout: float, body: Any = None) -> RawReply | Failure:
         """Send one call and read its reply within ``timeout`` seconds.
 
         A failure to connect is ``NOT_RUN``; any later one is ``MAY_HAVE_RUN``.
@@ -62,11 +80,10 @@
         try:
             with anyio.fail_after(timeout):
                 reader = await connection.exchange(self._encode(method, path, body), bodiless=False)
-            reply = ApiReply(reader.status, json.loads(reader.body) if reader.body else None)
         except TimeoutError:
             await self._drop(connection)
             return Failure(Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN, f"no answer in {timeout:.1f} s")
-        except (ValueError, *BROKEN) as error:
+        except BROKEN as error:
             await self._drop(connection)
             return Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, repr(error))
         except BaseException:
@@ -77,7 +94,7 @@
             self._idle.append(connection)
         else:
             await self._drop(connection)
-        return reply
+        return RawReply(reader.status, reader.body)
 
     async def _take(self) -> UpstreamConnection:
         while self._idle:
--- a/src/yokesill/serving/application.py
+++ b/src/yokesill/serving/application.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from yokesill.gateway.documents import RequestLimits
 from yokesill.gateway.events import FinalAnswer
 from yokesill.gateway.messages import GatewayRequest, Headers
 from yokesill.serving.answers import HttpAnswer, to_http
@@ -88,7 +89,7 @@
         limits = configuration.limits if configuration else None
         if limits and sum(len(name) + len(value) + 4 for name, value in headers) > limits.header_bytes:
             return BadRequest(HEADERS_TOO_LARGE, f"the headers are larger than {limits.header_bytes} bytes")
-        body = await _read_body(receive, limits.body_bytes if limits else 0)
+        body = await _read_body(receive, (limits or RequestLimits()).body_bytes)
         if body is None:
             return BadRequest(TOO_LARGE, "the body is too large")
         values = dict(headers)
--- a/src/yokesill/serving/figures.py
+++ b/src/yokesill/serving/figures.py
@@ -1,65 +1,76 @@
-"""A serving node's counters and histograms, by prometheus-client."""
+"""A serving node's counters and histograms; ``exposition`` renders them by prometheus-client.
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+They are kept plain here: the library is loaded when somebody asks for the figures, not before.
+"""
+
+import bisect
+import importlib
+from collections import Counter
+from dataclasses import dataclass, field
 
 from yokesill.gateway.events import Note
 from yokesill.gateway.messages import RequestSummary
 
-LATENCY_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0)
-COVERAGE_BUCKETS = (0.5, 0.75, 0.9, 0.95, 0.999, 1.0)
+LATENCY_BOUNDS = (0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0)
+COVERAGE_BOUNDS = (0.5, 0.75, 0.9, 0.95, 0.999, 1.0)
+
+
+@dataclass(slots=True)
+class Distribution:
+    """Counts of values by upper bound; the last count is of those above all bounds."""
+
+    bounds: tuple[float, ...]
+    counts: list[int] = field(default_factory=list)
+    total: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Start with nothing counted."""
+        self.counts = [0] * (len(self.bounds) + 1)
+
+    def observe(self, value: float) -> None:
+        """Count one value."""
+        self.counts[bisect.bisect_left(self.bounds, value)] += 1
+        self.total += value
 
 
 class GatewayFigures:
-    """The figures of one node; one registry each, so that many nodes can share a process."""
+    """The figures of one node.
+
+    ``requests`` counts by route and outcome, ``decisions`` by the name of their log line, and
+    ``attempts`` by cause (first or extra).
+    """
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self.requests = Counter(
-            "yokesill_requests", "Requests by route and outcome", ["route", "outcome"], registry=self.registry
-        )
-        self.latency = Histogram(
-            "yokesill_request_seconds",
-            "Time from a request's arrival to its final answer",
-            ["route"],
-            buckets=LATENCY_BUCKETS,
-            registry=self.registry,
-        )
-        self.coverage = Histogram(
-            "yokesill_coverage",
-            "Share of the asked services in an answer",
-            ["route"],
-            buckets=COVERAGE_BUCKETS,
-            registry=self.registry,
-        )
-        self.attempts = Counter(
-            "yokesill_attempts", "Attempts by cause: first or extra", ["cause"], registry=self.registry
-        )
-        self.decisions = Counter(
-            "yokesill_decisions", "Logged decisions by name", ["name"], registry=self.registry
-        )
-        self._gauges: dict[str, Gauge] = {}
+        self.requests: Counter[tuple[str, str]] = Counter()
+        self.decisions: Counter[str] = Counter()
+        self.attempts: Counter[str] = Counter()
+        self.latency: dict[str, Distribution] = {}
+        self.coverage: dict[str, Distribution] = {}
+        self.gauges: dict[str, tuple[str, float]] = {}
 
     def count_note(self, note: Note) -> None:
         """Count a decision."""
-        self.decisions.labels(note.name).inc()
+        self.decisions[note.name] += 1
 
     def count_request(self, route: str, outcome: str, summary: RequestSummary | None) -> None:
         """Count a request's end."""
-        self.requests.labels(route, outcome).inc()
+        self.requests[(route, outcome)] += 1
         if summary is None:
             return
-        self.latency.labels(route).observe(summary.elapsed)
-        self.coverage.labels(route).observe(summary.covered / max(1, summary.asked))
-        self.attempts.labels("first").inc(summary.attempts - summary.extra_attempts)
-        self.attempts.labels("extra").inc(summary.extra_attempts)
+        if route not in self.latency:
+            self.latency[route] = Distribution(LATENCY_BOUNDS)
+            self.coverage[route] = Distribution(COVERAGE_BOUNDS)
+        self.latency[route].observe(summary.elapsed)
+        self.coverage[route].observe(summary.covered / max(1, summary.asked))
+        self.attempts["first"] += summary.attempts - summary.extra_attempts
+        self.attempts["extra"] += summary.extra_attempts
 
     def gauge(self, name: str, description: str, value: float) -> None:
-        """Set a gauge, creating it on first use."""
-        gauge = self._gauges.get(name)
-        if gauge is None:
-            gauge = self._gauges[name] = Gauge(name, description, registry=self.registry)
-        gauge.set(value)
+        """Set a gauge."""
+        self.gauges[name] = (description, value)
 
     def render(self) -> bytes:
         """Return the figures in the text format."""
-        return generate_latest(self.registry)
+        exposition = importlib.import_module("yokesill.serving.exposition")
+        text: bytes = exposition.render(self)
+        return text
--- a/src/yokesill/serving/probes.py
+++ b/src/yokesill/serving/probes.py
@@ -4,28 +4,32 @@
 from dataclasses import dataclass
 
 from yokesill.serving.application import Receive, Scope, Send
+from yokesill.serving.peers import SNAPSHOT_PATH
 
 OK, NOT_FOUND, UNAVAILABLE = 200, 404, 503
 METRICS_PATH = "/metrics"
+TEXT, CBOR = b"text/plain; version=0.0.4", b"application/cbor"
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeApplication:
-    """Answers ``ready_path`` with 200 or 503 and ``/metrics`` with the figures as text."""
+    """Answers ``ready_path`` with 200 or 503 and ``/metrics`` with the figures as text.
+
+    Starting nodes get this node's state from ``SNAPSHOT_PATH``; there is none while it knows nothing.
+    """
 
     ready_path: str
     ready: Callable[[], bool]
     render_figures: Callable[[], bytes]
+    snapshot: Callable[[], bytes | None]
 
     async def __call__(self, scope: Scope, _receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
             return
         status, body = self._answer(scope["path"])
-        headers = [
-            (b"content-type", b"text/plain; version=0.0.4"),
-            (b"content-length", str(len(body)).encode()),
-        ]
+        kind = CBOR if scope["path"] == SNAPSHOT_PATH else TEXT
+        headers = [(b"content-type", kind), (b"content-length", str(len(body)).encode())]
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body})
 
@@ -34,4 +38,7 @@
             return (OK, b"ready\n") if self.ready() else (UNAVAILABLE, b"not ready\n")
         if path == METRICS_PATH:
             return OK, self.render_figures()
+        if path == SNAPSHOT_PATH:
+            state = self.snapshot()
+            return (UNAVAILABLE, b"nothing known\n") if state is None else (OK, state)
         return NOT_FOUND, b"not found\n"
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -18,13 +18,16 @@
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.node_count import NodeCounter
 from yokesill.serving.observer import Observer
+from yokesill.serving.peers import PeerLearner
 from yokesill.serving.probes import ProbeApplication
 from yokesill.serving.registry import Feed, NodeDirectory
 from yokesill.serving.server_client import ServerClient
 from yokesill.serving.settings import GatewaySettings
+from yokesill.serving.snapshots import encode_snapshot
+from yokesill.serving.upstream import connect_tcp
 
 CONFIGURATION_GATHERING, SERVERS_GATHERING = 0.3, 0.6
-POLL = 0.02
+POLL = 0.05
 LOG_FLUSH_INTERVAL = 0.5
 
 
@@ -50,7 +53,7 @@
         self._random = source
         self._surroundings = surroundings
         self._table = transition_table("gateway")
-        self._state = "starting"
+        self.state = "starting"
         self._stop_wanted = anyio.Event()
         self._log = get_logger("gateway")
         self.figures = GatewayFigures()
@@ -61,9 +64,9 @@
         """Serve; returns once a planned stop is complete."""
         self._build(anyio.current_time())
         async with anyio.create_task_group() as task_group:
-            for part in (self.driver.run, *(each.run for each in self._followers), self._counter.run):
+            followers = (each.run for each in self._followers)
+            for part in (self.driver.run, *followers, self._counter.run, self._learner.run, self._flush_logs):
                 task_group.start_soon(part)
-            task_group.start_soon(self._flush_logs)
             await self._listen()
             task_group.start_soon(self._become_ready)
             await self._stop_wanted.wait()
@@ -79,7 +82,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should come here."""
-        return self._state == "serving"
+        return self.state == "serving"
 
     def _build(self, now: float) -> None:
         settings, around = self.settings, self._surroundings
@@ -95,13 +98,18 @@
             FeedFollower(around.servers, self.driver.feed, SERVERS_GATHERING, self._random),
         )
         self._counter = NodeCounter(around.nodes, settings.node, self._count_nodes, self._random)
-        self._probes = ProbeApplication(around.ready_path, lambda: self.ready, self._render_figures)
+        self._learner = PeerLearner(
+            settings.seeds, connect_tcp, self._knows_enough, self._learn, self._random
+        )
+        self._probes = ProbeApplication(
+            around.ready_path, lambda: self.ready, self._render_figures, self._snapshot
+        )
         self._front = create_listener(self._application)
         self._side: list[Listener] = []
 
     async def _listen(self) -> None:
         await self._front.start(self.settings.callers)
-        for address in (self.settings.probes, self.settings.metrics):
+        for address in (self.settings.probes, self.settings.metrics, self.settings.peers):
             if address is not None:
                 listener = create_listener(self._probes)
                 await listener.start(address)
@@ -109,9 +117,7 @@
         self._log.info("started", node=self.settings.node, callers=str(self.settings.callers))
 
     async def _become_ready(self) -> None:
-        for follower in self._followers:
-            await follower.known.wait()
-        while self.router.configuration is None:
+        while not self._knows_enough():
             await anyio.sleep(POLL)
         self._enter("learnt")
 
@@ -130,18 +136,27 @@
         self._enter("time_over" if bound.cancelled_caught else "idle", cut=cut)
 
     def _enter(self, event: str, **details: object) -> str:
-        before = self._state
-        self._state = self._table.get((before, event), before)
-        if self._state != before:
-            self._log.info("state", before=before, state=self._state, **details)
-        return self._state
+        before = self.state
+        self.state = self._table.get((before, event), before)
+        if self.state != before:
+            self._log.info("state", before=before, state=self.state, **details)
+        return self.state
 
     # --- what is learnt ---
 
+    def _knows_enough(self) -> bool:
+        """Whether requests can be served: a configuration and servers, from the registry or a peer."""
+        return self.router.configuration is not None and len(self.router.servers) > 0
+
+    def _snapshot(self) -> bytes | None:
+        configuration = self.router.configuration
+        return encode_snapshot(configuration, self.router.servers.records()) if configuration else None
+
     def _learn(self, event: Event) -> None:
         self.driver.feed(event)
         if isinstance(event, ConfigurationLearnt) and self.router.configuration is not None:
-            self._front.set_idle_timeout(self.router.configuration.limits.idle_timeout)
+            limits = self.router.configuration.limits
+            self._front.set_limits(limits.header_timeout, limits.idle_timeout)
 
     def _count_nodes(self, count: int) -> None:
         self.driver.feed(NodesCounted(count))
--- /dev/null
+++ b/src/yokesill/serving/snapshots.py
@@ -0,0 +1,81 @@
+"""What a node tells a starting one while the registry is out of reach: its configuration and servers.
+
+A whole state in one message, in CBOR. Whoever takes it keeps only what is newer than what it knows,
+so an old snapshot does no harm, and the registry's own list replaces it once it can be read.
+"""
+
+from typing import Any
+
+import cbor2
+
+from yokesill.gateway.documents import (
+    Configuration,
+    Gather,
+    RequestLimits,
+    Route,
+    ServerRecord,
+    ServiceLimits,
+    Split,
+    WeightedService,
+)
+from yokesill.gateway.events import ConfigurationLearnt, Event, ServersReplaced
+
+FORMAT = 1
+
+
+def encode_snapshot(configuration: Configuration, servers: list[ServerRecord]) -> bytes:
+    """Return a node's state as bytes."""
+    limits = configuration.limits
+    return cbor2.dumps(
+        {
+            "format": FORMAT,
+            "version": configuration.version,
+            "routes": [_route_to_wire(route) for route in configuration.routes],
+            "services": {name: each.connections for name, each in configuration.services.items()},
+            "limits": [limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout],
+            "servers": [_server_to_wire(record) for record in servers],
+        }
+    )
+
+
+def decode_snapshot(data: bytes) -> tuple[Event, ...]:
+    """Read a snapshot into events; raises ``ValueError`` when it is malformed."""
+    try:
+        item: dict[str, Any] = cbor2.loads(data)
+        if item["format"] != FORMAT:
+            raise ValueError(f"a snapshot of format {item['format']}")
+        configuration = Configuration(
+            version=item["version"],
+            routes=tuple(_route_from_wire(each) for each in item["routes"]),
+            services={name: ServiceLimits(count) for name, count in item["services"].items()},
+            limits=RequestLimits(*item["limits"]),
+        )
+        records = tuple(ServerRecord(*each) for each in item["servers"])
+    except (KeyError, TypeError, AttributeError, cbor2.CBORDecodeError) as error:
+        raise ValueError(f"a malformed snapshot: {error!r}") from error
+    return (ConfigurationLearnt(configuration), ServersReplaced(records))
+
+
+def _route_to_wire(route: Route) -> list[Any]:
+    destination = route.destination
+    if isinstance(destination, Gather):
+        where = ["gather", list(destination.services), destination.greatest, destination.minimum_coverage]
+    else:
+        where = ["split", [[part.service, part.weight] for part in destination.parts]]
+    fields = [route.name, route.host, route.prefix, route.repeatable, route.timeout, route.target]
+    return [*fields, route.attempts, route.priority, where]
+
+
+def _route_from_wire(item: list[Any]) -> Route:
+    name, host, prefix, repeatable, timeout, target, attempts, priority, where = item
+    destination: Gather | Split
+    if where[0] == "gather":
+        destination = Gather(tuple(where[1]), where[2], where[3])
+    else:
+        destination = Split(tuple(WeightedService(*part) for part in where[1]))
+    return Route(name, host, prefix, repeatable, timeout, target, attempts, priority, destination)
+
+
+def _server_to_wire(record: ServerRecord) -> list[Any]:
+    where = [record.instance, record.service, record.host, record.port, record.zone]
+    return [*where, record.slots, record.leaving, record.warmup]
--- a/src/yokesill/serving/upstream.py
+++ b/src/yokesill/serving/upstream.py
@@ -4,6 +4,7 @@
 and never used again. Over anyio streams, so that the same code runs in virtual time.
 """
 
+import contextlib
 import select
 from collections.abc import Awaitable, Callable
 
@@ -13,6 +14,7 @@
 from yokesill.serving.http_reply import HttpReplyReader, ReplyError
 
 READ_BYTES = 64 * 1024
+SENT_AT_ONCE_BYTES = 16 * 1024
 IDLE_SHARE = 0.8
 IDLE_DEFAULT = 60.0
 POLLED_EVENTS = select.POLLIN | select.POLLHUP | select.POLLERR
@@ -45,10 +47,38 @@
     async def exchange(self, request: bytes, bodiless: bool) -> HttpReplyReader:
         """Send a request and read its whole reply.
 
-        Raises ``ReplyError``, ``OSError`` or an anyio resource error.
+        A server may answer a long request before it has read it: such a connection is not kept, since
+        the rest of the request would be taken for the next one. Raises ``ReplyError``, ``OSError`` or
+        an anyio resource error.
         """
-        await self._stream.send(request)
         reader = HttpReplyReader(bodiless)
+        if len(request) <= SENT_AT_ONCE_BYTES:
+            await self._stream.send(request)
+            await self._read(reader)
+            return reader
+        sent_whole = False
+
+        async def send() -> None:
+            nonlocal sent_whole
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await self._stream.send(request)
+                sent_whole = True
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(send)
+            try:
+                await self._read(reader)
+            except (ReplyError, OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+                failure: Exception | None = error
+            else:
+                failure = None
+            task_group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        reader.keep_alive = reader.keep_alive and sent_whole
+        return reader
+
+    async def _read(self, reader: HttpReplyReader) -> None:
         while not reader.complete:
             try:
                 data = await self._stream.receive(READ_BYTES)
@@ -56,7 +86,6 @@
                 reader.end_of_stream()
             else:
                 reader.feed(data)
-        return reader
 
     async def aclose(self) -> None:
         """Close it at once."""
--- /dev/null
+++ b/tests/serving/test_process.py
@@ -0,0 +1,230 @@
+"""A whole node over real sockets: ready, serving, bad bytes refused, a planned stop that cuts nothing off."""
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import replace
+
+import anyio
+import pytest
+from harness import configuration, single_route
+
+from yokesill.gateway.documents import RequestLimits, ServerRecord
+from yokesill.gateway.events import ConfigurationLearnt, Event, ServersReplaced
+from yokesill.logs import LogOutput
+from yokesill.serving.names import HeaderNames
+from yokesill.serving.process import GatewayProcess, Surroundings
+from yokesill.serving.registry import Batch, Feed, NodeDirectory
+from yokesill.serving.settings import Address, GatewaySettings
+from yokesill.verdict import Failure, Reason, Verdict
+
+LOOPBACK = "127.0.0.1"
+DOWN = Failure(Reason.CONNECT_FAILED, Verdict.NOT_RUN, "down")
+GOOD_HEAD = "Host: shop.example\r\nRequest-Id: r1\r\nRequest-Deadline-Ms: 5000\r\n"
+
+
+class FixedFeed(Feed):
+    """One batch, and nothing new ever; nothing at all while ``events`` is ``None``."""
+
+    def __init__(self, name: str, *events: Event) -> None:
+        self.name = name
+        self.events: tuple[Event, ...] | None = events
+
+    async def list(self) -> Batch | Failure:
+        return DOWN if self.events is None else Batch(1, self.events)
+
+    async def changes(self, position: int, wait: float) -> Batch | Failure:
+        await anyio.sleep(wait)
+        return Batch(position, ())
+
+
+class NoNodes(NodeDirectory):
+    """A directory that is down."""
+
+    async def announce(self, node: str, beat: int) -> Failure | None:
+        return DOWN
+
+    async def nodes(self) -> dict[str, int] | Failure:
+        return DOWN
+
+
+class Backend:
+    """A server; it answers once ``open`` is set, and keeps what it read."""
+
+    def __init__(self) -> None:
+        self.open = asyncio.Event()
+        self.open.set()
+        self.heard: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.heard.append(head)
+                await self.open.wait()
+                request_id = next(line for line in head.split(b"\r\n") if line.startswith(b"request-id: "))
+                writer.write(b"HTTP/1.1 200 OK\r\n" + request_id + b"\r\nserver-signature: s\r\n")
+                writer.write(b"content-length: 2\r\n\r\nok")
+                await writer.drain()
+
+
+def free_ports(count: int) -> list[int]:
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind((LOOPBACK, 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+class Node:
+    """A node under test and ways to talk to it."""
+
+    def __init__(self, backend: Backend, backend_port: int, known: bool = True) -> None:
+        callers, probes, peers, registry = free_ports(4)
+        self.backend = backend
+        self.settings = GatewaySettings(
+            node="n1",
+            zone="z1",
+            callers=Address(LOOPBACK, callers),
+            probes=Address(LOOPBACK, probes),
+            peers=Address(LOOPBACK, peers),
+            registry=Address(LOOPBACK, registry),
+            stop_grace=1.6,
+        )
+        record = ServerRecord("i-1", "desk", LOOPBACK, backend_port, "z1", 2)
+        routes = replace(configuration(1, single_route()), limits=RequestLimits(header_timeout=0.3))
+        self.configuration = FixedFeed("configuration", ConfigurationLearnt(routes))
+        if not known:
+            self.configuration.events = None
+        servers = FixedFeed("servers", ServersReplaced((record,)))
+        around = Surroundings(self.configuration, servers, NoNodes(), HeaderNames(), "/ready")
+        self.process = GatewayProcess(self.settings, around, random.Random(1), LogOutput(1))
+
+    async def talk(self, data: bytes, address: Address | None = None) -> bytes:
+        """Send bytes on a new connection; return all that comes until it is closed or answered."""
+        to = address or self.settings.callers
+        reader, writer = await asyncio.open_connection(to.host, to.port)
+        writer.write(data)
+        answer = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            answer += await reader.readuntil(b"\r\n\r\n")
+            lengths = [line for line in answer.lower().split(b"\r\n") if line.startswith(b"content-length: ")]
+            answer += await reader.readexactly(int(lengths[0].split(b": ")[1])) if lengths else b""
+        writer.close()
+        return answer
+
+    async def ask(self, path: str = "/one/x") -> bytes:
+        return await self.talk(f"GET {path} HTTP/1.1\r\n{GOOD_HEAD}\r\n".encode())
+
+    async def ready(self) -> bool:
+        answer = await self.talk(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", self.settings.probes)
+        return answer.startswith(b"HTTP/1.1 200")
+
+    async def until(self, condition: Callable[[], Awaitable[bool]]) -> None:
+        while not await condition():
+            await asyncio.sleep(0.02)
+
+
+def with_node(main: Callable[[Node], Awaitable[None]], known: bool = True) -> None:
+    async def run() -> None:
+        backend = Backend()
+        server = await asyncio.start_server(backend.serve, LOOPBACK, 0)
+        node = Node(backend, server.sockets[0].getsockname()[1], known)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(node.process.run)
+            await asyncio.sleep(0.2)
+            await main(node)
+            tasks.cancel_scope.cancel()
+        server.close()
+
+    anyio.run(run)
+
+
+@pytest.fixture(autouse=True)
+def _no_output(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    monkeypatch.setattr(LogOutput, "write", lambda _self, _line: None)
+    yield
+
+
+def test_a_node_becomes_ready_serves_and_shows_figures_and_state() -> None:
+    async def main(node: Node) -> None:
+        await node.until(node.ready)
+        answer = await node.ask()
+        assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
+        assert answer.endswith(b"ok")
+        figures = await node.talk(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", node.settings.probes)
+        assert b'yokesill_requests_total{outcome="answered",route="one"} 1.0' in figures
+        state = await node.talk(b"GET /snapshot HTTP/1.1\r\nHost: x\r\n\r\n", node.settings.peers)
+        assert state.startswith(b"HTTP/1.1 200")
+        nothing = await node.talk(b"GET /else HTTP/1.1\r\nHost: x\r\n\r\n", node.settings.probes)
+        assert nothing.startswith(b"HTTP/1.1 404")
+
+    with_node(main)
+
+
+def test_a_node_without_a_configuration_is_not_ready_and_says_when_to_come_back() -> None:
+    async def main(node: Node) -> None:
+        assert not await node.ready()
+        answer = await node.ask()
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: " in answer.lower()
+
+    with_node(main, known=False)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET /one/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /one/smuggled HTTP/1.1\r\n\r\n",
+        b"GET /one/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        b"POST /one/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"GET /one/x HTTP/1.1\r\nHost shop.example\r\n\r\n",
+        b"GET /one/x HTTP/1.1\r\nHost: shop.example\r\nBad\x00Name: 1\r\n\r\n",
+        b"NONSENSE\r\n\r\n",
+    ],
+)
+def test_malformed_and_smuggled_requests_reach_no_server(data: bytes) -> None:
+    async def main(node: Node) -> None:
+        await node.until(node.ready)
+        answer = await node.talk(data)
+        assert answer.startswith(b"HTTP/1.1 400") or answer == b""
+        assert (await node.ask()).startswith(b"HTTP/1.1 200")
+        assert len(node.backend.heard) == 1
+
+    with_node(main)
+
+
+def test_a_head_that_does_not_end_is_timed_out_and_ran_nowhere() -> None:
+    async def main(node: Node) -> None:
+        await node.until(node.ready)
+        answer = await node.talk(b"GET /one/x HTTP/1.1\r\nHost: shop.example\r\n")
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert node.backend.heard == []
+
+    with_node(main)
+
+
+def test_a_planned_stop_cuts_nothing_off() -> None:
+    async def main(node: Node) -> None:
+        await node.until(node.ready)
+        node.backend.open.clear()
+        in_flight = asyncio.create_task(node.ask())
+        await asyncio.sleep(0.1)
+        node.process.stop()
+        await asyncio.sleep(0.1)
+        assert not await node.ready()
+        late = asyncio.create_task(node.ask())
+        await asyncio.sleep(0.1)
+        node.backend.open.set()
+        for answer in (await in_flight, await late):
+            assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
+            assert b"connection: close" in answer.lower()
+        while node.process.state != "stopped":
+            await asyncio.sleep(0.02)
+        with pytest.raises(ConnectionError):
+            await node.ask()
+
+    with_node(main)
--- a/tests/serving/test_server_client.py
+++ b/tests/serving/test_server_client.py
@@ -239,3 +239,36 @@
         assert outcome.reply.body == b""
 
     with_server(script, main)
+
+
+def test_an_answer_before_the_end_of_a_long_body_counts_but_its_connection_is_not_kept() -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        server.window = 20_000
+        outcome = await client.call(attempt(1, b"POST", b"x" * 100_000))
+        assert isinstance(outcome, AttemptAnswered)
+        server.window = None
+        assert isinstance(await client.call(attempt(2)), AttemptAnswered)
+        assert server.opened == 2
+
+    with_server(well, main)
+
+
+def test_a_long_body_that_is_read_whole_keeps_its_connection() -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        assert isinstance(await client.call(attempt(1, b"POST", b"x" * 100_000)), AttemptAnswered)
+        assert isinstance(await client.call(attempt(2)), AttemptAnswered)
+        assert server.opened == 1
+        assert len(server.heard[0].body) == 100_000
+
+    with_server(well, main)
+
+
+def test_a_server_that_breaks_off_a_long_body_may_have_run_it() -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, _heard: Heard) -> None:
+        await stream.aclose()
+
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        outcome = await client.call(attempt(1, b"POST", b"x" * 100_000))
+        failed(outcome, Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN)
+
+    with_server(script, main)
--- /dev/null
+++ b/tests/serving/test_snapshots.py
@@ -0,0 +1,73 @@
+"""A node that starts while the registry is out of reach learns from a peer."""
+
+import random
+
+import anyio
+import cbor2
+import pytest
+from conftest import run_virtual
+from harness import configuration, gather_route, server, single_route
+from memory_servers import Heard, MemoryServer, MemoryStream
+
+from yokesill.gateway import events as ev
+from yokesill.serving.peers import PeerLearner
+from yokesill.serving.settings import Address
+from yokesill.serving.snapshots import decode_snapshot, encode_snapshot
+
+STATE = configuration(9, gather_route(), single_route())
+RECORDS = [server("a", "s1"), server("b", "desk", leaving=True)]
+
+
+def test_a_snapshot_comes_back_as_it_was() -> None:
+    learnt, replaced = decode_snapshot(encode_snapshot(STATE, RECORDS))
+    assert learnt == ev.ConfigurationLearnt(STATE)
+    assert replaced == ev.ServersReplaced(tuple(RECORDS))
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", cbor2.dumps([]), cbor2.dumps({"format": 2}), cbor2.dumps({"format": 1})]
+)
+def test_a_malformed_snapshot_is_refused(data: bytes) -> None:
+    with pytest.raises(ValueError, match="snapshot"):
+        decode_snapshot(data)
+
+
+def learn_from(body: bytes, registry_answers_after: float | None = None) -> list[ev.Event]:
+    """Start a learner whose seeds answer with ``body``; return what it fed."""
+    fed: list[ev.Event] = []
+    known = [False]
+
+    async def script(_server: MemoryServer, stream: MemoryStream, _heard: Heard) -> None:
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            peer = MemoryServer(script, tasks)
+            seeds = (Address("10.0.0.1", 1), Address("10.0.0.2", 1))
+            learner = PeerLearner(
+                seeds, peer.connect, lambda: known[0] or bool(fed), fed.append, random.Random(1)
+            )
+            tasks.start_soon(learner.run)
+            if registry_answers_after is not None:
+                await anyio.sleep(registry_answers_after)
+                known[0] = True
+            await anyio.sleep(10.0)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+    return fed
+
+
+def test_without_the_registry_the_state_comes_from_a_peer_once() -> None:
+    assert [type(each) for each in learn_from(encode_snapshot(STATE, RECORDS))] == [
+        ev.ConfigurationLearnt,
+        ev.ServersReplaced,
+    ]
+
+
+def test_a_registry_that_answers_leaves_nothing_to_ask_peers() -> None:
+    assert learn_from(encode_snapshot(STATE, RECORDS), registry_answers_after=0.1) == []
+
+
+def test_a_peer_that_answers_nonsense_teaches_nothing() -> None:
+    assert learn_from(b"nonsense") == []
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,40 @@
+"""One request's story out of several nodes' logs."""
+
+import json
+from pathlib import Path
+
+from cleo.testers.command_tester import CommandTester
+
+from yokesill.cli.explain import ExplainCommand, read_lines, story
+
+
+def line(time: str, event: str, **fields: object) -> str:
+    return json.dumps({"event": event, "timestamp": f"2026-01-01T00:00:{time}Z", **fields})
+
+
+NODE_1 = [
+    line("01", "server_state", instance="i-1", service="s1", state="ejected"),
+    line("02", "server_state", instance="i-2", service="s2", state="ejected"),
+    line("04", "attempt_added", request="r1", instance="i-3", cause="hedge"),
+    line("05", "request_ended", request="r1", outcome="partial", missing=["s1"]),
+    line("06", "server_state", instance="i-1", service="s1", state="cold"),
+]
+NODE_2 = [f" 12.5 node-2 {line('03', 'request_ended', request='r0', outcome='answered')}", "not JSON"]
+
+
+def test_a_request_is_told_with_what_was_believed_of_its_servers() -> None:
+    lines = [*read_lines("node-1", NODE_1), *read_lines("x", NODE_2)]
+    assert [each.event for each in story(lines, "r1")] == ["server_state", "attempt_added", "request_ended"]
+    assert story(lines, "r1")[0].fields["instance"] == "i-1"
+    assert [each.source for each in story(lines, "r0")] == ["node-2"]
+
+
+def test_the_command_prints_the_story_or_says_what_to_give(tmp_path: Path) -> None:
+    file = tmp_path / "node-1.log"
+    file.write_text("\n".join(NODE_1))
+    tester = CommandTester(ExplainCommand())
+    assert tester.execute(f"r1 {file}") == 0
+    assert "outcome=partial" in tester.io.fetch_output()
+    assert tester.execute(f"r9 {file}") != 0
+    assert "r9" in tester.io.fetch_error()
+    assert tester.execute(f"r1 {tmp_path / 'none'}") != 0
