--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -62,7 +62,7 @@
         statistics.mean(worths),
         max(worths) - min(worths),
         statistics.mean(run.unserved for run in runs),
-        *(statistics.mean(run.parts[part] for run in runs) for part in PARTS),
+        *(statistics.mean(run.parts.get(part, 0.0) for run in runs) for part in PARTS),
         *(statistics.mean(run.prices.get(price, 0.0) for run in runs) for price in SHOWN_PRICES),
     ]
     broken = sorted({rule for run in runs for rule in run.breaks})
--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -1,11 +1,15 @@
-"""Entry file of the deploy file's role: finds the package beside it and starts a node."""
+"""Entry file of the deploy file's role: finds the package beside it and starts a node.
 
+Started without the ``site`` module, which costs time and would let packages in that nobody declared.
+"""
+
+import os.path
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "src"))
 
-from yokesill.platform.main import main
+from yokesill.platform.start import main  # noqa: E402 (after the path is set)
 
 if __name__ == "__main__":
-    raise SystemExit(main())
+    raise SystemExit(main(sys.argv[1:]))
--- a/src/yokesill/clock.py
+++ b/src/yokesill/clock.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 import anyio
-import sniffio
 
 Clock = Callable[[], float]
 
@@ -17,6 +16,7 @@
     Clock
         Reads the same time as ``anyio.current_time`` (seconds), without looking the loop up anew.
     """
-    if sniffio.current_async_library() == "asyncio":
+    try:
         return asyncio.get_running_loop().time
-    return anyio.current_time
+    except RuntimeError:
+        return anyio.current_time
--- a/src/yokesill/comm/http_reply.py
+++ b/src/yokesill/comm/http_reply.py
@@ -33,6 +33,11 @@
         self._framed = False
         self._head_done = False
 
+    @property
+    def begun(self) -> bool:
+        """Whether any byte of it has come."""
+        return self._received > 0
+
     @property
     def framed(self) -> bool:
         """Whether the reply says where it ends; the others end with their connection."""
--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -4,12 +4,12 @@
 from yokesill.gateway.documents import Route
 from yokesill.gateway.events import Action, Note, SendAttempt
 from yokesill.gateway.messages import Attempt, GatewayRequest, ServerReply
-from yokesill.gateway.selection import choose_server
+from yokesill.gateway.selection import Choice, Wanted, choose_server
 from yokesill.verdict import Failure, Reason, Verdict
 
 LEAST_TIME_TO_SEND = 0.003
 NEVER = float("inf")
-NEVER_LEFT = frozenset({Reason.OVERLOADED, Reason.CONNECT_FAILED})
+NEVER_LEFT = frozenset({Reason.OVERLOADED, Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED})
 
 
 class ServiceCall:
@@ -17,7 +17,8 @@
 
     ``reply`` is the answer that counts; ``fallback`` a failure that a server answered with, to be
     passed on when nothing better comes. ``settled`` is its request's mark that it was counted.
-    ``hedge_at`` is when another server is asked as well.
+    ``hedge_at`` is when another server is asked as well. ``deferred`` names why an attempt is yet to
+    be sent that waits for room at its servers; it is empty otherwise.
     """
 
     def __init__(self, service: str, request: GatewayRequest, route: Route, context: GatewayContext) -> None:
@@ -28,6 +29,8 @@
         self.settled = False
         self.failure: Failure | None = None
         self.hedge_at = NEVER
+        self.deferred = ""
+        self.late = False
         self.sent = 0
         self.extras = 0
         self._request = request
@@ -56,48 +59,74 @@
 
     # --- sending ---
 
-    def begin(self, deadline: float, hedge_delay: float, now: float, actions: list[Action]) -> None:
+    def look(self, now: float) -> Choice | None:
+        """Return the server that an attempt would go to now; ``None`` when there is none."""
+        context = self._context
+        wanted = Wanted(
+            tried=self._tried,
+            subset=context.subset(self.service),
+            typical_s=context.typical(self._route).median,
+            removed_grace_s=context.options.removed_grace,
+            connection_limit=context.connection_limit(self.service),
+            last_resort=len(self._route.services) == 1,
+            nodes=context.nodes if context.options.paces else 0,
+        )
+        return choose_server(context.servers.of_service(self.service), wanted, now, context.random_source)
+
+    def begin(
+        self, choice: Choice | None, deadline: float, hedge_delay: float, now: float, actions: list[Action]
+    ) -> None:
         """Send the first attempt, or close the call when there is nobody to send it to."""
-        self._context.budget(self.service).count_request(now)
-        if self._send("first", deadline, now, actions):
-            self.hedge_at = now + hedge_delay
+        if choice is not None and self._send("first", choice, deadline, hedge_delay, now, actions):
             return
         if deadline - now < LEAST_TIME_TO_SEND:
             self._close(Failure(Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN, "no time was left on arrival"))
             return
         self._close(Failure(Reason.NO_REPLICA, Verdict.NOT_RUN, f"no server of {self.service} can be asked"))
 
+    def defer(self, cause: str) -> None:
+        """Let an attempt wait for room at the service's servers."""
+        self.deferred = cause
+        self.hedge_at = NEVER
+
+    def take_room(
+        self, choice: Choice | None, deadline: float, hedge_delay: float, now: float, actions: list[Action]
+    ) -> None:
+        """Send the attempt that was deferred, or close the call when it can't be sent any more."""
+        cause, self.deferred = self.deferred, ""
+        if choice is None or not self._send(cause, choice, deadline, hedge_delay, now, actions):
+            self._close(
+                self.failure
+                or Failure(Reason.NO_REPLICA, Verdict.NOT_RUN, f"no server of {self.service} can be asked")
+            )
+
     def hedge(self, deadline: float, delay: float, now: float, actions: list[Action]) -> None:
         """Ask another server as well: the attempts under way are late."""
         for attempt in self._live.values():
             self._context.stall(attempt)
         self.hedge_at = NEVER
+        self.late = True
         if not self._route.repeatable or not self._may_run_again():
             return
-        if self._send("hedge", deadline, now, actions):
-            self.hedge_at = now + delay
+        choice = self.look(now)
+        if choice is not None and self._context.has_spare_room(choice, self.service, now):
+            self._send("hedge", choice, deadline, delay, now, actions)
 
     def _may_run_again(self) -> bool:
         return self._ran + len(self._live) < self._route.attempts
 
-    def _send(self, cause: str, deadline: float, now: float, actions: list[Action]) -> bool:
-        context = self._context
+    def _send(
+        self,
+        cause: str,
+        choice: Choice,
+        deadline: float,
+        hedge_delay: float,
+        now: float,
+        actions: list[Action],
+    ) -> bool:
+        context, server = self._context, choice.server
         if deadline - now < LEAST_TIME_TO_SEND:
             return False
-        limit = context.connection_limit(self.service)
-        server = choose_server(
-            context.servers.of_service(self.service),
-            self._tried,
-            context.typical(self._route).median,
-            context.options.removed_grace,
-            limit,
-            context.subset(self.service),
-            now,
-            context.random_source,
-            last_resort=len(self._route.services) == 1,
-        )
-        if server is None:
-            return False
         extra = self._arrived or bool(self._live)
         if extra and not context.budget(self.service).take(context.nodes, now):
             actions.append(self._note("budget_spent", cause, server.record.instance, now))
@@ -105,12 +134,15 @@
         number = next(context.numbers)
         live = LiveAttempt(number, self._request.request_id, server, now, extra)
         context.live[number] = self._live[number] = live
-        server.in_flight += 1
+        server.begin(number, context.typical(self._route).median, now)
         self._tried.add(server.record.instance)
         self.sent += 1
         self.extras += extra
+        self.late = False
+        self.hedge_at = now + (hedge_delay if choice.sound else max(hedge_delay, choice.expected_s))
         if cause != "first":
             actions.append(self._note("attempt_added", cause, server.record.instance, now))
+        limit = min(context.connection_limit(self.service), server.connection_window)
         repeatable = self._route.repeatable
         attempt = Attempt(number, self._request, server.record, limit, deadline, repeatable)
         actions.append(SendAttempt(attempt))
@@ -142,9 +174,12 @@
 
     def failed(self, number: int, failure: Failure) -> None:
         """Take an attempt's end without an answer."""
-        self._live.pop(number, None)
+        live = self._live.pop(number, None)
         self.failure = failure
-        self._arrived = self._arrived or failure.reason not in NEVER_LEFT
+        never_left = failure.verdict is Verdict.NOT_RUN and failure.reason in NEVER_LEFT
+        self._arrived = self._arrived or not never_left
+        if never_left and failure.reason is Reason.CONNECTION_REFUSED and live is not None:
+            self._tried.discard(live.server.record.instance)
         if failure.verdict is not Verdict.NOT_RUN:
             self._ran += 1
             self._verdict = max(self._verdict, failure.verdict)
@@ -154,8 +189,11 @@
         if not self.open or self._live:
             return
         may_repeat = self._route.repeatable or self._verdict is Verdict.NOT_RUN
-        if may_repeat and self._may_run_again() and self._send("retry", deadline, now, actions):
-            self.hedge_at = now + delay
+        choice = self.look(now) if may_repeat and self._may_run_again() else None
+        if choice is not None and not self._context.has_room(choice, now):
+            self.defer("retry")
+            return
+        if choice is not None and self._send("retry", choice, deadline, delay, now, actions):
             return
         self._close(
             self.failure or Failure(Reason.BACKEND_ERROR, Verdict.RAN, "the server answered a failure")
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -4,13 +4,16 @@
 import random
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 from yokesill.gateway.budget import BudgetTerms, ExtraAttemptBudget
 from yokesill.gateway.documents import Configuration, Route
 from yokesill.gateway.estimates import TypicalLatency
 from yokesill.gateway.options import GatewayOptions
+from yokesill.gateway.selection import Choice
 from yokesill.gateway.server_table import ServerTable
 from yokesill.gateway.servers import ServerState
+from yokesill.gateway.waiting import WaitingRoom
 from yokesill.rendezvous import name_hash, weight
 
 LATENESS_WEIGHT, LATENESS_CEILING = 0.2, 0.05
@@ -31,7 +34,6 @@
     server: ServerState
     sent_at: float
     extra: bool
-    stalled: bool = False
     told: bool = False
 
 
@@ -52,6 +54,7 @@
     lateness: float = 0.0
     live: dict[int, LiveAttempt] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    waiting: WaitingRoom[Any] = field(default_factory=WaitingRoom)
     _node_hash: int = field(init=False, default=0)
     _terms: BudgetTerms | None = None
     _budgets: dict[str, ExtraAttemptBudget] = field(default_factory=dict)
@@ -151,16 +154,21 @@
         distance = round(server.round_trip / SAME_DISTANCE_S)
         return distance, weight(self._node_hash, server.name_hash)
 
+    def has_room(self, choice: Choice, now: float) -> bool:
+        """Whether the chosen server may be sent a request now; sound ones always may."""
+        return choice.sound or not self.options.paces or choice.room_at_s <= now
+
+    def has_spare_room(self, choice: Choice, service: str, now: float) -> bool:
+        """Whether the chosen server may be asked without taking the room that a request waits for."""
+        return self.has_room(choice, now) and (choice.sound or not self.waiting.anybody(service))
+
     def stall(self, attempt: LiveAttempt) -> None:
         """Mark an attempt as late by its route's measure."""
-        if not attempt.stalled:
-            attempt.stalled = True
-            attempt.server.stalled += 1
+        attempt.server.stall(attempt.number)
 
     def release(self, number: int) -> LiveAttempt | None:
         """Take an ended attempt off its server; ``None`` when it had ended before."""
         attempt = self.live.pop(number, None)
         if attempt is not None:
-            attempt.server.in_flight -= 1
-            attempt.server.stalled -= attempt.stalled
+            attempt.server.end(number)
         return attempt
--- a/src/yokesill/gateway/events.py
+++ b/src/yokesill/gateway/events.py
@@ -10,11 +10,13 @@
 
 
 class TimerKind(enum.IntEnum):
-    """The decision points of a request."""
+    """The decision points of a request; ``ROOM`` is one of a service, whose name is the timer's key."""
 
     HEDGE = 1
     SOFT = 2
     HARD = 3
+    OFFER = 4
+    ROOM = 5
 
 
 # --- events ---
--- a/src/yokesill/gateway/options.py
+++ b/src/yokesill/gateway/options.py
@@ -16,6 +16,8 @@
     after how many typical latencies an attempt counts as stalled. ``assumed_nodes`` stands in until
     the nodes were counted. ``removed_grace`` is how long a server whose entry is gone may still be a
     last resort: entries also vanish when the registry was down.
+
+    The last options switch mechanisms off for experiments, see ``docs/decisions.md``.
     """
 
     zone: str
@@ -32,6 +34,9 @@
     connection_share: float = 0.9
     zone_round_trip: float = 0.002
     region_round_trip: float = 0.025
+    leaves_out: bool = True
+    paces: bool = True
+    withdraws: bool = True
 
     def assumed_round_trip(self, zone: str) -> float:
         """Return the round trip to a server's zone until connecting has shown it."""
--- /dev/null
+++ b/src/yokesill/gateway/parts.py
@@ -0,0 +1,214 @@
+"""The services that one request asks: which at once, which when there is room, which not at all."""
+
+import math
+
+from yokesill.gateway.calls import NEVER, ServiceCall
+from yokesill.gateway.context import GatewayContext
+from yokesill.gateway.documents import Gather, Route
+from yokesill.gateway.events import Action, SetTimer, TimerKind
+from yokesill.gateway.messages import GatewayRequest
+from yokesill.gateway.selection import Choice
+from yokesill.gateway.waiting import Waiting
+
+LATEST_HEDGE_SHARE = 1.3
+ROUNDING = 1e-9
+
+
+class RequestParts:
+    """The calls of one request, ``required`` of which must bring a part.
+
+    Services that have a sound server are asked at once. Where all servers are slow, a call is
+    deferred: as many of those as the answer needs are asked when there is room, the others only
+    where room would be left idle.
+    """
+
+    def __init__(
+        self, request: GatewayRequest, route: Route, services: tuple[str, ...], context: GatewayContext
+    ) -> None:
+        self.calls = [ServiceCall(service, request, route, context) for service in services]
+        self.by_number: dict[int, ServiceCall] = {}
+        self.covered = 0
+        self._route = route
+        self._request = request
+        self._context = context
+        self._by_service = {call.service: call for call in self.calls}
+        self._unsettled = len(self.calls)
+        self._deferred = 0
+        self._gathers = isinstance(route.destination, Gather)
+        share = route.destination.minimum_coverage if isinstance(route.destination, Gather) else 1.0
+        self.required = max(1, math.ceil(share * len(self.calls) - ROUNDING))
+
+    # --- what is known of them ---
+
+    @property
+    def enough(self) -> bool:
+        """Whether as many parts are in as the answer needs."""
+        return self.covered >= self.required
+
+    @property
+    def under_way(self) -> int:
+        """How many calls were asked and may still bring a part."""
+        return self._unsettled - self._deferred
+
+    @property
+    def hopeless(self) -> bool:
+        """Whether too few parts can still come."""
+        return self.covered + self._unsettled < self.required
+
+    @property
+    def offered(self) -> bool:
+        """Whether half of the services were asked."""
+        return 2 * sum(call.sent > 0 for call in self.calls) >= len(self.calls)
+
+    def wants_room(self, service: str) -> bool:
+        """Whether a service should be asked as soon as one of its slow servers has room."""
+        call = self._by_service[service]
+        return bool(call.deferred) and self._wanted() > 0
+
+    def _wanted(self) -> int:
+        """Return how many of the deferred calls the answer still needs."""
+        if not self._context.options.leaves_out:
+            return self._deferred
+        expected = sum(call.open and not call.deferred and not call.late for call in self.calls)
+        return self.required - self.covered - expected
+
+    # --- asking ---
+
+    def begin(self, owner: Waiting, deadline_s: float, now: float, actions: list[Action]) -> None:
+        """Ask every service that has a sound server, and of the others what is needed."""
+        delay = self.hedge_delay(owner.soft, now)
+        for call in self.calls:
+            self._context.budget(call.service).count_request(now)
+            choice = call.look(now)
+            if choice is None or choice.sound:
+                call.begin(choice, deadline_s, delay, now, actions)
+                self._took(call)
+            else:
+                self._defer(call, "first")
+        self.fill(owner, deadline_s, now, actions)
+
+    def fill(self, owner: Waiting, deadline_s: float, now: float, actions: list[Action]) -> None:
+        """Ask deferred services that are needed and have room; the owner waits for the rest."""
+        if not self._deferred:
+            return
+        looks = [(call, call.look(now)) for call in self.calls if call.deferred]
+        looks.sort(key=lambda each: NEVER if each[1] is None else each[1].expected_s)
+        for call, choice in looks:
+            if choice is None or self._may_go(choice, now):
+                self._go(call, choice, owner, deadline_s, now, actions)
+        if self._wanted() <= 0:
+            return
+        for call, choice in looks:
+            if call.deferred and choice is not None:
+                self._wait(call, choice, owner, now, actions)
+
+    def _may_go(self, choice: Choice, now: float) -> bool:
+        """Whether a slow server may be asked now: it has room, and is needed or would be idle."""
+        if not self._context.has_room(choice, now):
+            return False
+        return self._wanted() > 0 or choice.idle(now)
+
+    def _wait(
+        self, call: ServiceCall, choice: Choice, owner: Waiting, now: float, actions: list[Action]
+    ) -> None:
+        waiting = self._context.waiting
+        waiting.enter(call.service, owner, choice.expected_s)
+        if waiting.look_again(call.service, choice.room_at_s):
+            actions.append(SetTimer(call.service, TimerKind.ROOM, choice.room_at_s))
+
+    def take_room(
+        self, service: str, owner: Waiting, deadline_s: float, now: float, actions: list[Action]
+    ) -> float | None:
+        """Ask a service that has room; return ``None``, or from when on it has room (seconds)."""
+        call = self._by_service[service]
+        choice = call.look(now)
+        if choice is not None and not self._context.has_room(choice, now):
+            return choice.room_at_s
+        self._go(call, choice, owner, deadline_s, now, actions)
+        return None
+
+    def offer(self, owner: Waiting, deadline_s: float, now: float, actions: list[Action]) -> None:
+        """Ask deferred services until half of all were asked, room or not."""
+        for call in self.calls:
+            if self.offered:
+                return
+            if call.deferred:
+                self._go(call, call.look(now), owner, deadline_s, now, actions)
+
+    def _go(
+        self,
+        call: ServiceCall,
+        choice: Choice | None,
+        owner: Waiting,
+        deadline_s: float,
+        now: float,
+        actions: list[Action],
+    ) -> None:
+        self._deferred -= 1
+        call.take_room(choice, deadline_s, self.hedge_delay(owner.soft, now), now, actions)
+        self._took(call)
+
+    def _defer(self, call: ServiceCall, cause: str) -> None:
+        call.defer(cause)
+        self._deferred += 1
+
+    # --- hedges and retries ---
+
+    def hedge_delay(self, soft_s: float, now: float) -> float:
+        """Return after how long an attempt counts as late, in seconds.
+
+        That is some typical latencies, but early enough for another server to answer in time.
+        """
+        options = self._context.options
+        factor = options.gather_hedge_factor if self._gathers else options.single_hedge_factor
+        typical = self._context.typical(self._route).median
+        latest = soft_s - now - LATEST_HEDGE_SHARE * typical
+        delay = typical * factor
+        if typical < latest < delay:
+            delay = latest
+        return max(delay, options.minimum_hedge_delay)
+
+    def late_calls(self, now: float) -> list[ServiceCall]:
+        """Return the calls whose attempts are late."""
+        return [call for call in self.calls if call.open and call.hedge_at <= now]
+
+    def next_hedge_at(self) -> float:
+        """Return when the next attempt is late."""
+        return min((call.hedge_at for call in self.calls if call.open), default=NEVER)
+
+    def hedge(
+        self, late: list[ServiceCall], owner: Waiting, deadline_s: float, now: float, actions: list[Action]
+    ) -> None:
+        """Ask other servers of the services whose attempts are late."""
+        delay = self.hedge_delay(owner.soft, now)
+        for call in late:
+            call.hedge(deadline_s, delay, now, actions)
+            self._took(call)
+        self.fill(owner, deadline_s, now, actions)
+
+    def retry(
+        self, call: ServiceCall, owner: Waiting, deadline_s: float, now: float, actions: list[Action]
+    ) -> None:
+        """Ask a service again after an attempt that brought no success."""
+        was_deferred = bool(call.deferred)
+        call.retry(deadline_s, self.hedge_delay(owner.soft, now), now, actions)
+        self._deferred += bool(call.deferred) - was_deferred
+        self._took(call)
+        self.fill(owner, deadline_s, now, actions)
+
+    # --- counting ---
+
+    def _took(self, call: ServiceCall) -> None:
+        """Note a call's new attempts, and count it once it can bring nothing more."""
+        for number in call.live_numbers:
+            self.by_number[number] = call
+        self.count(call)
+
+    def count(self, call: ServiceCall) -> None:
+        """Count a call once it can bring nothing more; a wide request can't look at all each time."""
+        if not call.open and not call.settled:
+            call.settled = True
+            self._unsettled -= 1
+            self._deferred -= bool(call.deferred)
+            call.deferred = ""
+            self.covered += call.reply is not None
--- a/src/yokesill/gateway/request.py
+++ b/src/yokesill/gateway/request.py
@@ -14,11 +14,12 @@
 )
 from yokesill.gateway.merge import greatest_records
 from yokesill.gateway.messages import GatewayRequest, RequestSummary, ServerReply
+from yokesill.gateway.parts import RequestParts
 from yokesill.verdict import Failure, Reason, Verdict, join
 
-LATEST_HEDGE_SHARE = 1.3
 NODE_LATE_SHARE = 0.5
 LEAST_CALLS_TO_COMPARE = 8
+OFFER_SHARE = 0.2
 SHED_RETRY_AFTER_MS = 100
 FAILED_RETRY_AFTER_MS = 250
 
@@ -43,12 +44,9 @@
         self.done = False
         self._version = version
         self._context = context
-        self._calls = [ServiceCall(service, request, route, context) for service in services]
-        self._call_of: dict[int, ServiceCall] = {}
+        self._parts = RequestParts(request, route, services, context)
         self._timer_at = NEVER
         self._postponed = False
-        self._unsettled = len(self._calls)
-        self._covered = 0
         options = context.options
         margin = options.fresh_margin if request.fresh_connection else options.kept_margin
         margin += context.lateness
@@ -64,118 +62,112 @@
 
     def begin(self, now: float, actions: list[Action]) -> None:
         """Send the first attempts and set the timers."""
-        delay = self._hedge_delay(now)
-        for call in self._calls:
-            call.begin(self.hard, delay, now, actions)
-            self._adopt(call)
-            self._count(call)
+        self._parts.begin(self, self.hard, now, actions)
         if isinstance(self.route.destination, Gather):
             actions.append(SetTimer(self.request.key, TimerKind.SOFT, self.soft))
+        if not self._parts.offered:
+            offer_at = self.request.arrived_at + OFFER_SHARE * self.route.target
+            actions.append(SetTimer(self.request.key, TimerKind.OFFER, offer_at))
         actions.append(SetTimer(self.request.key, TimerKind.HARD, self.hard))
         self._conclude(now, actions)
         self._set_hedge_timer(actions)
 
     def answered(self, number: int, reply: ServerReply, now: float, actions: list[Action]) -> None:
         """Take an attempt's whole answer."""
-        call = self._call_of.pop(number)
+        call = self._parts.by_number.pop(number)
         call.answered(number, reply)
         if not reply.succeeded and self.route.repeatable and reply.status >= 500 and not self.done:
             self._retry(call, now, actions)
         elif not reply.succeeded and not call.live_numbers:
             call.closed = call.reply is None
-        self._count(call)
+        self._parts.count(call)
         self._conclude(now, actions)
 
     def failed(self, number: int, failure: Failure, now: float, actions: list[Action]) -> None:
         """Take an attempt's end without an answer."""
-        call = self._call_of.pop(number)
+        call = self._parts.by_number.pop(number)
         call.failed(number, failure)
         if not self.done:
             self._retry(call, now, actions)
-            self._count(call)
             self._conclude(now, actions)
 
     def timer(self, kind: TimerKind, now: float, actions: list[Action]) -> None:
         """Take a decision point."""
         if self.done:
             return
-        due = {TimerKind.HEDGE: self._timer_at, TimerKind.SOFT: self.soft, TimerKind.HARD: self.hard}[kind]
+        due = self._due(kind)
         self._context.observe_lateness(max(0.0, now - due))
         if kind is TimerKind.HEDGE:
             self._hedge_due(now, actions)
         elif kind is TimerKind.HARD:
             self._give_up(now, actions)
+        elif kind is TimerKind.OFFER:
+            self._parts.offer(self, self.hard, now, actions)
+            self._set_hedge_timer(actions)
         self._conclude(now, actions)
 
+    def _due(self, kind: TimerKind) -> float:
+        if kind is TimerKind.HEDGE:
+            return self._timer_at
+        if kind is TimerKind.OFFER:
+            return self.request.arrived_at + OFFER_SHARE * self.route.target
+        return self.soft if kind is TimerKind.SOFT else self.hard
+
     def caller_left(self, actions: list[Action]) -> None:
         """Break everything off: nobody waits for it."""
         self.done = True
-        for number in list(self._call_of):
-            del self._call_of[number]
+        for number in list(self._parts.by_number):
+            del self._parts.by_number[number]
             self._context.release(number)
             actions.append(CancelAttempt(number))
 
-    # --- hedges and retries ---
+    # --- room at slow servers ---
+
+    def wants_room(self, service: str) -> bool:
+        """Whether a service should be asked as soon as one of its slow servers has room."""
+        return not self.done and self._parts.wants_room(service)
+
+    def take_room(self, service: str, now: float, actions: list[Action]) -> float | None:
+        """Ask a service that has room; return ``None``, or from when on it has room (seconds)."""
+        room_at_s = self._parts.take_room(service, self, self.hard, now, actions)
+        if room_at_s is None:
+            self._conclude(now, actions)
+            self._set_hedge_timer(actions)
+        return room_at_s
 
-    def _hedge_delay(self, now: float) -> float:
-        """Return after how long an attempt counts as late, in seconds.
-
-        That is some typical latencies, but early enough for another server to answer in time.
-        """
-        options = self._context.options
-        gathers = isinstance(self.route.destination, Gather)
-        factor = options.gather_hedge_factor if gathers else options.single_hedge_factor
-        typical = self._context.typical(self.route).median
-        latest = self.soft - now - LATEST_HEDGE_SHARE * typical
-        delay = typical * factor
-        if typical < latest < delay:
-            delay = latest
-        return max(delay, options.minimum_hedge_delay)
+    # --- hedges and retries ---
 
     def _hedge_due(self, now: float, actions: list[Action]) -> None:
         self._timer_at = NEVER
-        delay = self._hedge_delay(now)
-        late = [call for call in self._calls if call.open and call.hedge_at <= now]
+        late = self._parts.late_calls(now)
         if self._node_is_late(late):
+            delay = self._parts.hedge_delay(self.soft, now)
             for call in late:
                 call.hedge_at = now + delay
         else:
-            for call in late:
-                call.hedge(self.hard, delay, now, actions)
-                self._adopt(call)
+            self._parts.hedge(late, self, self.hard, now, actions)
         self._set_hedge_timer(actions)
 
     def _node_is_late(self, late: list[ServiceCall]) -> bool:
         """Whether so many services are late at once that this node is the likelier cause; once."""
-        if self._postponed or len(self._calls) < LEAST_CALLS_TO_COMPARE:
+        calls = len(self._parts.calls)
+        if self._postponed or calls < LEAST_CALLS_TO_COMPARE:
             return False
-        self._postponed = len(late) > NODE_LATE_SHARE * len(self._calls)
+        self._postponed = len(late) > NODE_LATE_SHARE * calls
         return self._postponed
 
     def _retry(self, call: ServiceCall, now: float, actions: list[Action]) -> None:
-        call.retry(self.hard, self._hedge_delay(now), now, actions)
-        self._adopt(call)
+        self._parts.retry(call, self, self.hard, now, actions)
         self._set_hedge_timer(actions)
 
-    def _adopt(self, call: ServiceCall) -> None:
-        for number in call.live_numbers:
-            self._call_of[number] = call
-
     def _set_hedge_timer(self, actions: list[Action]) -> None:
-        due = min((call.hedge_at for call in self._calls if call.open), default=NEVER)
+        due = self._parts.next_hedge_at()
         if due < self._timer_at and not self.done:
             self._timer_at = due
             actions.append(SetTimer(self.request.key, TimerKind.HEDGE, due))
 
     # --- the final answer ---
 
-    def _count(self, call: ServiceCall) -> None:
-        """Count a call once it can bring nothing more; a wide request can't look at all each time."""
-        if not call.open and not call.settled:
-            call.settled = True
-            self._unsettled -= 1
-            self._covered += call.reply is not None
-
     def _conclude(self, now: float, actions: list[Action]) -> None:
         """Answer as soon as that is right; at most once."""
         if self.done:
@@ -186,7 +178,7 @@
             self._conclude_single(now, actions)
 
     def _conclude_single(self, now: float, actions: list[Action]) -> None:
-        call = self._calls[0]
+        call = self._parts.calls[0]
         if call.open:
             return
         self.done = True
@@ -197,32 +189,35 @@
         self._refuse(now, actions)
 
     def _conclude_gather(self, gather: Gather, now: float, actions: list[Action]) -> None:
-        enough = self._covered > 0 and self._covered >= gather.minimum_coverage * len(self._calls)
-        if self._unsettled and not (enough and now >= self.soft):
+        parts = self._parts
+        if parts.enough:
+            if parts.under_way and now < self.soft:
+                return
+        elif not parts.hopeless:
             return
         self.done = True
-        if not enough:
+        if not parts.enough:
             self._refuse(now, actions)
             return
-        replies = [call.reply for call in self._calls if call.reply is not None]
+        replies = [call.reply for call in parts.calls if call.reply is not None]
         records = greatest_records((reply.body for reply in replies), gather.greatest)
         signatures = tuple(reply.signature for reply in replies if reply.signature is not None)
-        missing = len(self._calls) - len(replies)
+        missing = len(parts.calls) - len(replies)
         summary = self._summary(now)
         actions.append(Gathered(self.request.key, records, signatures, missing, summary))
 
     def _give_up(self, now: float, actions: list[Action]) -> None:
         """The time is over: answer with what there is, or say that it is over."""
-        for call in self._calls:
+        for call in self._parts.calls:
             if call.open:
                 call.closed = True
                 call.failure = Failure(Reason.TIMED_OUT, call.verdict, "no answer in time")
-                self._count(call)
+                self._parts.count(call)
         self._conclude(now, actions)
 
     def _refuse(self, now: float, actions: list[Action]) -> None:
-        failures = [call.failure for call in self._calls if call.failure is not None]
-        verdict = join(call.verdict for call in self._calls)
+        failures = [call.failure for call in self._parts.calls if call.failure is not None]
+        verdict = join(call.verdict for call in self._parts.calls)
         reason = (
             failures[0].reason if len({each.reason for each in failures}) == 1 else Reason.COVERAGE_TOO_LOW
         )
@@ -232,15 +227,15 @@
         actions.append(Refuse(self.request.key, failure, self._summary(now)))
 
     def _summary(self, now: float) -> RequestSummary:
-        covered = sum(call.reply is not None for call in self._calls)
+        covered = sum(call.reply is not None for call in self._parts.calls)
         return RequestSummary(
             route=self.route.name,
             version=self._version,
-            verdict=join(call.verdict for call in self._calls),
+            verdict=join(call.verdict for call in self._parts.calls),
             elapsed=now - self.request.arrived_at,
             covered=covered,
-            asked=len(self._calls),
-            attempts=sum(call.sent for call in self._calls),
-            extra_attempts=sum(call.extras for call in self._calls),
-            missing=tuple(call.service for call in self._calls if call.reply is None),
+            asked=len(self._parts.calls),
+            attempts=sum(call.sent for call in self._parts.calls),
+            extra_attempts=sum(call.extras for call in self._parts.calls),
+            missing=tuple(call.service for call in self._parts.calls if call.reply is None),
         )
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -22,6 +22,8 @@
 # Servers pause now and then, for some hundred milliseconds; silence beyond that is told.
 SILENCE_TO_TELL_S, SILENCE_TO_TELL_FACTOR = 0.4, 8.0
 SILENCE_CHECK_S = 0.1
+# Failures that say nothing of the server: this node's own limits, and a connection that had rested.
+NO_EVIDENCE = frozenset({Reason.OVERLOADED, Reason.CONNECTION_FORGOTTEN})
 
 
 class GatewayRouter:
@@ -75,11 +77,28 @@
     # --- requests ---
 
     def _timer(self, event: ev.TimerFired, now: float, actions: list[ev.Action]) -> None:
+        if event.kind is ev.TimerKind.ROOM:
+            self._context.waiting.looked(event.key)
+            self._serve_waiting(event.key, now, actions)
+            return
         machine = self._requests.get(event.key)
         if machine is not None:
             machine.timer(event.kind, now, actions)
             self._settle(machine, actions)
 
+    def _serve_waiting(self, service: str, now: float, actions: list[ev.Action]) -> None:
+        """Let requests that wait for room at a service have it, in their order."""
+        waiting = self._context.waiting
+        while (request := waiting.next(service, now)) is not None:
+            taken: list[ev.Action] = []
+            room_at_s = request.take_room(service, now, taken)
+            self._settle(request, taken)
+            actions.extend(taken)
+            if room_at_s is not None:
+                if waiting.look_again(service, room_at_s):
+                    actions.append(ev.SetTimer(service, ev.TimerKind.ROOM, room_at_s))
+                return
+
     def _arrived(self, request: GatewayRequest, now: float, actions: list[ev.Action]) -> None:
         configuration = self._context.configuration
         if configuration is None:
@@ -148,6 +167,7 @@
         self._tell_evidence(attempt, now, actions)
         machine.answered(event.number, reply, now, actions)
         self._settle(machine, actions)
+        self._serve_waiting(server.record.service, now, actions)
 
     def _failed(self, number: int, failure: Failure, now: float, actions: list[ev.Action]) -> None:
         attempt, machine = self._end(number)
@@ -158,12 +178,15 @@
             attempt.server.shed(now)
         elif failure.reason is Reason.BACKEND_LEAVING:
             attempt.server.leave()
-        elif failure.reason is not Reason.OVERLOADED and self._had_its_time(attempt, machine, failure, now):
+        elif failure.reason is Reason.CONNECTION_REFUSED:
+            attempt.server.refused(now)
+        elif failure.reason not in NO_EVIDENCE and self._had_its_time(attempt, machine, failure, now):
             state = attempt.server.failed(attempt.sent_at, now)
             self._note_state(attempt, state, failure.reason.value, now, actions)
             self._tell_evidence(attempt, now, actions)
         machine.failed(number, failure, now, actions)
         self._settle(machine, actions)
+        self._serve_waiting(attempt.server.record.service, now, actions)
 
     def _tell_evidence(self, attempt: LiveAttempt, now: float, actions: list[ev.Action]) -> None:
         if attempt.server.take_evidence() and not attempt.told:
--- a/src/yokesill/gateway/selection.py
+++ b/src/yokesill/gateway/selection.py
@@ -2,49 +2,111 @@
 
 import random
 from collections.abc import Collection, Iterable
+from typing import NamedTuple
 
 from yokesill.gateway.servers import ServerState
 
 NEAR_ENOUGH = 1.15
-SAME_DISTANCE = 0.0006
+SAME_DISTANCE_S = 0.0006
+# A slow server's latency holds some waiting: a little more than its share keeps all slots busy.
+PACE_SHARE = 0.85
+
+
+class Wanted(NamedTuple):
+    """What an attempt asks of its server.
+
+    ``tried`` are instances that were asked before, ``subset`` those that this node connects to first.
+    ``typical_s`` is what the route's attempts usually take; a server whose entry vanished is a last
+    resort for ``removed_grace_s``. With ``last_resort`` a failing server is better than none.
+    ``nodes`` share the pace of slow servers; 0 when those are not paced.
+    """
+
+    tried: Collection[str]
+    subset: Collection[str]
+    typical_s: float
+    removed_grace_s: float
+    connection_limit: int
+    last_resort: bool
+    nodes: int
+
+    def limit_of(self, server: ServerState) -> int:
+        """Return how many connections this node may hold to a server."""
+        return min(self.connection_limit, server.connection_window)
+
+
+class Choice(NamedTuple):
+    """The server to ask; ``sound`` unless all of its service are slow, stalled or failing.
+
+    ``expected_s`` is its expected latency, with the wait until ``room_at_s`` if that is still to come.
+    ``pace_s`` is the time between two requests of this node to a slow server.
+    """
+
+    server: ServerState
+    expected_s: float
+    sound: bool
+    room_at_s: float = 0.0
+    pace_s: float = 0.0
+
+    def idle(self, now: float) -> bool:
+        """Whether a slow server's room has gone unused for as long as one request takes of it."""
+        return self.room_at_s + self.pace_s <= now
 
 
 def choose_server(
-    servers: Iterable[ServerState],
-    tried: Collection[str],
-    typical: float,
-    removed_grace: float,
-    connection_limit: int,
-    subset: Collection[str],
-    now: float,
-    source: random.Random,
-    last_resort: bool,
-) -> ServerState | None:
+    servers: Iterable[ServerState], wanted: Wanted, now: float, source: random.Random
+) -> Choice | None:
     """Return the server with the least expected latency, the nearest among near equals.
 
-    Sound servers with a free connection come first, and those of this node's ``subset`` (instances)
-    before others; then other sound ones, then those that rejected work just now, then those that are
-    slow, stalled or paused. Failing ones are left alone until their ejection is over, unless
-    ``last_resort``. Servers whose entry vanished a moment ago serve when there is nobody else.
+    Sound servers with a free connection come first, and those of this node's subset before others;
+    then other sound ones, then those that rejected work just now, then those that are slow, stalled
+    or paused, each by how slow it is. Failing ones are left alone until their ejection is over.
+    Servers whose entry vanished a moment ago serve when there is nobody else.
     """
-    candidates = [each for each in servers if each.record.instance not in tried]
+    candidates = [each for each in servers if each.record.instance not in wanted.tried]
     present = [each for each in candidates if not each.leaving]
-    ranked = present or [each for each in candidates if _just_removed(each, removed_grace, now)]
-    sound = [each for each in ranked if each.usable(now)]
+    ranked = present or [each for each in candidates if _just_removed(each, wanted, now)]
+    sound = _sound(ranked, wanted, now)
+    if sound:
+        return _best([Choice(each, each.expected(wanted.typical_s, now), True) for each in sound], source)
+    slow = [each for each in ranked if not each.failing] or (ranked if wanted.last_resort else [])
+    return _best([_slow_choice(each, wanted, now) for each in slow], source) if slow else None
+
+
+def _slow_choice(server: ServerState, wanted: Wanted, now: float) -> Choice:
+    """Return what asking a slow server would mean.
+
+    All nodes see the same slow server and none sees its queue. Each takes its share of the pace that
+    the server's own latency shows (slots / latency / nodes), so that together they keep it busy
+    without a queue that makes everybody late.
+    """
+    slowness = max(1.0, server.slowness(now))
+    pace_s = 0.0
+    if not server.failing:
+        pace_s = PACE_SHARE * slowness * server.last_usual_s * wanted.nodes / max(1, server.record.slots)
+    room_at_s = max(server.last_sent_at_s + pace_s, server.refused_until_s)
+    expected_s = server.expected(slowness * wanted.typical_s, now) + max(0.0, room_at_s - now)
+    return Choice(server, expected_s, False, room_at_s, pace_s)
+
+
+def _sound(servers: list[ServerState], wanted: Wanted, now: float) -> list[ServerState]:
+    """Return the best servers that are not known to be slow or failing."""
+    sound = [each for each in servers if each.usable(now)]
     ready = [each for each in sound if not each.pausing(now)]
-    slow = [each for each in ranked if not each.failing]
-    free = [each for each in ready if each.in_flight < connection_limit]
-    own = [each for each in free if each.record.instance in subset]
-    pool = own or free or ready or sound or slow or (ranked if last_resort else [])
-    if not pool:
-        return None
-    costs = [(each.expected(typical, now), each) for each in pool]
-    least = min(cost for cost, _ in costs)
-    best = [each for cost, each in costs if cost <= least * NEAR_ENOUGH]
-    nearest = min(each.round_trip for each in best)
-    near = [each for each in best if each.round_trip <= nearest + SAME_DISTANCE]
+    free = [each for each in ready if each.in_flight < wanted.limit_of(each)]
+    own = [each for each in free if each.record.instance in wanted.subset]
+    return own or free or ready or sound
+
+
+def _best(choices: list[Choice], source: random.Random) -> Choice:
+    """Return the one with the least expected latency, the nearest among near equals."""
+    least = min(each.expected_s for each in choices)
+    best = [each for each in choices if each.expected_s <= least * NEAR_ENOUGH]
+    nearest = min(each.server.round_trip for each in best)
+    near = [each for each in best if each.server.round_trip <= nearest + SAME_DISTANCE_S]
     return near[0] if len(near) == 1 else source.choice(near)
 
 
-def _just_removed(server: ServerState, grace: float, now: float) -> bool:
-    return server.state != "leaving" and server.removed_at is not None and now - server.removed_at < grace
+def _just_removed(server: ServerState, wanted: Wanted, now: float) -> bool:
+    if server.state == "leaving" or server.removed_at is None:
+        return False
+    return now - server.removed_at < wanted.removed_grace_s
--- a/src/yokesill/gateway/servers.py
+++ b/src/yokesill/gateway/servers.py
@@ -1,5 +1,7 @@
 """Servers as one node sees them: state, work in flight, speed, and what is known of their load."""
 
+from typing import NamedTuple
+
 from yokesill.charts.flat import transition_table
 from yokesill.gateway.connecting import ConnectingTimes
 from yokesill.gateway.distances import ZoneDistances
@@ -17,13 +19,25 @@
 COLD_SLOWNESS = 1.6
 LEAST_TYPICAL = 0.001
 GOOD_PERIOD_S = 1.0
+SLOWNESS_WEIGHT = 0.5
+REFUSAL_PAUSE_S, REFUSAL_PAUSE_CEILING_S = 0.03, 0.24
+FIRST_CONNECTIONS = 1
+
+
+class SentAttempt(NamedTuple):
+    """When an attempt was sent, in seconds of the node's clock, and what its route's usually take."""
+
+    sent_at_s: float
+    usual_s: float
 
 
 class ServerState:
     """One incarnation of a server; times in seconds of the node's clock.
 
-    ``stalled`` counts attempts that are late by their route's measure: while there are any, the
-    server may be paused or dark. ``connections`` are those that this node holds open to it.
+    ``connections`` are those that this node holds open to it.
+    ``connection_window`` is how many connections it seems to bear from this node, and until
+    ``refused_until_s`` it gets no new request since it refused a connection.
+    ``last_sent_at_s`` is when it was last sent an attempt, and ``last_usual_s`` what those usually take.
     """
 
     def __init__(
@@ -31,9 +45,9 @@
     ) -> None:
         self.record = record
         self.name_hash = name_hash(record.instance)
-        self.in_flight = 0
         self.connections = 0
-        self.stalled = 0
+        self.last_sent_at_s = float("-inf")
+        self.last_usual_s = 0.0
         self.failing = False
         self.removed_at: float | None = None
         self._table = transition_table("server")
@@ -45,12 +59,19 @@
         self._judged_at = 0.0
         self._ejected_until = 0.0
         self._shed_until = 0.0
+        self._refusals = 0
+        self.refused_until_s = 0.0
+        self.connection_window = FIRST_CONNECTIONS
         self._on_trial = False
         self._suspected_at = 0.0
         self._suspected_until = 0.0
         self._evidence = False
         self._good_since = 0.0
         self._good_answers = 0
+        self._sent: dict[int, SentAttempt] = {}
+        self._stalled: set[int] = set()
+        self._overtaken_s = float("-inf")
+        self._slowness = 1.0
         self._warm_at = now + record.warmup
         self._load: Load | None = None
         self._load_at = 0.0
@@ -60,6 +81,11 @@
         """The state of the chart ``server``."""
         return self._state
 
+    @property
+    def in_flight(self) -> int:
+        """How many attempts of this node are under way."""
+        return len(self._sent)
+
     @property
     def round_trip(self) -> float:
         """How much further it is than servers of the nearest zone, in seconds."""
@@ -93,10 +119,12 @@
 
     def usable(self, now: float) -> bool:
         """Whether it may get first attempts: not ejected, or its ejection is over and nobody tries it."""
+        if now < self.refused_until_s:
+            return False
         if self._on_trial and (self.in_flight or now < self._suspected_until):
             return False
         if self._state != EJECTED:
-            return self.stalled == 0
+            return not self.stalled
         return now >= self._ejected_until and self.in_flight == 0
 
     def suspected(self, now: float) -> bool:
@@ -128,6 +156,26 @@
         """Whether it rejected work just now."""
         return now < self._shed_until
 
+    def slowness(self, now: float) -> float:
+        """Return how many times longer than usual it takes.
+
+        By its last answers, or by the attempt that has been out for longest, whichever says more.
+        """
+        oldest = next((each for each in self._sent.values() if self._awaited(each)), None)
+        if oldest is None:
+            return self._slowness
+        waited = now - oldest.sent_at_s - self.round_trip
+        return max(self._slowness, waited / max(oldest.usual_s, LEAST_TYPICAL))
+
+    @property
+    def stalled(self) -> bool:
+        """Whether an attempt is late by its route's measure and nothing sent after it was answered."""
+        return any(self._awaited(self._sent[number]) for number in self._stalled)
+
+    def _awaited(self, attempt: SentAttempt) -> bool:
+        """Whether an attempt still tells of the server; one that others overtook has lost its answer."""
+        return attempt.sent_at_s > self._overtaken_s
+
     def expected(self, typical: float, now: float) -> float:
         """Return the expected latency of one more request that usually takes ``typical`` seconds."""
         slots = max(1, self.record.slots)
@@ -147,6 +195,20 @@
 
     # --- what attempts teach ---
 
+    def begin(self, number: int, usual_s: float, now: float) -> None:
+        """Count an attempt that is sent now and usually takes ``usual_s`` seconds."""
+        self._sent[number] = SentAttempt(now, usual_s)
+        self.last_sent_at_s, self.last_usual_s = now, usual_s
+
+    def end(self, number: int) -> None:
+        """Take an ended attempt off."""
+        self._sent.pop(number, None)
+        self._stalled.discard(number)
+
+    def stall(self, number: int) -> None:
+        """Take that an attempt is late by its route's measure: the server may be paused or dark."""
+        self._stalled.add(number)
+
     def answered(
         self, sent_at: float, typical: float, load: Load | None, now: float, node_late: float = 0.0
     ) -> str | None:
@@ -155,10 +217,13 @@
         ``node_late`` is how late this node itself is, in seconds: that is not the server's doing.
         """
         before = self._state
-        self.failing, self._failures = False, 0
+        self._overtaken_s = max(self._overtaken_s, sent_at)
+        self.failing, self._failures, self._refusals = False, 0, 0
+        self.connection_window = max(self.connection_window, self.connections) + 1
         if load is not None:
             self._load, self._load_at = load, now
         ratio = (now - sent_at - self.round_trip - node_late) / max(typical, LEAST_TYPICAL)
+        self._slowness += SLOWNESS_WEIGHT * (ratio - self._slowness)
         if ratio <= SLOW_RATIO:
             self._slow_streak = 0
             self._count_good(now)
@@ -196,6 +261,16 @@
         """Take a rejection: it is full at this moment."""
         self._shed_until = now + SHED_PAUSE
 
+    def refused(self, now: float) -> None:
+        """Take that it reset a new connection at once: it holds as many as it bears.
+
+        It is not failing, but more connections would only be reset as well.
+        """
+        self.connection_window = max(FIRST_CONNECTIONS, self.connections)
+        pause_s = REFUSAL_PAUSE_S * 2.0 ** min(self._refusals, 8)
+        self._refusals += 1
+        self.refused_until_s = now + min(pause_s, REFUSAL_PAUSE_CEILING_S)
+
     def _eject(self, seconds: float, now: float) -> None:
         self._ejected_until = now + seconds
         self._handle("failing")
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -3,6 +3,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -21,8 +22,11 @@
 OK, INVALID = 0, 3
 
 
-def main() -> int:
-    """Run a node until SIGTERM or SIGINT; return the exit code."""
+def run(listening: socket.socket | None = None) -> int:
+    """Run a node until SIGTERM or SIGINT; return the exit code.
+
+    ``listening`` is the callers' socket, if it was opened already.
+    """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     settings = load_settings(path)
     if isinstance(settings, list):
@@ -30,13 +34,13 @@
             print(f"error: {path}: {problem}", file=sys.stderr)
         return INVALID
     output = logs.configure(settings.log_level)
-    process = GatewayProcess(settings, _surroundings(settings), random.Random(), output)
+    process = GatewayProcess(settings, _surroundings(settings, listening), random.Random(), output)
     follower = SettingsFollower(path, settings, load_settings, process.take_settings)
     anyio.run(_serve, process, follower)
     return OK
 
 
-def _surroundings(settings: GatewaySettings) -> Surroundings:
+def _surroundings(settings: GatewaySettings, listening: socket.socket | None) -> Surroundings:
     client = ApiClient(settings.registry)
     store = MetadataStore(client)
     return Surroundings(
@@ -46,6 +50,7 @@
         names=HEADER_NAMES,
         ready_path=READY_PATH,
         move_registry=client.move,
+        callers_socket=listening,
     )
 
 
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -2,84 +2,16 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any
 
 from yokesill.gateway.budget import BudgetTerms
 from yokesill.serving.settings import Address, GatewaySettings, SettingsProblem
-
-
-class _Reader:
-    """Takes fields out of the file's tables and collects what is wrong with them."""
-
-    def __init__(self, values: dict[str, Any]) -> None:
-        self.problems: list[SettingsProblem] = []
-        self._values = values
-
-    def _get(self, place: str) -> Any:
-        value: Any = self._values
-        for part in place.split("."):
-            value = value.get(part) if isinstance(value, dict) else None
-        return value
-
-    def text(self, place: str) -> str:
-        """Return a text that must be there."""
-        value = self._get(place)
-        if isinstance(value, str) and value:
-            return value
-        self._complain(place, "a text is needed", value)
-        return ""
-
-    def number(self, place: str, default: float) -> float:
-        """Return a number of at least 0."""
-        value = self._get(place)
-        if value is None:
-            return default
-        if isinstance(value, int | float) and not isinstance(value, bool) and value >= 0:
-            return float(value)
-        self._complain(place, "a number of at least 0 is needed", value)
-        return default
-
-    def address(self, place: str) -> Address:
-        """Return an address that must be there."""
-        return self._parse_address(place, self._get(place)) or Address("", 0)
-
-    def addresses(self, place: str) -> tuple[Address, ...]:
-        """Return a list of addresses; none where it is missing."""
-        value = self._get(place) or []
-        parsed = [self._parse_address(f"{place}.{index}", each) for index, each in enumerate(value)]
-        return tuple(each for each in parsed if each is not None)
-
-    def optional_address(self, place: str) -> Address | None:
-        """Return an address, or ``None`` where it is missing."""
-        value = self._get(place)
-        return None if value is None else self._parse_address(place, value)
-
-    def texts(self, place: str) -> dict[str, str]:
-        """Return a table of texts; empty where it is missing."""
-        value = self._get(place)
-        return {str(key): str(each) for key, each in value.items()} if isinstance(value, dict) else {}
-
-    def first_port(self, place: str) -> int | None:
-        """Return the first of a pair of ports."""
-        value = self._get(place)
-        return value[0] if isinstance(value, list) and value and isinstance(value[0], int) else None
-
-    def _parse_address(self, place: str, value: Any) -> Address | None:
-        host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-        if host and port.isdigit():
-            return Address(host, int(port))
-        self._complain(place, "HOST:PORT is needed", value)
-        return None
-
-    def _complain(self, place: str, message: str, value: Any) -> None:
-        found = "it is missing" if value is None else f"found {value!r}"
-        self.problems.append(SettingsProblem(place, f"{message}, {found}"))
+from yokesill.serving.settings_reader import SettingsReader
 
 
 def parse_settings(text: str) -> GatewaySettings | list[SettingsProblem]:
     """Read settings; unknown fields are passed over, as the platform asks."""
     try:
-        reader = _Reader(tomllib.loads(text))
+        reader = SettingsReader(tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
         return [SettingsProblem("(file)", str(error))]
     port = reader.first_port("portRange")
--- /dev/null
+++ b/src/yokesill/platform/start.py
@@ -0,0 +1,40 @@
+"""Starts a node: opens the callers' socket first, loads everything else after it.
+
+Loading takes a node longer than everything else at its start. Callers that connect meanwhile wait in
+the socket's queue and are answered a moment later; without the socket they would be turned away, and
+many would use up their retries while all nodes come back after a loss of power.
+
+Only what this module needs is imported at its head: each import is time without a socket.
+"""
+
+import socket
+import sys
+
+from yokesill.serving.sockets import listen
+
+
+def main(arguments: list[str]) -> int:
+    """Run a node until SIGTERM or SIGINT; return the exit code.
+
+    Parameters
+    ----------
+    arguments
+        The callers' address as ``HOST:PORT``, if it is known before the settings are read.
+    """
+    listening = listen_early(arguments[0]) if arguments else None
+    from yokesill.platform.main import run  # noqa: PLC0415 (after the socket is open)
+
+    return run(listening)
+
+
+def listen_early(address: str) -> socket.socket | None:
+    """Return a socket that listens on ``HOST:PORT``.
+
+    ``None`` when it can't be had: the settings' reader and the listener then say what is wrong.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return listen(host, int(port))
+    except (OSError, ValueError, OverflowError) as error:
+        print(f"error: callers' address {address!r}: {error}", file=sys.stderr)
+        return None
--- a/src/yokesill/serving/listener.py
+++ b/src/yokesill/serving/listener.py
@@ -10,8 +10,8 @@
 from yokesill.frontend.server import EmbeddedServer
 from yokesill.serving.application import FRESH_CONNECTION
 from yokesill.serving.settings import Address
+from yokesill.serving.sockets import BACKLOG, listen
 
-BACKLOG = 512
 DEFAULT_HEADER_TIMEOUT, DEFAULT_IDLE_TIMEOUT = 3.0, 15.0
 HEAD_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
 
@@ -70,13 +70,12 @@
 class Listener(EmbeddedServer):
     """A uvicorn server on one address."""
 
-    async def start(self, address: Address) -> None:
-        """Bind and listen; raises ``OSError``."""
+    async def start(self, address: Address, listening: socket.socket | None = None) -> None:
+        """Bind and listen, or take over what listens already; raises ``OSError``."""
         self.config.load()
         self.lifespan = self.config.lifespan_class(self.config)
-        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((address.host, address.port))
+        if listening is None:
+            listening = listen(address.host, address.port)
         await self.startup(sockets=[listening])
 
     def set_limits(self, header_timeout: float, idle_timeout: float) -> None:
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -1,6 +1,7 @@
 """Wires one gateway node together, from start to the end of a planned stop."""
 
 import random
+import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -37,7 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Surroundings:
-    """What a node is connected to: the registry's feeds and the words spoken with callers."""
+    """What a node is connected to: the registry's feeds and the words spoken with callers.
+
+    ``callers_socket`` listens for callers already; without it the node opens one itself.
+    """
 
     configuration: Feed
     servers: Feed
@@ -45,6 +49,7 @@
     names: HeaderNames
     ready_path: str
     move_registry: Callable[[Address], None] = lambda _address: None
+    callers_socket: socket.socket | None = None
 
 
 class GatewayProcess:
@@ -130,7 +135,7 @@
         self._side: list[Listener] = []
 
     async def _listen(self) -> None:
-        await self._front.start(self.settings.callers)
+        await self._front.start(self.settings.callers, self._surroundings.callers_socket)
         for address in (self.settings.probes, self.settings.metrics, self.settings.peers):
             if address is not None:
                 listener = create_listener(self._probes)
--- a/src/yokesill/serving/server_client.py
+++ b/src/yokesill/serving/server_client.py
@@ -15,7 +15,7 @@
 from yokesill.gateway.messages import Attempt
 from yokesill.serving.attempt_bytes import MISDIRECTED, encode_attempt, read_reply
 from yokesill.serving.names import HeaderNames
-from yokesill.serving.upstream import ConnectionSet, ServerConnection, idle_time_s
+from yokesill.serving.upstream import ConnectionSet, ResetBeforeReplyError, ServerConnection, idle_time_s
 from yokesill.serving.wires import Dial, dial_tcp
 from yokesill.timers import Timers
 from yokesill.verdict import Failure, Reason, Verdict
@@ -23,6 +23,11 @@
 CONNECT_TIMEOUT_S = 1.0
 # Bounded: the server may begin to leave while somebody waits, and must get no new work then.
 LONGEST_TURN_S = 0.5
+# After a server refused a new connection, the next ones are watched for so long before they are used.
+REFUSALS_LAST_S = 3.0
+SETTLING_S, SETTLING_ROUND_TRIPS = 0.004, 1.0
+# A connection that rested for so long and is reset when used was forgotten by its server.
+RESTED_S = 0.5
 VERDICT_OF_STATE = {
     "never_sent": Verdict.NOT_RUN,
     "declined": Verdict.NOT_RUN,
@@ -150,17 +155,23 @@
         started = self._clock()
         bound = min(CONNECT_TIMEOUT_S, call.attempt.deadline - started)
         why: str | None = None
+        reason = Reason.CONNECT_FAILED
         try:
             with anyio.fail_after(bound):
                 await connection.open(self._dial, connections.host, connections.port)
+                await self._settle(connections, connection, started)
         except TimeoutError:
             why = f"no answer in {bound:.2f} s"
+        except ConnectionResetError as error:
+            why, reason = repr(error), Reason.CONNECTION_REFUSED
+            connections.refused_at = self._clock()
         except (OSError, anyio.BrokenResourceError) as error:
             why = repr(error)
         if why is not None:
+            connection.close()
             connections.drop(None)
             if self._is_live(call):
-                self._fail(call, Reason.CONNECT_FAILED, why)
+                self._fail(call, reason, why)
             return
         self.connections_opened += 1
         connections.opened()
@@ -170,6 +181,19 @@
         call.connected_in_s = self._clock() - started
         self._start(call, connection)
 
+    async def _settle(self, connections: ConnectionSet, connection: ServerConnection, started: float) -> None:
+        """Watch a new connection for a moment if the server refused one lately.
+
+        A server that holds as many connections as it bears accepts a new one and resets it at once.
+        A request that had been sent on it would count as one that may have run.
+        """
+        now = self._clock()
+        if now - connections.refused_at > REFUSALS_LAST_S:
+            return
+        await anyio.sleep(SETTLING_S + SETTLING_ROUND_TRIPS * (now - started))
+        if not connection.is_open:
+            raise ConnectionResetError("reset before its first use")
+
     def _is_live(self, call: AttemptCall) -> bool:
         return self._calls.get(call.attempt.number) is call
 
@@ -189,10 +213,22 @@
         if isinstance(outcome, ReplyError):
             self._fail(call, Reason.MALFORMED_REPLY, str(outcome))
         elif isinstance(outcome, Exception):
-            self._fail(call, Reason.CONNECTION_LOST, repr(outcome))
+            self._fail(call, self._reason_of_loss(call, outcome), repr(outcome))
         else:
             self._take_reply(call, outcome)
 
+    def _reason_of_loss(self, call: AttemptCall, error: Exception) -> Reason:
+        """Return what the loss of a connection says of its server."""
+        if not isinstance(error, ResetBeforeReplyError):
+            return Reason.CONNECTION_LOST
+        if call.connected_in_s is not None:
+            call.connections.refused_at = self._clock()
+            return Reason.CONNECTION_REFUSED
+        rested_at = call.connection.rested_at if call.connection is not None else None
+        if rested_at is not None and call.sent_at is not None and call.sent_at - rested_at >= RESTED_S:
+            return Reason.CONNECTION_FORGOTTEN
+        return Reason.CONNECTION_LOST
+
     def _take_reply(self, call: AttemptCall, reader: HttpReplyReader) -> None:
         headers = dict(reader.headers)
         reply = read_reply(call.attempt, reader, headers, self._names)
@@ -217,6 +253,7 @@
         usable = (clean or declined) and reader.keep_alive and not reader.surplus
         if usable and connection.sent_whole():
             rest = idle_time_s(headers.get(b"keep-alive"))
+            connection.rested_at = self._clock()
             call.connections.give_back(connection, self._clock() + rest)
         else:
             call.connections.drop(connection)
--- /dev/null
+++ b/src/yokesill/serving/sockets.py
@@ -0,0 +1,21 @@
+"""Opens listening sockets; imports next to nothing, since a starting node does this first of all."""
+
+import socket
+
+BACKLOG = 512
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Return a socket that listens already; raises ``OSError`` and ``OverflowError``.
+
+    What connects before anybody accepts waits in the socket's queue.
+    """
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((host, port))
+        listening.listen(BACKLOG)
+    except BaseException:
+        listening.close()
+        raise
+    return listening
--- a/src/yokesill/serving/upstream.py
+++ b/src/yokesill/serving/upstream.py
@@ -17,6 +17,10 @@
 Ended = Callable[[HttpReplyReader | Exception], None]
 
 
+class ResetBeforeReplyError(Exception):
+    """A connection was reset before any byte of the reply came."""
+
+
 class PendingReply(NamedTuple):
     """What a connection waits for; ``ended`` gets the whole reply, or the error that ended it."""
 
@@ -27,13 +31,15 @@
 class ServerConnection:
     """One connection to a server.
 
-    ``reusable_until`` is when the server may close it for idleness, in seconds of the node's clock.
+    ``reusable_until`` is when the server may close it for idleness, ``rested_at`` since when it has
+    been idle, in seconds of the node's clock.
     """
 
-    __slots__ = ("_lost", "_pending", "_wire", "reusable_until")
+    __slots__ = ("_lost", "_pending", "_wire", "rested_at", "reusable_until")
 
     def __init__(self, lost: Callable[["ServerConnection"], None]) -> None:
         self.reusable_until = 0.0
+        self.rested_at: float | None = None
         self._lost = lost
         self._pending: PendingReply | None = None
         self._wire: Wire | None = None
@@ -55,6 +61,11 @@
         if wire is not None:
             wire.close()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has ended it, as far as is known."""
+        return self._wire is not None
+
     def quiet(self) -> bool:
         """Whether nothing came in that was not told of yet."""
         return self._wire is not None and self._wire.quiet()
@@ -92,7 +103,8 @@
             self._lost(self)
             return
         if error is not None:
-            self._end(pending, error)
+            begun = pending.reader.begun
+            self._end(pending, error if begun else ResetBeforeReplyError(repr(error)))
             return
         try:
             pending.reader.end_of_stream()
@@ -110,14 +122,18 @@
 
 
 class ConnectionSet:
-    """Connections to one incarnation of a server; whoever finds all in use waits its turn."""
+    """Connections to one incarnation of a server; whoever finds all in use waits its turn.
+
+    ``refused_at`` is when the server last reset a new connection at once.
+    """
 
-    __slots__ = ("_changed", "_idle", "_open", "_waiters", "busy", "host", "port")
+    __slots__ = ("_changed", "_idle", "_open", "_waiters", "busy", "host", "port", "refused_at")
 
     def __init__(self, host: str, port: int, changed: Callable[[int], None]) -> None:
         self.host = host
         self.port = port
         self.busy = 0
+        self.refused_at = float("-inf")
         self._changed = changed
         self._open = 0
         self._idle: list[ServerConnection] = []
--- a/src/yokesill/verdict.py
+++ b/src/yokesill/verdict.py
@@ -34,6 +34,10 @@
     # Attempts: what one back end, or the way to it, did.
     CONNECT_FAILED = "connect_failed"
     CONNECTION_LOST = "connection_lost"
+    # The server reset a new connection at once: it holds as many as it bears.
+    CONNECTION_REFUSED = "connection_refused"
+    # The server had forgotten a connection that rested.
+    CONNECTION_FORGOTTEN = "connection_forgotten"
     TIMED_OUT = "timed_out"
     SHED = "shed"
     BACKEND_LEAVING = "backend_leaving"
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -121,6 +121,22 @@
     assert harness.of(harness.arrive())[0].server.instance != stalled.server.instance
 
 
+def test_a_server_that_lost_one_answer_is_not_taken_for_dark() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.warm_up()
+    lost, *later = [harness.of(harness.arrive())[0] for _ in range(3)]
+    same = [each for each in later if each.server.instance == lost.server.instance]
+    if not same:
+        harness.advance(0.001)
+        same = [harness.of(harness.arrive())[0]]
+    harness.advance(0.02)
+    for each in later + same:
+        harness.answer(each)
+    harness.advance(0.1)
+    assert harness.now - lost.request.arrived_at > 0.1
+    assert ask(harness) == lost.server.instance
+
+
 def test_a_dark_shard_costs_neither_budget_nor_time() -> None:
     harness = RouterHarness(gather_route())
     for _ in range(3):
@@ -191,13 +207,19 @@
     key = harness.arrive()
     harness.fail(harness.of(key)[0], failure(Reason.SHED, Verdict.NOT_RUN))
     harness.answer(harness.of(key)[1])
-    assert harness.of(harness.arrive())[0].server.instance == "s1-z2"
+    again = harness.of(harness.arrive())[0]
+    assert again.server.instance == "s1-z2"
+    harness.answer(again)
     harness.advance(0.2)
     assert ask(harness) == "s1-z1"
 
 
 def test_connections_to_a_server_are_shared_among_the_nodes() -> None:
     harness = RouterHarness(ONE_SHARD, nodes=8)
+    first = harness.of(harness.arrive())[0]
+    assert first.connection_limit == 1
+    harness.answer(first)
+    harness.warm_up(requests=40)
     limit = harness.of(harness.arrive())[0].connection_limit
     assert 8 * limit <= 100 < 8 * (limit + 3)
 
--- /dev/null
+++ b/tests/platform/test_starting.py
@@ -0,0 +1,83 @@
+"""A node's start: the callers' socket is open before anything else, and nothing undeclared is loaded."""
+
+import re
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from yokesill.platform.start import listen_early
+
+ROOT = Path(__file__).resolve().parents[2]
+LOADED = """
+import sys
+before = set(sys.modules)
+import yokesill.platform.main
+import yokesill.platform.start
+names = {name.partition(".")[0] for name in set(sys.modules) - before}
+paths = {name: getattr(sys.modules.get(name), "__file__", None) or "" for name in names}
+print(" ".join(sorted(name for name in names if "site-packages" in paths[name])))
+"""
+SMALL = """
+import sys
+import yokesill.platform.start
+print(any(name.startswith(("anyio", "uvicorn", "structlog")) for name in sys.modules))
+"""
+# What a package is imported as, where that is not its name.
+IMPORTED_AS = {
+    "typing_extensions": "typing-extensions",
+    "_cbor2": "cbor2",
+    "prometheus_client": "prometheus-client",
+}
+
+
+def run(code: str) -> str:
+    return subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout.strip()
+
+
+def test_callers_that_connect_while_a_node_loads_wait_in_the_sockets_queue() -> None:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    listening = listen_early(f"127.0.0.1:{port}")
+    assert listening is not None
+    with listening, socket.create_connection(("127.0.0.1", port), timeout=1.0) as caller:
+        caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        accepted, _ = listening.accept()
+        with accepted:
+            assert accepted.recv(100).startswith(b"GET /")
+
+
+@pytest.mark.parametrize("address", ["", "nowhere", "127.0.0.1:", "127.0.0.1:99999999", "300.1.1.1:80"])
+def test_an_address_that_cannot_be_had_is_told_and_left_to_the_settings(
+    address: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert listen_early(address) is None
+    assert repr(address) in capsys.readouterr().err
+
+
+def test_little_is_loaded_before_the_socket_is_open() -> None:
+    assert run(SMALL) == "False"
+
+
+def test_a_serving_node_loads_only_packages_that_are_declared() -> None:
+    text = (ROOT / "requirements-serve.txt").read_text()
+    declared = {re.split("[=<>]", line)[0].replace("_", "-") for line in text.split()}
+    loaded = {IMPORTED_AS.get(name, name.replace("_", "-")) for name in run(LOADED).split()} - {"yokesill"}
+    # The declared packages use these where they happen to be there, and do without where they are not.
+    optional = {
+        "rich",
+        "pygments",
+        "better-exceptions",
+        "colorama",
+        "attr",
+        "attrs",
+        "yaml",
+        "dotenv",
+        "sniffio",
+    }
+    assert loaded - optional <= declared
--- a/tests/serving/memory_servers.py
+++ b/tests/serving/memory_servers.py
@@ -78,7 +78,7 @@
 
 @dataclass
 class MemoryServer:
-    """Runs ``script`` for each request that it reads."""
+    """Runs ``script`` for each request that it reads; a ``full`` one resets new connections at once."""
 
     script: Script
     tasks: anyio.abc.TaskGroup
@@ -86,6 +86,7 @@
     opened: int = 0
     closed: int = 0
     refuse: bool = False
+    full: bool = False
     window: int | None = None
 
     async def connect(self, _host: str, _port: int) -> MemoryStream:
@@ -94,6 +95,10 @@
         self.opened += 1
         near, far = connected_pair()
         far.window = self.window
+        if self.full:
+            near.reset = True
+            await far.aclose()
+            return near
         self.tasks.start_soon(self._serve, far, self.opened)
         return near
 
--- a/tests/serving/test_server_client.py
+++ b/tests/serving/test_server_client.py
@@ -351,3 +351,48 @@
         failed(outcome, Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN)
 
     with_server(script, main)
+
+
+async def _reset_at_once(_server: MemoryServer, stream: MemoryStream, _heard: Heard) -> None:
+    assert stream.peer is not None
+    stream.peer.reset = True
+    await stream.aclose()
+
+
+def test_a_new_connection_that_is_reset_before_any_answer_was_refused() -> None:
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        failed(await call(client, attempt(1)), Reason.CONNECTION_REFUSED, Verdict.MAY_HAVE_RUN)
+
+    with_server(_reset_at_once, main)
+
+
+def test_after_a_refusal_a_new_connection_is_watched_before_it_is_used() -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        await call(client, attempt(1))
+        server.full = True
+        failed(await call(client, attempt(2)), Reason.CONNECTION_REFUSED, Verdict.NOT_RUN)
+        assert [each.header("request-id") for each in server.heard] == ["id-1"]
+        server.full = False
+        server.script = well
+        assert isinstance(await call(client, attempt(3)), AttemptAnswered)
+
+    with_server(_reset_at_once, main)
+
+
+def test_a_rested_connection_that_is_reset_when_used_was_forgotten() -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        await call(client, attempt(1))
+        await anyio.sleep(2.0)
+        server.script = _reset_at_once
+        failed(await call(client, attempt(2)), Reason.CONNECTION_FORGOTTEN, Verdict.MAY_HAVE_RUN)
+
+    with_server(well, main)
+
+
+def test_a_connection_in_steady_use_that_is_reset_speaks_against_its_server() -> None:
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        await call(client, attempt(1))
+        server.script = _reset_at_once
+        failed(await call(client, attempt(2)), Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+
+    with_server(well, main)
