--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -18,7 +18,8 @@
     ``reply`` is the answer that counts; ``fallback`` a failure that a server answered with, to be
     passed on when nothing better comes. ``settled`` is its request's mark that it was counted.
     ``hedge_at`` is when another server is asked as well. ``deferred`` names why an attempt is yet to
-    be sent that waits for room at its servers; it is empty otherwise.
+    be sent that waits for room at its servers; it is empty otherwise. ``waited_s`` is how long
+    attempts waited so before they were sent.
     """
 
     def __init__(self, service: str, request: GatewayRequest, route: Route, context: GatewayContext) -> None:
@@ -30,6 +31,7 @@
         self.failure: Failure | None = None
         self.hedge_at = NEVER
         self.deferred = ""
+        self.waited_s = 0.0
         self.late = False
         self.sent = 0
         self.extras = 0
@@ -38,6 +40,7 @@
         self._context = context
         self._live: dict[int, LiveAttempt] = {}
         self._tried: set[str] = set()
+        self._deferred_at = 0.0
         self._ran = 0
         self._arrived = False
         self._verdict = Verdict.NOT_RUN
@@ -70,6 +73,7 @@
             connection_limit=context.connection_limit(self.service),
             last_resort=len(self._route.services) == 1,
             nodes=context.nodes if context.options.paces else 0,
+            heeds_refusals=context.options.heeds_refusals,
         )
         return choose_server(context.servers.of_service(self.service), wanted, now, context.random_source)
 
@@ -84,9 +88,10 @@
             return
         self._close(Failure(Reason.NO_REPLICA, Verdict.NOT_RUN, f"no server of {self.service} can be asked"))
 
-    def defer(self, cause: str) -> None:
+    def defer(self, cause: str, now: float) -> None:
         """Let an attempt wait for room at the service's servers."""
         self.deferred = cause
+        self._deferred_at = now
         self.hedge_at = NEVER
 
     def take_room(
@@ -94,6 +99,7 @@
     ) -> None:
         """Send the attempt that was deferred, or close the call when it can't be sent any more."""
         cause, self.deferred = self.deferred, ""
+        self.waited_s += now - self._deferred_at
         if choice is None or not self._send(cause, choice, deadline, hedge_delay, now, actions):
             self._close(
                 self.failure
@@ -106,7 +112,7 @@
             self._context.stall(attempt)
         self.hedge_at = NEVER
         self.late = True
-        if not self._route.repeatable or not self._may_run_again():
+        if not self._route.repeatable or not self._may_run_again() or not self._context.options.hedges:
             return
         choice = self.look(now)
         if choice is not None and self._context.has_spare_room(choice, self.service, now):
@@ -142,7 +148,9 @@
         self.hedge_at = now + (hedge_delay if choice.sound else max(hedge_delay, choice.expected_s))
         if cause != "first":
             actions.append(self._note("attempt_added", cause, server.record.instance, now))
-        limit = min(context.connection_limit(self.service), server.connection_window)
+        limit = context.connection_limit(self.service)
+        if context.options.heeds_refusals:
+            limit = min(limit, server.connection_window)
         repeatable = self._route.repeatable
         attempt = Attempt(number, self._request, server.record, limit, deadline, repeatable)
         actions.append(SendAttempt(attempt))
@@ -191,7 +199,7 @@
         may_repeat = self._route.repeatable or self._verdict is Verdict.NOT_RUN
         choice = self.look(now) if may_repeat and self._may_run_again() else None
         if choice is not None and not self._context.has_room(choice, now):
-            self.defer("retry")
+            self.defer("retry", now)
             return
         if choice is not None and self._send("retry", choice, deadline, delay, now, actions):
             return
--- a/src/yokesill/gateway/messages.py
+++ b/src/yokesill/gateway/messages.py
@@ -76,7 +76,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSummary:
-    """How a request went, for logs and metrics; times in seconds."""
+    """How a request went, for logs and metrics; times in seconds.
+
+    ``waited_s`` is how long a part of it waited for room at slow servers; ``left_out`` are services
+    that were not asked since the answer could do without them. ``late``: its answer came too late to
+    be in time.
+    """
 
     route: str
     version: int
@@ -87,3 +92,6 @@
     attempts: int = 0
     extra_attempts: int = 0
     missing: tuple[str, ...] = field(default=())
+    left_out: tuple[str, ...] = field(default=())
+    waited_s: float = 0.0
+    late: bool = False
--- a/src/yokesill/gateway/options.py
+++ b/src/yokesill/gateway/options.py
@@ -1,6 +1,8 @@
 """What the gateway's decisions are tuned by; each value says what it stands for."""
 
-from dataclasses import dataclass, field
+from collections.abc import Collection
+from dataclasses import dataclass, field, fields, replace
+from typing import Any
 
 from yokesill.gateway.budget import BudgetTerms
 
@@ -17,7 +19,11 @@
     the nodes were counted. ``removed_grace`` is how long a server whose entry is gone may still be a
     last resort: entries also vanish when the registry was down.
 
-    The last options switch mechanisms off for experiments, see ``docs/decisions.md``.
+    The last ones are switches, each for one mechanism that experiments do without: parts that an
+    answer can do without are left out where servers are slow (``leaves_out``), slow servers are asked
+    at their pace (``paces``), refused connections bound the next ones (``heeds_refusals``), late
+    attempts are hedged (``hedges``), what other nodes found of servers counts (``heeds_suspicions``),
+    and a wave of hedges waits once (``postpones_hedges``).
     """
 
     zone: str
@@ -36,7 +42,25 @@
     region_round_trip: float = 0.025
     leaves_out: bool = True
     paces: bool = True
-    withdraws: bool = True
+    heeds_refusals: bool = True
+    hedges: bool = True
+    heeds_suspicions: bool = True
+    postpones_hedges: bool = True
+
+    def without(self, names: Collection[str]) -> "GatewayOptions":
+        """Return these options with some mechanisms switched off.
+
+        Raises
+        ------
+        ValueError
+            A name is no switch; the message says which there are.
+        """
+        switches = [each.name for each in fields(self) if each.type in (bool, "bool")]
+        unknown = sorted(set(names) - set(switches))
+        if unknown:
+            raise ValueError(f"no such switch: {', '.join(unknown)}; known: {', '.join(switches)}")
+        changes: dict[str, Any] = dict.fromkeys(names, False)
+        return replace(self, **changes)
 
     def assumed_round_trip(self, zone: str) -> float:
         """Return the round trip to a server's zone until connecting has shown it."""
--- a/src/yokesill/gateway/parts.py
+++ b/src/yokesill/gateway/parts.py
@@ -84,7 +84,7 @@
                 call.begin(choice, deadline_s, delay, now, actions)
                 self._took(call)
             else:
-                self._defer(call, "first")
+                self._defer(call, "first", now)
         self.fill(owner, deadline_s, now, actions)
 
     def fill(self, owner: Waiting, deadline_s: float, now: float, actions: list[Action]) -> None:
@@ -148,8 +148,8 @@
         call.take_room(choice, deadline_s, self.hedge_delay(owner.soft, now), now, actions)
         self._took(call)
 
-    def _defer(self, call: ServiceCall, cause: str) -> None:
-        call.defer(cause)
+    def _defer(self, call: ServiceCall, cause: str, now: float) -> None:
+        call.defer(cause, now)
         self._deferred += 1
 
     # --- hedges and retries ---
--- a/src/yokesill/gateway/request.py
+++ b/src/yokesill/gateway/request.py
@@ -50,6 +50,7 @@
         options = context.options
         margin = options.fresh_margin if request.fresh_connection else options.kept_margin
         margin += context.lateness
+        self._margin = margin
         patience = request.patience if request.patience is not None else route.timeout
         self.hard = request.arrived_at + min(route.timeout, patience - margin)
         waited = context.waited_before(route, patience)
@@ -151,7 +152,8 @@
     def _node_is_late(self, late: list[ServiceCall]) -> bool:
         """Whether so many services are late at once that this node is the likelier cause; once."""
         calls = len(self._parts.calls)
-        if self._postponed or calls < LEAST_CALLS_TO_COMPARE:
+        compares = self._context.options.postpones_hedges and calls >= LEAST_CALLS_TO_COMPARE
+        if self._postponed or not compares:
             return False
         self._postponed = len(late) > NODE_LATE_SHARE * calls
         return self._postponed
@@ -238,4 +240,7 @@
             attempts=sum(call.sent for call in self._parts.calls),
             extra_attempts=sum(call.extras for call in self._parts.calls),
             missing=tuple(call.service for call in self._parts.calls if call.reply is None),
+            left_out=tuple(call.service for call in self._parts.calls if not call.sent),
+            waited_s=max(call.waited_s for call in self._parts.calls),
+            late=now > self.soft + self._margin,
         )
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -9,6 +9,7 @@
 from yokesill.gateway.budget import BudgetTerms
 from yokesill.gateway.context import GatewayContext, LiveAttempt
 from yokesill.gateway.documents import Configuration, Route, Split
+from yokesill.gateway.evidence import Evidence
 from yokesill.gateway.messages import GatewayRequest
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.request import RequestMachine
@@ -18,12 +19,6 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 NOT_READY_RETRY_AFTER_MS = 300
-SILENCE_FACTOR = 4.0
-# Servers pause now and then, for some hundred milliseconds; silence beyond that is told.
-SILENCE_TO_TELL_S, SILENCE_TO_TELL_FACTOR = 0.4, 8.0
-SILENCE_CHECK_S = 0.1
-# Failures that say nothing of the server: this node's own limits, and a connection that had rested.
-NO_EVIDENCE = frozenset({Reason.OVERLOADED, Reason.CONNECTION_FORGOTTEN})
 
 
 class GatewayRouter:
@@ -37,7 +32,7 @@
         self._requests: dict[str, RequestMachine] = {}
         self._owners: dict[int, RequestMachine] = {}
         self._cursors: dict[str, tuple[Split, SplitCursor]] = {}
-        self._silence_checked_at = now
+        self._evidence = Evidence(self._context, now)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -66,9 +61,7 @@
         """Take one event; return what is to be done, in order."""
         actions: list[ev.Action] = []
         _take(event, self, now, actions)
-        if now - self._silence_checked_at >= SILENCE_CHECK_S:
-            self._silence_checked_at = now
-            self._tell_of_silent_servers(now, actions)
+        self._evidence.tell_of_silent_servers(self._route_of, now, actions)
         return actions
 
     def _forget_removed(self, now: float, actions: list[ev.Action]) -> None:
@@ -164,7 +157,7 @@
             state = server.answered(attempt.sent_at, typical.median, reply.load, now, late)
             typical.record(now - attempt.sent_at)
         self._note_state(attempt, state, reply.status, now, actions)
-        self._tell_evidence(attempt, now, actions)
+        self._evidence.tell(attempt, now, actions)
         machine.answered(event.number, reply, now, actions)
         self._settle(machine, actions)
         self._serve_waiting(server.record.service, now, actions)
@@ -178,47 +171,20 @@
             attempt.server.shed(now)
         elif failure.reason is Reason.BACKEND_LEAVING:
             attempt.server.leave()
-        elif failure.reason is Reason.CONNECTION_REFUSED:
+        elif failure.reason is Reason.CONNECTION_REFUSED and self.options.heeds_refusals:
             attempt.server.refused(now)
-        elif failure.reason not in NO_EVIDENCE and self._had_its_time(attempt, machine, failure, now):
+        elif self._evidence.counts(attempt, machine.route, failure, now):
             state = attempt.server.failed(attempt.sent_at, now)
             self._note_state(attempt, state, failure.reason.value, now, actions)
-            self._tell_evidence(attempt, now, actions)
+            self._evidence.tell(attempt, now, actions)
         machine.failed(number, failure, now, actions)
         self._settle(machine, actions)
         self._serve_waiting(attempt.server.record.service, now, actions)
 
-    def _tell_evidence(self, attempt: LiveAttempt, now: float, actions: list[ev.Action]) -> None:
-        if attempt.server.take_evidence() and not attempt.told:
-            self._tell(attempt, now, actions)
-
-    def _tell(self, attempt: LiveAttempt, now: float, actions: list[ev.Action]) -> None:
-        server = attempt.server
-        actions.append(ev.ServerObserved(server.record.instance, server.take_good_answers(now)))
-
-    def _tell_of_silent_servers(self, now: float, actions: list[ev.Action]) -> None:
-        """Tell, once each, of attempts that have been out for much longer than a pause."""
-        for number, attempt in self._context.live.items():
-            machine = self._owners.get(number)
-            typical = None if machine is None else self._context.known_typical(machine.route)
-            if attempt.told or typical is None:
-                continue
-            usual = typical.median
-            if now - attempt.sent_at >= max(SILENCE_TO_TELL_S, SILENCE_TO_TELL_FACTOR * usual):
-                attempt.told = True
-                self._tell(attempt, now, actions)
-
-    def _had_its_time(
-        self, attempt: LiveAttempt, machine: RequestMachine, failure: Failure, now: float
-    ) -> bool:
-        """Whether a failure speaks against the server: silence does only after the usual time and more.
-
-        A caller that has little time left ends its attempts early; that says nothing of servers.
-        """
-        if failure.reason is not Reason.TIMED_OUT:
-            return True
-        usual = attempt.server.round_trip + self._context.typical(machine.route).median
-        return now - attempt.sent_at >= SILENCE_FACTOR * usual
+    def _route_of(self, number: int) -> Route | None:
+        """Return the route of an attempt under way."""
+        machine = self._owners.get(number)
+        return None if machine is None else machine.route
 
     def _end(self, number: int) -> tuple[LiveAttempt | None, RequestMachine | None]:
         return self._context.release(number), self._owners.pop(number, None)
@@ -301,7 +267,7 @@
 
 @_take.register
 def _(event: ev.ServerSuspected, router: GatewayRouter, now: float, actions: Actions) -> None:
-    if router.servers.suspect(event.instance, event.for_s, now):
+    if router.options.heeds_suspicions and router.servers.suspect(event.instance, event.for_s, now):
         actions.append(notes.server_suspected(event.instance, event.for_s))
 
 
--- a/src/yokesill/gateway/selection.py
+++ b/src/yokesill/gateway/selection.py
@@ -29,9 +29,12 @@
     connection_limit: int
     last_resort: bool
     nodes: int
+    heeds_refusals: bool = True
 
     def limit_of(self, server: ServerState) -> int:
         """Return how many connections this node may hold to a server."""
+        if not self.heeds_refusals:
+            return self.connection_limit
         return min(self.connection_limit, server.connection_window)
 
 
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -5,13 +5,15 @@
 import signal
 import socket
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
 
 from yokesill import logs
+from yokesill.gateway.options import GatewayOptions
 from yokesill.platform.feeds import ConfigurationFeed, ServerFeed, StoredNodes
-from yokesill.platform.names import HEADER_NAMES, READY_PATH, SETTINGS_VARIABLE
+from yokesill.platform.names import HEADER_NAMES, READY_PATH, SETTINGS_VARIABLE, SWITCHED_OFF_VARIABLE
 from yokesill.platform.settings import load_settings
 from yokesill.platform.store import MetadataStore
 from yokesill.serving.api_client import ApiClient
@@ -33,6 +35,13 @@
         for problem in settings:
             print(f"error: {path}: {problem}", file=sys.stderr)
         return INVALID
+    switched_off = tuple(os.environ.get(SWITCHED_OFF_VARIABLE, "").split())
+    try:
+        GatewayOptions(settings.zone).without(switched_off)
+    except ValueError as error:
+        print(f"error: {SWITCHED_OFF_VARIABLE}: {error}", file=sys.stderr)
+        return INVALID
+    settings = replace(settings, switched_off=switched_off)
     output = logs.configure(settings.log_level)
     process = GatewayProcess(settings, _surroundings(settings, listening), random.Random(), output)
     follower = SettingsFollower(path, settings, load_settings, process.take_settings)
--- a/src/yokesill/serving/observer.py
+++ b/src/yokesill/serving/observer.py
@@ -34,6 +34,12 @@
                 "attempts": summary.attempts,
                 "extra": summary.extra_attempts,
             }
+            if summary.late:
+                details["late"] = True
+            if summary.waited_s:
+                details["waited_ms"] = round(summary.waited_s * 1000, 1)
+            if summary.left_out:
+                details["left_out"] = list(summary.left_out)
             if summary.missing:
                 details["missing"] = list(summary.missing)
         if isinstance(final, Refuse):
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -106,7 +106,7 @@
         settings, around = self.settings, self._surroundings
         options = GatewayOptions(
             settings.zone, settings.node, regions=settings.regions, budget=settings.budget
-        )
+        ).without(settings.switched_off)
         self.router = GatewayRouter(options, self._random, now)
         self._client = ServerClient(around.names)
         observer = Observer(get_logger("requests"), self.figures)
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -43,6 +43,7 @@
     ``leaving_bound_s`` is how long after the registry took that a server leaves it may still get work.
     ``recovery_bound_s`` is how long after a trouble of the registry a node may be behind.
     ``stop_grace`` is the time from the request to stop until the process is killed.
+    ``switched_off`` names mechanisms that an experiment does without, see ``GatewayOptions``.
     """
 
     node: str
@@ -60,6 +61,7 @@
     leaving_bound_s: float = 2.0
     recovery_bound_s: float = 4.0
     log_level: str = "info"
+    switched_off: tuple[str, ...] = ()
 
     def changes(self, newer: "GatewaySettings") -> list[str]:
         """Return the names of the fields in which ``newer`` differs."""
--- a/tests/platform/test_starting.py
+++ b/tests/platform/test_starting.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from yokesill.platform.main import run as run_node
 from yokesill.platform.start import listen_early
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -25,6 +26,16 @@
 import yokesill.platform.start
 print(any(name.startswith(("anyio", "uvicorn", "structlog")) for name in sys.modules))
 """
+SETTINGS = """
+nodeName = "n1"
+zone = "z1"
+ip = "127.0.0.1"
+[listenAddrs]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+"""
 # What a package is imported as, where that is not its name.
 IMPORTED_AS = {
     "typing_extensions": "typing-extensions",
@@ -60,6 +71,17 @@
     assert repr(address) in capsys.readouterr().err
 
 
+def test_an_unknown_switch_ends_the_start_with_its_place(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    monkeypatch.setenv("YOKESILL_CONFIG", str(path))
+    monkeypatch.setenv("YOKESILL_SWITCHED_OFF", "paces paging")
+    assert run_node() != 0
+    assert "YOKESILL_SWITCHED_OFF: no such switch: paging; known: " in capsys.readouterr().err
+
+
 def test_little_is_loaded_before_the_socket_is_open() -> None:
     assert run(SMALL) == "False"
 
--- /dev/null
+++ b/tests/test_what_binds.py
@@ -0,0 +1,40 @@
+"""The table of what binds, on a recorded excerpt of our own logs."""
+
+from what_binds import read, table, windows
+
+EXCERPT = """
+starting the day
+   4.1000 n1 {"request": "r1", "status": 200, "outcome": "answered", "event": "request_ended"}
+   4.2000 n1 {"request": "r2", "instance": "i-1", "reason": "shed", "event": "attempt_failed"}
+   4.3000 n1 {"request": "r2", "status": 502, "missing": ["s1", "s2"], "event": "request_ended"}
+   5.0 n2 {"request": "r3", "late": true, "waited_ms": 4.0, "missing": ["s1"], "event": "request_ended"}
+   5.1000 n2 {"request": "r4", "service": "s1", "cause": "hedge", "event": "budget_spent"}
+   5.2000 n2 {"request": "r4", "status": 200, "late": true, "event": "request_ended"}
+   6.5000 n2 {"request": "r5", "status": 503, "outcome": "not_ready", "event": "request_ended"}
+   6.6000 n2 {"request": "r6", "status": 404, "outcome": "unknown_service", "event": "request_ended"}
+   6.7000 n2 {"truncated": "li
+""".splitlines()
+
+
+def test_each_late_or_failed_request_has_its_cause_and_its_window() -> None:
+    found, missing = windows(list(read(EXCERPT)), 2.0)
+    assert dict(found[4.0].ended) == {"in time": 1, "failed": 1, "late": 2}
+    assert dict(found[4.0].causes) == {
+        "failed: full servers": 1,
+        "late: waited for room at slow servers": 1,
+        "late: budget of extra attempts": 1,
+    }
+    assert dict(found[6.0].causes) == {"failed: node just started": 1}
+    assert dict(missing) == {"s1": 2, "s2": 1}
+
+
+def test_the_table_has_a_line_for_each_window() -> None:
+    rows = table(list(read(EXCERPT)), 2.0)
+    assert [row.split()[0] for row in rows[1:3]] == ["4", "6"]
+    assert rows[-1].endswith("s1 2, s2 1")
+
+
+def test_lines_without_a_time_of_their_own_are_taken_by_their_timestamp() -> None:
+    line = '{"request": "r1", "status": 200, "event": "request_ended", "timestamp": "2026-01-01T00:00:05Z"}'
+    (start_s,) = windows(list(read([line])), 10.0)[0]
+    assert start_s % 10 == 0
