--- a/bench/overload.py
+++ b/bench/overload.py
@@ -88,7 +88,7 @@
 SCENARIOS = (
     Scenario("calm", 0, 0, 1.0, 112.0),
     Scenario("two of three slow, 0.7", 4, 2, 8.0, 112.0),
-    Scenario("two of three dark, 0.7", 4, 2, float("inf"), 125.0),
+    Scenario("two of three dark, 0.7", 4, 2, 8.0, 125.0, dark=2),
     Scenario("two of three slow, 1.2", 4, 2, 8.0, 190.0),
     Scenario("two shards all slow, 0.7", 2, 3, 8.0, 80.0),
     Scenario("two shards all slow, 1.2", 2, 3, 8.0, 130.0),
--- a/bench/run.py
+++ b/bench/run.py
@@ -10,7 +10,7 @@
 RUNS = (
     ["subrequest.py"],
     ["simulate.py"],
-    ["hollow.py", "50", "100", "200"],
+    ["overload.py", "--write", "overload"],
     ["processes.py", "lima"],
 )
 
