--- a/src/yokesill/gateway/parts.py
+++ b/src/yokesill/gateway/parts.py
@@ -19,17 +19,22 @@
 
     Services that have a sound server are asked at once. Where all servers are slow, a call is
     deferred: as many of those as the answer needs are asked when there is room, the others only
-    where room would be left idle.
+    where room would be left idle. ``owner`` is the request itself, which waits for that room.
     """
 
     def __init__(
-        self, request: GatewayRequest, route: Route, services: tuple[str, ...], context: GatewayContext
+        self,
+        owner: Waiting,
+        request: GatewayRequest,
+        route: Route,
+        services: tuple[str, ...],
+        context: GatewayContext,
     ) -> None:
+        self._owner = owner
         self.calls = [ServiceCall(service, request, route, context) for service in services]
         self.by_number: dict[int, ServiceCall] = {}
         self.covered = 0
         self._route = route
-        self._request = request
         self._context = context
         self._by_service = {call.service: call for call in self.calls}
         self._unsettled = len(self.calls)
@@ -74,20 +79,20 @@
 
     # --- asking ---
 
-    def begin(self, owner: Waiting, deadline_s: float, now: float, actions: list[Action]) -> None:
+    def begin(self, now: float, actions: list[Action]) -> None:
         """Ask every service that has a sound server, and of the others what is needed."""
-        delay = self.hedge_delay(owner.soft, now)
+        delay = self.hedge_delay(now)
         for call in self.calls:
             self._context.budget(call.service).count_request(now)
             choice = call.look(now)
             if choice is None or choice.sound:
-                call.begin(choice, deadline_s, delay, now, actions)
+                call.begin(choice, self._owner.hard, delay, now, actions)
                 self._took(call)
             else:
                 self._defer(call, "first", now)
-        self.fill(owner, deadline_s, now, actions)
+        self.fill(now, actions)
 
-    def fill(self, owner: Waiting, deadline_s: float, now: float, actions: list[Action]) -> None:
+    def fill(self, now: float, actions: list[Action]) -> None:
         """Ask deferred services that are needed and have room; the owner waits for the rest."""
         if not self._deferred:
             return
@@ -95,12 +100,12 @@
         looks.sort(key=lambda each: NEVER if each[1] is None else each[1].expected_s)
         for call, choice in looks:
             if choice is None or self._may_go(choice, now):
-                self._go(call, choice, owner, deadline_s, now, actions)
+                self._go(call, choice, now, actions)
         if self._wanted() <= 0:
             return
         for call, choice in looks:
             if call.deferred and choice is not None:
-                self._wait(call, choice, owner, now, actions)
+                self._wait(call, choice, now, actions)
 
     def _may_go(self, choice: Choice, now: float) -> bool:
         """Whether a slow server may be asked now: it has room, and is needed or would be idle."""
@@ -108,44 +113,38 @@
             return False
         return self._wanted() > 0 or choice.idle(now)
 
-    def _wait(
-        self, call: ServiceCall, choice: Choice, owner: Waiting, now: float, actions: list[Action]
-    ) -> None:
+    def _wait(self, call: ServiceCall, choice: Choice, now: float, actions: list[Action]) -> None:
         waiting = self._context.waiting
-        waiting.enter(call.service, owner, choice.expected_s)
+        waiting.enter(call.service, self._owner, choice.expected_s)
         if waiting.look_again(call.service, choice.room_at_s):
             actions.append(SetTimer(call.service, TimerKind.ROOM, choice.room_at_s))
 
-    def take_room(
-        self, service: str, owner: Waiting, deadline_s: float, now: float, actions: list[Action]
-    ) -> float | None:
+    def take_room(self, service: str, now: float, actions: list[Action]) -> float | None:
         """Ask a service that has room; return ``None``, or from when on it has room (seconds)."""
         call = self._by_service[service]
         choice = call.look(now)
         if choice is not None and not self._context.has_room(choice, now):
             return choice.room_at_s
-        self._go(call, choice, owner, deadline_s, now, actions)
+        self._go(call, choice, now, actions)
         return None
 
-    def offer(self, owner: Waiting, deadline_s: float, now: float, actions: list[Action]) -> None:
+    def offer(self, now: float, actions: list[Action]) -> None:
         """Ask deferred services until half of all were asked, room or not."""
         for call in self.calls:
             if self.offered:
                 return
             if call.deferred:
-                self._go(call, call.look(now), owner, deadline_s, now, actions)
+                self._go(call, call.look(now), now, actions)
 
     def _go(
         self,
         call: ServiceCall,
         choice: Choice | None,
-        owner: Waiting,
-        deadline_s: float,
         now: float,
         actions: list[Action],
     ) -> None:
         self._deferred -= 1
-        call.take_room(choice, deadline_s, self.hedge_delay(owner.soft, now), now, actions)
+        call.take_room(choice, self._owner.hard, self.hedge_delay(now), now, actions)
         self._took(call)
 
     def _defer(self, call: ServiceCall, cause: str, now: float) -> None:
@@ -154,7 +153,7 @@
 
     # --- hedges and retries ---
 
-    def hedge_delay(self, soft_s: float, now: float) -> float:
+    def hedge_delay(self, now: float) -> float:
         """Return after how long an attempt counts as late, in seconds.
 
         That is some typical latencies, but early enough for another server to answer in time.
@@ -162,7 +161,7 @@
         options = self._context.options
         factor = options.gather_hedge_factor if self._gathers else options.single_hedge_factor
         typical = self._context.typical(self._route).median
-        latest = soft_s - now - LATEST_HEDGE_SHARE * typical
+        latest = self._owner.soft - now - LATEST_HEDGE_SHARE * typical
         delay = typical * factor
         if typical < latest < delay:
             delay = latest
@@ -176,25 +175,21 @@
         """Return when the next attempt is late."""
         return min((call.hedge_at for call in self.calls if call.open), default=NEVER)
 
-    def hedge(
-        self, late: list[ServiceCall], owner: Waiting, deadline_s: float, now: float, actions: list[Action]
-    ) -> None:
+    def hedge(self, late: list[ServiceCall], now: float, actions: list[Action]) -> None:
         """Ask other servers of the services whose attempts are late."""
-        delay = self.hedge_delay(owner.soft, now)
+        delay = self.hedge_delay(now)
         for call in late:
-            call.hedge(deadline_s, delay, now, actions)
+            call.hedge(self._owner.hard, delay, now, actions)
             self._took(call)
-        self.fill(owner, deadline_s, now, actions)
+        self.fill(now, actions)
 
-    def retry(
-        self, call: ServiceCall, owner: Waiting, deadline_s: float, now: float, actions: list[Action]
-    ) -> None:
+    def retry(self, call: ServiceCall, now: float, actions: list[Action]) -> None:
         """Ask a service again after an attempt that brought no success."""
         was_deferred = bool(call.deferred)
-        call.retry(deadline_s, self.hedge_delay(owner.soft, now), now, actions)
+        call.retry(self._owner.hard, self.hedge_delay(now), now, actions)
         self._deferred += bool(call.deferred) - was_deferred
         self._took(call)
-        self.fill(owner, deadline_s, now, actions)
+        self.fill(now, actions)
 
     # --- counting ---
 
--- a/src/yokesill/gateway/request.py
+++ b/src/yokesill/gateway/request.py
@@ -44,7 +44,6 @@
         self.done = False
         self._version = version
         self._context = context
-        self._parts = RequestParts(request, route, services, context)
         self._timer_at = NEVER
         self._postponed = False
         options = context.options
@@ -58,12 +57,13 @@
             # Late whatever is done; or this caller is merely less patient than the most patient one.
             waited = 0.0
         self.soft = request.arrived_at + max(0.0, route.target - waited - margin)
+        self._parts = RequestParts(self, request, route, services, context)
 
     # --- events ---
 
     def begin(self, now: float, actions: list[Action]) -> None:
         """Send the first attempts and set the timers."""
-        self._parts.begin(self, self.hard, now, actions)
+        self._parts.begin(now, actions)
         if isinstance(self.route.destination, Gather):
             actions.append(SetTimer(self.request.key, TimerKind.SOFT, self.soft))
         if not self._parts.offered:
@@ -103,7 +103,7 @@
         elif kind is TimerKind.HARD:
             self._give_up(now, actions)
         elif kind is TimerKind.OFFER:
-            self._parts.offer(self, self.hard, now, actions)
+            self._parts.offer(now, actions)
             self._set_hedge_timer(actions)
         self._conclude(now, actions)
 
@@ -130,7 +130,7 @@
 
     def take_room(self, service: str, now: float, actions: list[Action]) -> float | None:
         """Ask a service that has room; return ``None``, or from when on it has room (seconds)."""
-        room_at_s = self._parts.take_room(service, self, self.hard, now, actions)
+        room_at_s = self._parts.take_room(service, now, actions)
         if room_at_s is None:
             self._conclude(now, actions)
             self._set_hedge_timer(actions)
@@ -142,11 +142,11 @@
         self._timer_at = NEVER
         late = self._parts.late_calls(now)
         if self._node_is_late(late):
-            delay = self._parts.hedge_delay(self.soft, now)
+            delay = self._parts.hedge_delay(now)
             for call in late:
                 call.hedge_at = now + delay
         else:
-            self._parts.hedge(late, self, self.hard, now, actions)
+            self._parts.hedge(late, now, actions)
         self._set_hedge_timer(actions)
 
     def _node_is_late(self, late: list[ServiceCall]) -> bool:
@@ -159,7 +159,7 @@
         return self._postponed
 
     def _retry(self, call: ServiceCall, now: float, actions: list[Action]) -> None:
-        self._parts.retry(call, self, self.hard, now, actions)
+        self._parts.retry(call, now, actions)
         self._set_hedge_timer(actions)
 
     def _set_hedge_timer(self, actions: list[Action]) -> None:
