--- a/src/yokesill/cli/explain.py
+++ b/src/yokesill/cli/explain.py
@@ -56,7 +56,8 @@
         return []
     sources = {line.source for line in own}
     servers = {line.fields.get("instance") for line in own} - {None}
-    services = {service for line in own for service in line.fields.get("missing", ())}
+    named = [line.fields.get(field, ()) for line in own for field in ("missing", "left_out")]
+    services = {service for names in named for service in names}
     beliefs: dict[tuple[str, str], LogLine] = {}
     for line in ordered:
         if line.time > own[-1].time or line.event not in CONTEXT_EVENTS or line.source not in sources:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -38,3 +38,9 @@
     assert tester.execute(f"r9 {file}") != 0
     assert "r9" in tester.io.fetch_error()
     assert tester.execute(f"r1 {tmp_path / 'none'}") != 0
+
+
+def test_services_that_were_left_out_are_told_with_what_was_believed_of_their_servers() -> None:
+    ended = line("07", "request_ended", request="r2", outcome="partial", left_out=["s2"], waited_ms=80.0)
+    told = story(read_lines("node-1", [*NODE_1, ended]), "r2")
+    assert [each.fields.get("instance") for each in told] == ["i-2", None]
