The waiting room keeps nothing of services that nobody waits for

Cause: reading: the expected latency of a service stayed after the service was gone. Change: dropped with the last waiter; a test.

--- a/src/yokesill/gateway/waiting.py
+++ b/src/yokesill/gateway/waiting.py
@@ -35,6 +35,10 @@
         self._expected_s: dict[str, float] = {}
         self._look_at: dict[str, float] = {}
 
+    def __len__(self) -> int:
+        """Of how many services something is kept."""
+        return len(self._requests.keys() | self._expected_s.keys() | self._look_at.keys())
+
     def enter(self, service: str, request: Request, expected_s: float) -> None:
         """Let a request wait for room at a service that takes ``expected_s`` for an answer."""
         self._expected_s[service] = expected_s
@@ -52,6 +56,7 @@
         waiting = [each for each in self._requests.get(service, ()) if each.wants_room(service)]
         if not waiting:
             self._requests.pop(service, None)
+            self._expected_s.pop(service, None)
             return None
         self._requests[service] = waiting
         least_s = LAST_CHANCE_FACTOR * self._expected_s.get(service, 0.0)
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -221,6 +221,13 @@
         assert asked(harness, harness.arrive()) == set(SHARDS)
 
 
+def test_nothing_is_kept_of_services_that_nobody_waits_for() -> None:
+    harness = busy_shard(nodes=8)
+    assert waits(harness, harness.arrive(patience=6.0))
+    play_servers(harness, ("s1",), 6.0)
+    assert len(harness.router._context.waiting) == 0
+
+
 # --- servers that refuse connections ---
 
 
