More urgent requests have room first; a vanished entry is a last resort for about two seconds

Change: the waiting room takes the most urgent of each rank first; removed_grace is 2 s, and 0.6 of the bound on leaving servers at the most (1.8 s at 3 s). Tests and a guard.

--- a/src/yokesill/gateway/request.py
+++ b/src/yokesill/gateway/request.py
@@ -124,6 +124,11 @@
 
     # --- room at slow servers ---
 
+    @property
+    def priority(self) -> int:
+        """How urgent its route is; 0 is the most urgent."""
+        return self.route.priority
+
     def wants_room(self, service: str) -> bool:
         """Whether a service should be asked as soon as one of its slow servers has room."""
         return not self.done and self._parts.wants_room(service)
--- a/src/yokesill/gateway/waiting.py
+++ b/src/yokesill/gateway/waiting.py
@@ -11,12 +11,17 @@
 class Waiting(Protocol):
     """A request that may wait.
 
-    ``soft`` is until when its answer is in time, ``hard`` when it is given up, both in seconds.
+    ``soft`` is until when its answer is in time, ``hard`` when it is given up, both in seconds;
+    ``priority`` 0 is the most urgent.
     """
 
     soft: float
     hard: float
 
+    @property
+    def priority(self) -> int:
+        """How urgent it is."""
+
     def wants_room(self, service: str) -> bool:
         """Whether it still waits for room at a service."""
 
@@ -49,6 +54,7 @@
     def next(self, service: str, now: float) -> Request | None:
         """Return whose turn it is: whoever has little time left, the newest, or who waits longest.
 
+        Of each of these the most urgent first: a more urgent kind of request must not be served less.
         An answer that never comes is worse than a late one, so that those go first that would soon
         be given up. Then come those that can be in time, the newest first: first in, first out would
         serve each one just after its time was over.
@@ -62,9 +68,9 @@
         least_s = LAST_CHANCE_FACTOR * self._expected_s.get(service, 0.0)
         last_chance = [each for each in waiting if each.hard - now < least_s]
         if last_chance:
-            return last_chance[0]
+            return _most_urgent(last_chance)[0]
         in_time = [each for each in waiting if each.soft > now]
-        return in_time[-1] if in_time else waiting[0]
+        return _most_urgent(in_time)[-1] if in_time else _most_urgent(waiting)[0]
 
     def anybody(self, service: str) -> bool:
         """Whether somebody waits for room at a service."""
@@ -81,3 +87,9 @@
     def looked(self, service: str) -> None:
         """Take the timer of a service as fired."""
         self._look_at.pop(service, None)
+
+
+def _most_urgent(waiting: list[Request]) -> list[Request]:
+    """Return the most urgent ones, in the order in which they came."""
+    least = min(each.priority for each in waiting)
+    return [each for each in waiting if each.priority == least]
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -105,7 +105,11 @@
     def _build(self, now: float) -> None:
         settings, around = self.settings, self._surroundings
         options = GatewayOptions(
-            settings.zone, settings.node, regions=settings.regions, budget=settings.budget
+            settings.zone,
+            settings.node,
+            regions=settings.regions,
+            budget=settings.budget,
+            removed_grace=settings.removed_grace_s,
         ).without(settings.switched_off)
         self.router = GatewayRouter(options, self._random, now)
         self._client = ServerClient(around.names)
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -9,6 +9,9 @@
 WITHDRAW_CEILING = 3.2
 GATHERING_SHARE, LONGEST_GATHERING_S = 0.3, 1.5
 CHECK_SHARE = 0.55
+# Servers that live have their entries back so long after the registry's return.
+ENTRIES_BACK_S = 2.0
+REMOVED_SHARE = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,16 @@
         """
         return min(LONGEST_GATHERING_S, GATHERING_SHARE * self.leaving_bound_s)
 
+    @property
+    def removed_grace_s(self) -> float:
+        """How long a server whose entry vanished may still be a last resort.
+
+        Entries also lapse while the registry is away, and those of living servers come back soon
+        after its return. What is left of the bound on leaving servers is for this node to learn of it
+        and for the request's way.
+        """
+        return min(ENTRIES_BACK_S, REMOVED_SHARE * self.leaving_bound_s)
+
     @property
     def check_interval_s(self) -> float:
         """How often to look whether a wait for changes was swallowed; see ``FeedFollower``."""
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -1,6 +1,7 @@
 """Shards whose servers are all slow: who is asked, who waits, in which order, and what is refused."""
 
 import itertools
+from dataclasses import replace
 
 from harness import SHARDS, RouterHarness, failure, gather_route, reply, server, single_route
 
@@ -139,6 +140,18 @@
     assert longest.request.arrived_at <= min(each.request.arrived_at for each in harness.of(old))
 
 
+def test_a_more_urgent_request_has_room_before_a_newer_less_urgent_one() -> None:
+    lesser = replace(ALL_NEEDED, name="lesser", prefix="/lesser/", priority=ALL_NEEDED.priority + 1)
+    harness = RouterHarness(ALL_NEEDED, lesser, servers=servers_with_one_of("s1"), nodes=3)
+    slowed(harness, ("s1",))
+    for _ in range(2):
+        answer_others(harness, harness.arrive(patience=6.0), "s1")
+    urgent = harness.arrive(patience=6.0)
+    newer = harness.arrive("/lesser/x", 6.0)
+    assert waits(harness, urgent) and waits(harness, newer)
+    assert harness.router._context.waiting.next("s1", harness.now).request.key == urgent
+
+
 def test_whoever_would_soon_be_given_up_goes_before_the_newest() -> None:
     harness = busy_shard(nodes=3)
     old, newest = harness.arrive(patience=0.5), harness.arrive(patience=6.0)
--- a/tests/serving/test_reload.py
+++ b/tests/serving/test_reload.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import anyio
+import pytest
 from conftest import run_virtual
 from harness import RouterHarness, failure, single_route
 
@@ -65,3 +66,10 @@
     key = harness.arrive("/one/x", 6.0)
     harness.fail(harness.of(key)[0], failure())
     assert len(harness.of(key)) == 1
+
+
+def test_a_vanished_entry_is_a_last_resort_until_living_servers_are_back_but_within_the_bound() -> None:
+    address = Address("127.0.0.1", 1)
+    for bound_s, grace_s in ((2.0, 1.2), (3.0, 1.8), (5.0, 2.0)):
+        settings = GatewaySettings("n", "z", address, address, address, leaving_bound_s=bound_s)
+        assert settings.removed_grace_s == pytest.approx(grace_s)
