--- a/spec/check.py
+++ b/spec/check.py
@@ -46,6 +46,11 @@
     Run("keys"),
     Run("keys", ("BUG_NO_RESERVE",), defect=True),
     Run("keys", ("BUG_NO_RECORD",), defect=True),
+    Run("watchers"),
+    Run("watchers", ("BUG_AGE",), defect=True),
+    Run("watchers", ("BUG_PATIENCE",), defect=True),
+    Run("watchers", ("BUG_LEVEL",), defect=True),
+    Run("watchers", ("BUG_OLDER",), defect=True),
 )
 
 
--- a/src/yokesill/cli/gateway.py
+++ b/src/yokesill/cli/gateway.py
@@ -35,7 +35,7 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def list(self) -> Batch | Failure:
+    async def list(self, stale: bool = False) -> Batch | Failure:
         """See ``Feed.list``."""
         return Batch(self._position, (self._event,))
 
--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -148,9 +148,7 @@
         self.hedge_at = now + (hedge_delay if choice.sound else max(hedge_delay, choice.expected_s))
         if cause != "first":
             actions.append(self._note("attempt_added", cause, server.record.instance, now))
-        limit = context.connection_limit(self.service)
-        if context.options.heeds_refusals:
-            limit = min(limit, server.connection_window)
+        limit = server.bears(context.connection_limit(self.service), context.options.heeds_refusals)
         repeatable = self._route.repeatable
         attempt = Attempt(number, self._request, server.record, limit, deadline, repeatable)
         actions.append(SendAttempt(attempt))
--- a/src/yokesill/gateway/options.py
+++ b/src/yokesill/gateway/options.py
@@ -23,7 +23,8 @@
     answer can do without are left out where servers are slow (``leaves_out``), slow servers are asked
     at their pace (``paces``), refused connections bound the next ones (``heeds_refusals``), late
     attempts are hedged (``hedges``), what other nodes found of servers counts (``heeds_suspicions``),
-    and a wave of hedges waits once (``postpones_hedges``).
+    and a wave of hedges waits once (``postpones_hedges``). ``few_watchers`` is the node's, not the
+    router's: a few nodes of a zone follow the registry and tell the others.
     """
 
     zone: str
@@ -46,6 +47,7 @@
     hedges: bool = True
     heeds_suspicions: bool = True
     postpones_hedges: bool = True
+    few_watchers: bool = True
 
     def without(self, names: Collection[str]) -> "GatewayOptions":
         """Return these options with some mechanisms switched off.
--- a/src/yokesill/gateway/selection.py
+++ b/src/yokesill/gateway/selection.py
@@ -31,12 +31,6 @@
     nodes: int
     heeds_refusals: bool = True
 
-    def limit_of(self, server: ServerState) -> int:
-        """Return how many connections this node may hold to a server."""
-        if not self.heeds_refusals:
-            return self.connection_limit
-        return min(self.connection_limit, server.connection_window)
-
 
 class Choice(NamedTuple):
     """The server to ask; ``sound`` unless all of its service are slow, stalled or failing.
@@ -96,7 +90,8 @@
     """Return the best servers that are not known to be slow or failing."""
     sound = [each for each in servers if each.usable(now)]
     ready = [each for each in sound if not each.pausing(now)]
-    free = [each for each in ready if each.in_flight < wanted.limit_of(each)]
+    limit, heeds = wanted.connection_limit, wanted.heeds_refusals
+    free = [each for each in ready if each.in_flight < each.bears(limit, heeds)]
     own = [each for each in free if each.record.instance in wanted.subset]
     return own or free or ready or sound
 
--- a/src/yokesill/gateway/server_table.py
+++ b/src/yokesill/gateway/server_table.py
@@ -72,6 +72,9 @@
             state.update(record, now)
             return True
         before = state.record
+        if before == record and state.removed_at is None:
+            # Told once more, by another node or in a whole list: its warm-up does not begin anew.
+            return False
         state.update(record, now)
         return (before.leaving, before.address) != (record.leaving, record.address)
 
--- a/src/yokesill/gateway/servers.py
+++ b/src/yokesill/gateway/servers.py
@@ -21,7 +21,7 @@
 GOOD_PERIOD_S = 1.0
 SLOWNESS_WEIGHT = 0.5
 REFUSAL_PAUSE_S, REFUSAL_PAUSE_CEILING_S = 0.03, 0.24
-FIRST_CONNECTIONS = 1
+FIRST_CONNECTIONS, MOST_CONNECTIONS = 1, 256
 
 
 class SentAttempt(NamedTuple):
@@ -104,6 +104,14 @@
         if record.leaving:
             self._handle("leaving")
 
+    def bears(self, limit: int, heeds_refusals: bool) -> int:
+        """Return how many connections this node may hold to it.
+
+        ``limit`` is this node's share of what the server bears by its configuration; with
+        ``heeds_refusals`` what it was seen to bear counts too.
+        """
+        return min(limit, self.connection_window) if heeds_refusals else limit
+
     def leave(self) -> None:
         """Give it no new work: its own answer said that it leaves."""
         self._handle("leaving")
@@ -219,7 +227,7 @@
         before = self._state
         self._overtaken_s = max(self._overtaken_s, sent_at)
         self.failing, self._failures, self._refusals = False, 0, 0
-        self.connection_window = max(self.connection_window, self.connections) + 1
+        self.connection_window = min(MOST_CONNECTIONS, max(self.connection_window, self.connections) + 1)
         if load is not None:
             self._load, self._load_at = load, now
         ratio = (now - sent_at - self.round_trip - node_late) / max(typical, LEAST_TYPICAL)
--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -41,9 +41,9 @@
         self._read_changes = read_changes
         self._read_all = read_all
 
-    async def list(self) -> Batch | Failure:
+    async def list(self, stale: bool = False) -> Batch | Failure:
         """See ``Feed.list``."""
-        view = await self._store.list(self._kind)
+        view = await self._store.list(self._kind, stale)
         return view if isinstance(view, Failure) else self._read_all(view)
 
     async def changes(self, position: int, wait: float) -> Batch | HistoryLost | Failure:
@@ -81,7 +81,7 @@
 
     async def announce(self, contact: NodeContact, beat: int) -> Failure | None:
         """See ``NodeDirectory.announce``."""
-        spec = {"beat": beat, "zone": contact.zone, "datagrams": contact.datagrams}
+        spec = {"beat": beat, **contact._asdict()}
         return await self._store.put(NODES_KIND, contact.node, spec)
 
     async def nodes(self) -> tuple[NodeEntry, ...] | Failure:
@@ -94,8 +94,8 @@
 
 def _node_entry(item: StoredItem) -> NodeEntry:
     spec = item.spec if isinstance(item.spec, dict) else {}
-    contact = NodeContact(item.name, str(spec.get("zone", "")), str(spec.get("datagrams", "")))
-    return NodeEntry(contact, item.revision)
+    told = {name: str(spec.get(name, "")) for name in NodeContact._fields}
+    return NodeEntry(NodeContact(**{**told, "node": item.name}), item.revision)
 
 
 def _configuration_batch(view: StoreView) -> Batch:
@@ -122,7 +122,8 @@
 def _server_events(view: StoreView) -> tuple[tuple[Event, ...], tuple[Problem, ...]]:
     events: list[Event] = []
     problems: list[Problem] = []
-    for item in view.items:
+    # The last word on each server: what was overtaken within the batch must not come back to life.
+    for item in {item.name: item for item in view.items}.values():
         try:
             events.append(_server_event(item))
         except ObjectError as error:
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -16,6 +16,7 @@
         return [SettingsProblem("(file)", str(error))]
     port = reader.first_port("portRange")
     own_port = None if port is None else Address(reader.text("ip"), port)
+    reports = None if own_port is None else Address(own_port.host, own_port.port + 1)
     settings = GatewaySettings(
         node=reader.text("nodeName"),
         zone=reader.text("zone"),
@@ -24,6 +25,7 @@
         registry=reader.address("platform.address"),
         metrics=own_port,
         datagrams=own_port,
+        reports=reports,
         peers=reader.optional_address("listenAddrs.control"),
         seeds=reader.addresses("seedNodes"),
         regions=reader.texts("zones"),
@@ -32,6 +34,7 @@
             allowance=reader.number("bounds.retrySlack", 10.0),
             window=max(1.0, reader.number("bounds.retryWindowS", 10.0)),
         ),
+        configuration_bound_s=max(1.0, reader.number("bounds.configApplyMs", 3000) / 1000),
         leaving_bound_s=reader.number("bounds.drainMs", 2000) / 1000,
         recovery_bound_s=max(1.0, reader.number("bounds.contactMs", 4000) / 1000),
         stop_grace=reader.number("bounds.graceS", 6.0),
--- a/src/yokesill/serving/figures.py
+++ b/src/yokesill/serving/figures.py
@@ -1,10 +1,6 @@
-"""A serving node's counters and histograms; ``exposition`` renders them by prometheus-client.
-
-They are kept plain here: the library is loaded when somebody asks for the figures, not before.
-"""
+"""A serving node's counters and histograms, kept plain; ``exposition`` renders them."""
 
 import bisect
-import importlib
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -68,9 +64,3 @@
     def gauge(self, name: str, description: str, value: float) -> None:
         """Set a gauge."""
         self.gauges[name] = (description, value)
-
-    def render(self) -> bytes:
-        """Return the figures in the text format."""
-        exposition = importlib.import_module("yokesill.serving.exposition")
-        text: bytes = exposition.render(self)
-        return text
--- a/src/yokesill/serving/follower.py
+++ b/src/yokesill/serving/follower.py
@@ -1,4 +1,4 @@
-"""Follows the registry's feeds: lists, then waits for changes, and starts over where history is lost."""
+"""Follows the registry's feeds: by listing and waiting for changes, or by what other nodes tell of them."""
 
 import random
 from collections.abc import Callable
@@ -20,10 +20,14 @@
     """Keeps the router up to date with one feed.
 
     ``gathering_time`` (s) passes after each batch of changes, so that changes in quick succession
-    come in one call. ``known`` is set once the feed was listed.
+    come in one call. ``known`` is set once the feed was listed or told of.
 
     A wait for changes that the registry takes while it is silent is never answered, and its
     connection stays open. So a cheap check looks for changes beside it.
+
+    With ``watching`` false it asks the registry once, cheaply, and then takes what it is told, until
+    ``set_watching`` has it ask for itself. Whatever the source, its position only rises.
+    ``on_read`` is told of each batch that was read here, with the position before it.
     """
 
     def __init__(
@@ -33,49 +37,123 @@
         gathering_time: float,
         source: random.Random,
         check_interval_s: float = CHECK_INTERVAL_S,
+        watching: bool = True,
     ) -> None:
         self.known = anyio.Event()
         self.connected = False
+        self.confirmed_at_s = float("-inf")
         self.calls = 0
+        self.on_read: Callable[[int, Batch], None] = lambda _before, _batch: None
         self._feed = feed
         self._feed_router = feed_router
         self._gathering_time = gathering_time
         self._check_interval_s = check_interval_s
         self._random = source
         self._position: int | None = None
+        self._list_next = True
+        self._watching = watching
+        self._watching_changed = anyio.Event()
         self._pause = FIRST_PAUSE
         self._asked_at = 0.0
         self._call_scope: anyio.CancelScope | None = None
         self._log = get_logger("registry")
 
+    @property
+    def position(self) -> int | None:
+        """Up to which position of the registry the feed is known here."""
+        return self._position
+
     async def run(self) -> None:
         """Follow until cancelled."""
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self._check_waits)
+            if not self._watching:
+                await self._glance()
             await self._follow()
 
+    # --- what other nodes tell ---
+
+    def set_watching(self, wanted: bool) -> None:
+        """Ask the registry from now on, or rely on what is told."""
+        if wanted == self._watching:
+            return
+        self._watching = wanted
+        self._watching_changed.set()
+        self._watching_changed = anyio.Event()
+        if not wanted and self._call_scope is not None:
+            self._call_scope.cancel()
+
+    def take_changes(self, before: int, batch: Batch) -> bool:
+        """Take changes from ``before`` on that another node tells.
+
+        Returns
+        -------
+        bool
+            Whether this node now knows all that the other one knows.
+        """
+        if self._position is None or self._position < before:
+            return False
+        if batch.position > self._position:
+            self._take(batch)
+        return True
+
+    def take_whole(self, batch: Batch) -> None:
+        """Take the whole feed as another node knows it, unless it is older."""
+        if self._position is None or batch.position > self._position:
+            self._take(batch)
+
+    # --- asking the registry ---
+
+    async def _glance(self) -> None:
+        """Take a cheap list to start with; it may be older than its position, which is not taken."""
+        self.calls += 1
+        outcome = await self._feed.list(stale=True)
+        if isinstance(outcome, Batch) and self._position is None:
+            for event in outcome.events:
+                self._feed_router(event)
+
     async def _follow(self) -> None:
         while True:
+            if not self._watching:
+                await self._watching_changed.wait()
+                continue
             self.calls += 1
             self._asked_at = anyio.current_time()
             with anyio.CancelScope() as self._call_scope:
                 outcome = await self._next()
-            if self._call_scope.cancelled_caught:
-                continue
+            cancelled = self._call_scope.cancelled_caught
             self._call_scope = None
+            if cancelled:
+                continue
             if isinstance(outcome, Batch):
-                self._take(outcome)
-                self._mark(True, "")
-                self._pause = FIRST_PAUSE
+                self._read(outcome)
                 if outcome.events:
                     await anyio.sleep(self._gathering_time)
             elif isinstance(outcome, HistoryLost):
                 self._log.info("registry_history_lost", feed=self._feed.name, position=self._position)
-                self._position = None
+                self._list_next = True
             else:
                 self._mark(False, f"{outcome.reason}: {outcome.detail}")
-                await anyio.sleep(self._pause * (0.5 + self._random.random()))
-                self._pause = min(LONGEST_PAUSE, self._pause * PAUSE_GROWTH)
+                await self._wait_for_registry()
+
+    async def _wait_for_registry(self) -> None:
+        """Pause, then ask cheaply, until the registry answers or this node need not ask any more."""
+        while self._watching:
+            await anyio.sleep(self._pause * (0.5 + self._random.random()))
+            self._pause = min(LONGEST_PAUSE, self._pause * PAUSE_GROWTH)
+            if self._position is None or await self._answers_cheaply():
+                return
+
+    def _read(self, batch: Batch) -> None:
+        """Take what the registry answered, unless more was told meanwhile."""
+        before = self._position or 0
+        if batch.position >= before:
+            self._take(batch)
+            if batch.position > before:
+                self.on_read(before, batch)
+        self.confirmed_at_s = anyio.current_time()
+        self._mark(True, "")
+        self._pause = FIRST_PAUSE
 
     async def _check_waits(self) -> None:
         """Look for changes that a long wait should have brought, and ask anew if there are any.
@@ -95,18 +173,24 @@
                 pause_s = min(FAILED_CHECK_PAUSE_S, self._check_interval_s)
                 continue
             if isinstance(outcome, Batch) and not outcome.events:
+                self.confirmed_at_s = anyio.current_time()
                 continue
             await anyio.sleep(CHECK_GRACE_S)
             if position == self._position and self._call_scope is not None:
                 self._log.info("registry_wait_swallowed", feed=self._feed.name, position=position)
-                self._position = None if isinstance(outcome, HistoryLost) else position
+                self._list_next = isinstance(outcome, HistoryLost)
                 self._call_scope.cancel()
 
     def _waits_long(self) -> bool:
         return self._call_scope is not None and anyio.current_time() - self._asked_at >= CHECK_GRACE_S
 
+    async def _answers_cheaply(self) -> bool:
+        """Whether the registry answers a cheap call again; asked before each dear one while it failed."""
+        self.calls += 1
+        return not isinstance(await self._feed.peek(self._position or 0), Failure)
+
     async def _next(self) -> Batch | HistoryLost | Failure:
-        if self._position is None:
+        if self._position is None or self._list_next:
             return await self._feed.list()
         return await self._feed.changes(self._position, WATCH_TIME)
 
@@ -120,6 +204,7 @@
         for problem in batch.problems:
             self._log.error("entry_rejected", place=problem.place, problem=problem.message)
         self._position = batch.position
+        self._list_next = False
         self.known.set()
 
     def _mark(self, connected: bool, why: str) -> None:
--- /dev/null
+++ b/src/yokesill/serving/following.py
@@ -0,0 +1,103 @@
+"""How a node keeps up with the registry: through its zone's watchers, or by itself."""
+
+import random
+from collections.abc import Callable, Iterable
+
+import anyio
+
+from yokesill.gateway.events import Event
+from yokesill.serving.feed_states import CONFIGURATION, SERVERS
+from yokesill.serving.follower import FeedFollower
+from yokesill.serving.registry import Feed, NodeContact
+from yokesill.serving.settings import GatewaySettings
+from yokesill.serving.watch_link import WatchLink
+from yokesill.serving.zone_watch import WholeFeed, ZoneWatch
+from yokesill.watchers.terms import WatchTerms
+
+CONFIGURATION_GATHERING_S = 0.3
+
+
+class RegistryFollowing:
+    """The followers of both feeds, and what keeps them up to date.
+
+    Parameters
+    ----------
+    settings
+        Where nodes reach one another, and the bounds to keep.
+    feeds
+        The registry's configuration and servers.
+    learn
+        Take an event of the configuration's feed, and of the servers'.
+    whole
+        Return a whole feed as this node knows it, by its name; ``None`` while it knows nothing.
+    few_watchers
+        Whether only a few nodes of the zone ask the registry and tell the others.
+    source
+        Spreads the calls of many nodes over time.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        feeds: tuple[Feed, Feed],
+        learn: tuple[Callable[[Event], None], Callable[[Event], None]],
+        whole: Callable[[str], WholeFeed | None],
+        few_watchers: bool,
+        source: random.Random,
+    ) -> None:
+        shared = few_watchers and settings.reports is not None and settings.peers is not None
+        terms = WatchTerms.within(settings.change_bound_s)
+        check_s = terms.check_interval_s if shared else settings.check_interval_s
+        gathering_s = (CONFIGURATION_GATHERING_S, settings.gathering_time_s)
+        self.contact = _contact(settings)
+        self._followers = {
+            name: FeedFollower(feed, take, gather_s, source, check_s, watching=not shared)
+            for name, feed, take, gather_s in zip(
+                (CONFIGURATION, SERVERS), feeds, learn, gathering_s, strict=True
+            )
+        }
+        self._watch: ZoneWatch | None = None
+        if shared and settings.reports is not None:
+            self._link = WatchLink(settings.reports)
+            carried = (self._link.send, self._link.fetch)
+            self._watch = ZoneWatch(self.contact, self._followers, whole, *carried, terms, source)
+
+    @property
+    def calls(self) -> int:
+        """How many calls of the registry were made to follow it."""
+        return sum(each.calls for each in self._followers.values())
+
+    @property
+    def duty(self) -> str:
+        """What this node does to keep up; empty where nodes don't watch for one another."""
+        return "" if self._watch is None else self._watch.duty
+
+    def position(self, feed: str) -> int:
+        """Up to which position a feed is known; 0 while nothing is."""
+        return self._followers[feed].position or 0
+
+    async def run(self) -> None:
+        """Keep up until cancelled."""
+        async with anyio.create_task_group() as task_group:
+            for follower in self._followers.values():
+                task_group.start_soon(follower.run)
+            if self._watch is not None:
+                task_group.start_soon(self._link.run, self._watch, self._watch_alone)
+
+    def set_nodes(self, contacts: Iterable[NodeContact]) -> None:
+        """Take which nodes there are."""
+        if self._watch is not None:
+            self._watch.set_members(contacts)
+
+    def state(self, feed: str) -> bytes | None:
+        """Return a whole feed for another node; ``None`` if this one has none to tell."""
+        return None if self._watch is None else self._watch.state(feed)
+
+    def _watch_alone(self) -> None:
+        for follower in self._followers.values():
+            follower.set_watching(True)
+
+
+def _contact(settings: GatewaySettings) -> NodeContact:
+    addresses = (settings.datagrams, settings.reports, settings.peers)
+    return NodeContact(settings.node, settings.zone, *(str(each or "") for each in addresses))
--- a/src/yokesill/serving/outlier_link.py
+++ b/src/yokesill/serving/outlier_link.py
@@ -1,15 +1,16 @@
 """Carries a node's part in finding outliers over UDP datagrams."""
 
 from collections.abc import Callable, Iterable
-from typing import Any
 
 import anyio
+import anyio.abc
 
 from yokesill.clock import running_clock
 from yokesill.gateway.events import ServerObserved
 from yokesill.logs import get_logger
 from yokesill.outliers.exchange import OutlierExchange
 from yokesill.outliers.messages import Observation, Suspicion
+from yokesill.serving.datagrams import open_datagrams, send_datagram
 from yokesill.serving.settings import Address
 
 # What many requests see at one moment goes out together.
@@ -35,12 +36,8 @@
         """Send and receive until cancelled; without a port the node goes on alone."""
         if self._address is None:
             return
-        try:
-            socket = await anyio.create_udp_socket(
-                local_host=self._address.host, local_port=self._address.port
-            )
-        except OSError as error:
-            self._log.error("datagrams_unavailable", address=str(self._address), problem=repr(error))
+        socket = await open_datagrams(self._address)
+        if socket is None:
             return
         async with socket, anyio.create_task_group() as task_group:
             task_group.start_soon(self._send, socket)
@@ -67,14 +64,10 @@
         if self._exchange.pending:
             self._wanted.set()
 
-    async def _send(self, socket: Any) -> None:
+    async def _send(self, socket: anyio.abc.UDPSocket) -> None:
         while True:
             await self._wanted.wait()
             await anyio.sleep(GATHERING_S)
             self._wanted = anyio.Event()
             for datagram in self._exchange.flush():
-                host, _, port = datagram.address.rpartition(":")
-                try:
-                    await socket.sendto(datagram.data, host, int(port))
-                except OSError as error:
-                    self._log.info("datagram_lost", address=datagram.address, problem=repr(error))
+                await send_datagram(socket, datagram.address, datagram.data)
--- a/src/yokesill/serving/probes.py
+++ b/src/yokesill/serving/probes.py
@@ -5,6 +5,7 @@
 
 from yokesill.serving.application import Receive, Scope, Send
 from yokesill.serving.peers import SNAPSHOT_PATH
+from yokesill.serving.watch_link import STATE_PATH
 
 OK, NOT_FOUND, UNAVAILABLE = 200, 404, 503
 METRICS_PATH = "/metrics"
@@ -15,20 +16,22 @@
 class ProbeApplication:
     """Answers ``ready_path`` with 200 or 503 and ``/metrics`` with the figures as text.
 
-    Starting nodes get this node's state from ``SNAPSHOT_PATH``; there is none while it knows nothing.
+    Starting nodes get this node's state from ``SNAPSHOT_PATH``, nodes that missed something one feed
+    from below ``STATE_PATH``; there is none while it knows nothing.
     """
 
     ready_path: str
     ready: Callable[[], bool]
     render_figures: Callable[[], bytes]
     snapshot: Callable[[], bytes | None]
+    state: Callable[[str], bytes | None] = lambda _feed: None
 
     async def __call__(self, scope: Scope, _receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
             return
         status, body = self._answer(scope["path"])
-        kind = CBOR if scope["path"] == SNAPSHOT_PATH else TEXT
+        kind = CBOR if scope["path"].startswith((SNAPSHOT_PATH, STATE_PATH)) else TEXT
         headers = [(b"content-type", kind), (b"content-length", str(len(body)).encode())]
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body})
@@ -39,6 +42,11 @@
         if path == METRICS_PATH:
             return OK, self.render_figures()
         if path == SNAPSHOT_PATH:
-            state = self.snapshot()
-            return (UNAVAILABLE, b"nothing known\n") if state is None else (OK, state)
+            return _state_answer(self.snapshot())
+        if path.startswith(STATE_PATH):
+            return _state_answer(self.state(path.removeprefix(STATE_PATH)))
         return NOT_FOUND, b"not found\n"
+
+
+def _state_answer(state: bytes | None) -> tuple[int, bytes]:
+    return (UNAVAILABLE, b"nothing known\n") if state is None else (OK, state)
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -1,5 +1,6 @@
 """Wires one gateway node together, from start to the end of a planned stop."""
 
+import importlib
 import random
 import socket
 from collections.abc import Callable, Iterable
@@ -8,7 +9,13 @@
 import anyio
 
 from yokesill.charts.flat import transition_table
-from yokesill.gateway.events import ConfigurationLearnt, Event, NodesCounted, ServerSuspected
+from yokesill.gateway.events import (
+    ConfigurationLearnt,
+    Event,
+    NodesCounted,
+    ServersReplaced,
+    ServerSuspected,
+)
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.router import GatewayRouter
 from yokesill.logs import LogOutput, get_logger
@@ -17,8 +24,9 @@
 from yokesill.serving.application import GatewayApplication
 from yokesill.serving.awaited import connect_tcp
 from yokesill.serving.driver import GatewayDriver
+from yokesill.serving.feed_states import CONFIGURATION, SERVERS
 from yokesill.serving.figures import GatewayFigures
-from yokesill.serving.follower import FeedFollower
+from yokesill.serving.following import RegistryFollowing
 from yokesill.serving.listener import Listener, create_listener
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.node_count import NodeCounter
@@ -30,8 +38,9 @@
 from yokesill.serving.server_client import ServerClient
 from yokesill.serving.settings import Address, GatewaySettings
 from yokesill.serving.snapshots import encode_snapshot
+from yokesill.serving.zone_watch import WholeFeed
+from yokesill.watchers.group import Duty
 
-CONFIGURATION_GATHERING = 0.3
 POLL = 0.01
 LOG_FLUSH_INTERVAL = 0.5
 
@@ -74,10 +83,10 @@
         """Serve; returns once a planned stop is complete."""
         self._build(anyio.current_time())
         async with anyio.create_task_group() as task_group:
-            followers = (each.run for each in self._followers)
             await task_group.start(self.driver.run)
-            for part in (*followers, self._counter.run, self._link.run, self._learner.run, self._flush_logs):
-                task_group.start_soon(part)
+            for part in (self._following, self._counter, self._link, self._learner):
+                task_group.start_soon(part.run)
+            task_group.start_soon(self._flush_logs)
             await self._listen()
             task_group.start_soon(self._become_ready)
             await self._stop_wanted.wait()
@@ -117,12 +126,15 @@
         self.driver = GatewayDriver(self.router, self._client, observer.note)
         prefix = f"{settings.node}-{self._random.getrandbits(32):08x}"
         self._application = GatewayApplication(self.driver, around.names, observer, prefix)
-        check = settings.check_interval_s
-        self._followers = (
-            FeedFollower(around.configuration, self._learn, CONFIGURATION_GATHERING, self._random, check),
-            FeedFollower(around.servers, self.driver.feed, settings.gathering_time_s, self._random, check),
+        self._following = RegistryFollowing(
+            settings,
+            (around.configuration, around.servers),
+            (self._learn, self.driver.feed),
+            self._whole,
+            options.few_watchers,
+            self._random,
         )
-        contact = NodeContact(settings.node, settings.zone, str(settings.datagrams or ""))
+        contact = self._following.contact
         self._counter = NodeCounter(around.nodes, contact, self._count_nodes, self._random, self._meet)
         own = Peer(contact.node, contact.datagrams, contact.zone)
         self._outliers = OutlierExchange(own, self._random)
@@ -133,7 +145,7 @@
             settings.seeds, connect_tcp, self._knows_enough, self._learn, self._random
         )
         self._probes = ProbeApplication(
-            around.ready_path, lambda: self.ready, self._render_figures, self._snapshot
+            around.ready_path, lambda: self.ready, self._render_figures, self._snapshot, self._following.state
         )
         self._front = create_listener(self._application)
         self._side: list[Listener] = []
@@ -184,6 +196,12 @@
         configuration = self.router.configuration
         return encode_snapshot(configuration, self.router.servers.records()) if configuration else None
 
+    def _whole(self, feed: str) -> WholeFeed | None:
+        configuration = self.router.configuration
+        if feed == SERVERS:
+            return ServersReplaced(tuple(self.router.servers.records()))
+        return ConfigurationLearnt(configuration) if configuration is not None else None
+
     def _learn(self, event: Event) -> None:
         self.driver.feed(event)
         if isinstance(event, ConfigurationLearnt) and self.router.configuration is not None:
@@ -195,6 +213,8 @@
 
     def _meet(self, contacts: Iterable[NodeContact]) -> None:
         """Exchange what is seen of servers with the nodes that can be reached."""
+        contacts = tuple(contacts)
+        self._following.set_nodes(contacts)
         reachable = (each for each in contacts if each.datagrams)
         self._outliers.set_peers(Peer(each.node, each.datagrams, each.zone) for each in reachable)
 
@@ -213,10 +233,15 @@
         gauge("yokesill_in_flight", "Requests without a final answer", self.router.in_flight)
         gauge("yokesill_connections_opened", "Connections to servers", self._client.connections_opened)
         gauge("yokesill_log_lines_dropped", "Log lines that did not fit", self._output.dropped)
-        gauge(
-            "yokesill_registry_calls", "Calls that follow feeds", sum(each.calls for each in self._followers)
-        )
-        return self.figures.render()
+        following = self._following
+        gauge("yokesill_registry_calls", "Calls that follow feeds", following.calls)
+        gauge("yokesill_registry_asking", "Whether this node asks it", following.duty != Duty.FOLLOWING)
+        for feed in (CONFIGURATION, SERVERS):
+            gauge(f"yokesill_registry_{feed}_position", "Known up to here", following.position(feed))
+        # Loaded when somebody asks for the figures, not before: the library is priced in memory.
+        exposition = importlib.import_module("yokesill.serving.exposition")
+        text: bytes = exposition.render(self.figures)
+        return text
 
     async def _flush_logs(self) -> None:
         while True:
--- a/src/yokesill/serving/registry.py
+++ b/src/yokesill/serving/registry.py
@@ -40,8 +40,11 @@
     name: str
 
     @abc.abstractmethod
-    async def list(self) -> Batch | Failure:
-        """Return everything as of now; a missing entry counts as removed."""
+    async def list(self, stale: bool = False) -> Batch | Failure:
+        """Return everything as of now; a missing entry counts as removed.
+
+        With ``stale`` it is cheap and may be seconds old, and older than its position says.
+        """
 
     @abc.abstractmethod
     async def changes(self, position: int, wait: float) -> Batch | HistoryLost | Failure:
@@ -56,11 +59,17 @@
 
 
 class NodeContact(NamedTuple):
-    """A node and how others reach it: its zone, and ``IP:PORT`` for datagrams (empty: not at all)."""
+    """A node and how others reach it.
+
+    Its zone, and ``IP:PORT`` each for datagrams on servers (``datagrams``), datagrams of watchers
+    (``reports``) and HTTP calls (``peers``); empty where it can't be reached.
+    """
 
     node: str
     zone: str = ""
     datagrams: str = ""
+    reports: str = ""
+    peers: str = ""
 
 
 class NodeEntry(NamedTuple):
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -42,7 +42,9 @@
 class GatewaySettings:
     """Who and where a node is, and the bounds that it keeps; times in seconds.
 
-    ``peers`` answers starting nodes (TCP); on ``datagrams`` (UDP) nodes tell one another of servers.
+    ``peers`` answers other nodes (TCP); on ``datagrams`` (UDP) nodes tell one another of servers, on
+    ``reports`` (UDP) watchers tell their zone of the registry.
+    ``configuration_bound_s`` is how long after the registry took a configuration it must be in force.
     ``leaving_bound_s`` is how long after the registry took that a server leaves it may still get work.
     ``recovery_bound_s`` is how long after a trouble of the registry a node may be behind.
     ``stop_grace`` is the time from the request to stop until the process is killed.
@@ -57,10 +59,12 @@
     metrics: Address | None = None
     peers: Address | None = None
     datagrams: Address | None = None
+    reports: Address | None = None
     seeds: tuple[Address, ...] = ()
     regions: dict[str, str] = field(default_factory=dict)
     budget: BudgetTerms = BudgetTerms(ratio=0.1, allowance=10.0, window=10.0)  # noqa: RUF009 (frozen)
     stop_grace: float = 6.0
+    configuration_bound_s: float = 3.0
     leaving_bound_s: float = 2.0
     recovery_bound_s: float = 4.0
     log_level: str = "info"
@@ -89,6 +93,11 @@
         """
         return min(ENTRIES_BACK_S, REMOVED_SHARE * self.leaving_bound_s)
 
+    @property
+    def change_bound_s(self) -> float:
+        """Within what time any change of the registry must be heeded."""
+        return min(self.configuration_bound_s, self.leaving_bound_s)
+
     @property
     def check_interval_s(self) -> float:
         """How often to look whether a wait for changes was swallowed; see ``FeedFollower``."""
--- a/src/yokesill/serving/snapshots.py
+++ b/src/yokesill/serving/snapshots.py
@@ -25,15 +25,11 @@
 
 def encode_snapshot(configuration: Configuration, servers: list[ServerRecord]) -> bytes:
     """Return a node's state as bytes."""
-    limits = configuration.limits
     return cbor2.dumps(
         {
             "format": FORMAT,
-            "version": configuration.version,
-            "routes": [_route_to_wire(route) for route in configuration.routes],
-            "services": {name: each.connections for name, each in configuration.services.items()},
-            "limits": [limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout],
-            "servers": [_server_to_wire(record) for record in servers],
+            **configuration_to_wire(configuration),
+            "servers": [server_to_wire(record) for record in servers],
         }
     )
 
@@ -44,18 +40,34 @@
         item: dict[str, Any] = cbor2.loads(data)
         if item["format"] != FORMAT:
             raise ValueError(f"a snapshot of format {item['format']}")
-        configuration = Configuration(
-            version=item["version"],
-            routes=tuple(_route_from_wire(each) for each in item["routes"]),
-            services={name: ServiceLimits(count) for name, count in item["services"].items()},
-            limits=RequestLimits(*item["limits"]),
-        )
-        records = tuple(ServerRecord(*each) for each in item["servers"])
+        configuration = configuration_from_wire(item)
+        records = tuple(server_from_wire(each) for each in item["servers"])
     except (KeyError, TypeError, AttributeError, cbor2.CBORDecodeError) as error:
         raise ValueError(f"a malformed snapshot: {error!r}") from error
     return (ConfigurationLearnt(configuration), ServersReplaced(records))
 
 
+def configuration_to_wire(configuration: Configuration) -> dict[str, Any]:
+    """Return the form in which nodes exchange a configuration."""
+    limits = configuration.limits
+    return {
+        "version": configuration.version,
+        "routes": [_route_to_wire(route) for route in configuration.routes],
+        "services": {name: each.connections for name, each in configuration.services.items()},
+        "limits": [limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout],
+    }
+
+
+def configuration_from_wire(item: Any) -> Configuration:
+    """Read ``configuration_to_wire``'s form; a malformed one raises ``KeyError`` or ``TypeError``."""
+    return Configuration(
+        version=item["version"],
+        routes=tuple(_route_from_wire(each) for each in item["routes"]),
+        services={name: ServiceLimits(count) for name, count in item["services"].items()},
+        limits=RequestLimits(*item["limits"]),
+    )
+
+
 def _route_to_wire(route: Route) -> list[Any]:
     destination = route.destination
     if isinstance(destination, Gather):
@@ -76,6 +88,12 @@
     return Route(name, host, prefix, repeatable, timeout, target, attempts, priority, destination)
 
 
-def _server_to_wire(record: ServerRecord) -> list[Any]:
+def server_to_wire(record: ServerRecord) -> list[Any]:
+    """Return the form in which nodes exchange a server's entry."""
     where = [record.instance, record.service, record.host, record.port, record.zone]
     return [*where, record.slots, record.leaving, record.warmup]
+
+
+def server_from_wire(item: Any) -> ServerRecord:
+    """Read ``server_to_wire``'s form; a malformed one raises ``TypeError``."""
+    return ServerRecord(*item)
--- /dev/null
+++ b/src/yokesill/serving/zone_watch.py
@@ -0,0 +1,206 @@
+"""Keeps a node up to date through its zone's watchers, and tells the zone while the node is one.
+
+A watcher reads the registry's feeds and reports to every node of its zone: at once when it read
+something, and at a steady interval as a sign of life. A report carries positions, so a node sees
+that it missed something and asks the reporter for the whole feed over HTTP.
+"""
+
+import random
+from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
+
+import anyio
+
+from yokesill.gateway.events import ConfigurationLearnt, ServersReplaced
+from yokesill.logs import get_logger
+from yokesill.serving.feed_states import changes_from_wire, changes_to_wire, decode_state, encode_state
+from yokesill.serving.follower import FeedFollower
+from yokesill.serving.registry import Batch, NodeContact
+from yokesill.verdict import Failure
+from yokesill.watchers.group import Duty, WatcherGroup
+from yokesill.watchers.messages import FeedReport, Report, decode_report, encode_report
+from yokesill.watchers.terms import WatchTerms
+
+TICKS_PER_REPORT = 2
+FETCH_SPREAD_S = 0.04
+
+WholeFeed = ConfigurationLearnt | ServersReplaced
+Send = Callable[[str, bytes], Awaitable[None]]
+Fetch = Callable[[str, str], Awaitable[bytes | Failure]]
+
+
+class ZoneWatch:
+    """One node's part in watching the registry for its zone.
+
+    Parameters
+    ----------
+    own
+        This node.
+    followers
+        What follows each feed, by the feed's name.
+    whole
+        Return a whole feed as this node knows it, by its name; ``None`` while it knows nothing.
+    send
+        Send a datagram to ``IP:PORT``.
+    fetch
+        Ask the node at ``IP:PORT`` for the feed of a name.
+    terms
+        How long to wait for whom.
+    source
+        Spreads what many nodes do at one moment.
+    """
+
+    def __init__(
+        self,
+        own: NodeContact,
+        followers: dict[str, FeedFollower],
+        whole: Callable[[str], WholeFeed | None],
+        send: Send,
+        fetch: Fetch,
+        terms: WatchTerms,
+        source: random.Random,
+    ) -> None:
+        self.duty = Duty.FOLLOWING
+        self._own = own
+        self._followers = followers
+        self._whole = whole
+        self._send = send
+        self._fetch = fetch
+        self._terms = terms
+        self._random = source
+        self._group = WatcherGroup(own.node, terms, source, anyio.current_time())
+        self._members: dict[str, NodeContact] = {}
+        self._unreported: dict[str, FeedReport] = {}
+        self._report_wanted = anyio.Event()
+        self._reported_at_s = float("-inf")
+        self._reported_current = False
+        self._fetching: set[str] = set()
+        self._states: dict[str, tuple[int, bytes]] = {}
+        self._log = get_logger("watch")
+        for name, follower in followers.items():
+            follower.on_read = partial(self._has_read, name)
+
+    # --- who is there ---
+
+    def set_members(self, contacts: Iterable[NodeContact]) -> None:
+        """Take which nodes there are; those of other zones have watchers of their own."""
+        self._members = {
+            each.node: each
+            for each in contacts
+            if each.zone == self._own.zone and each.reports and each.node != self._own.node
+        }
+        self._group.set_members(self._members)
+
+    async def run(self) -> None:
+        """Do what this node's duty is until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            pause_s = self._terms.report_interval_s / TICKS_PER_REPORT
+            while True:
+                self._take_up(self._group.duty(anyio.current_time()))
+                if self.duty is Duty.WATCHING:
+                    await self._report_if_due()
+                self._unreported.clear()
+                self._report_wanted = anyio.Event()
+                with anyio.move_on_after(pause_s):
+                    await self._report_wanted.wait()
+
+    def _take_up(self, duty: Duty) -> None:
+        if duty is not self.duty:
+            positions = {name: each.position for name, each in self._followers.items()}
+            self._log.info("duty", before=self.duty, duty=duty, positions=positions)
+            self.duty = duty
+        for follower in self._followers.values():
+            follower.set_watching(duty is not Duty.FOLLOWING)
+
+    # --- telling ---
+
+    def _has_read(self, name: str, before: int, batch: Batch) -> None:
+        """Tell the zone what was read; what a report that was not sent yet told goes along whole."""
+        changes = changes_to_wire(batch.events) if name not in self._unreported else None
+        start = batch.position if changes is None else before
+        self._unreported[name] = FeedReport(name, start, batch.position, changes)
+        self._report_wanted.set()
+
+    async def _report_if_due(self) -> None:
+        """Report news at once, and a sign of life now and then while others can rely on this node."""
+        now = anyio.current_time()
+        current = self._current(now)
+        quiet = now - self._reported_at_s < self._terms.report_interval_s or not current
+        if quiet and not self._unreported and current == self._reported_current:
+            return
+        self._reported_at_s, self._reported_current = now, current
+        data = encode_report(Report(self._own.node, current, self._feed_reports()))
+        self._unreported.clear()
+        for member in list(self._members.values()):
+            await self._send(member.reports, data)
+
+    def _feed_reports(self) -> tuple[FeedReport, ...]:
+        return tuple(
+            self._unreported.get(name, FeedReport(name, each.position, each.position))
+            for name, each in self._followers.items()
+            if each.position is not None
+        )
+
+    def _current(self, now: float) -> bool:
+        """Whether others can rely on this node: the registry answers, and did so lately."""
+        followers = self._followers.values()
+        confirmed_at_s = max(each.confirmed_at_s for each in followers)
+        known = all(each.connected and each.position is not None for each in followers)
+        return known and now - confirmed_at_s < self._terms.age_limit_s
+
+    def state(self, name: str) -> bytes | None:
+        """Return a whole feed as this node knows it, for another node; ``None`` if it knows none."""
+        follower = self._followers.get(name)
+        if follower is None or follower.position is None:
+            return None
+        known = self._states.get(name)
+        if known is None or known[0] != follower.position:
+            whole = self._whole(name)
+            if whole is None:
+                return None
+            known = self._states[name] = (follower.position, encode_state(follower.position, whole))
+        return known[1]
+
+    # --- being told ---
+
+    def take(self, data: bytes, sender: str, now: float) -> None:
+        """Take a datagram from ``sender`` (``IP:PORT``); only nodes of this zone are listened to."""
+        try:
+            report = decode_report(data)
+            member = self._members.get(report.node)
+            if member is None or member.reports != sender:
+                return
+            behind = [each for each in report.feeds if not self._apply(each)]
+        except ValueError as error:
+            self._log.warning("datagram_rejected", sender=sender, problem=str(error))
+            return
+        whole = len(report.feeds) == len(self._followers)
+        self._group.heard(report.node, report.current, whole and not behind, now)
+        for each in behind:
+            if each.feed not in self._fetching:
+                self._fetching.add(each.feed)
+                self._tasks.start_soon(self._fetch_whole, each.feed, member)
+
+    def _apply(self, report: FeedReport) -> bool:
+        """Take a feed's changes; return whether this node now knows as much as the reporter."""
+        follower = self._followers.get(report.feed)
+        if follower is None:
+            raise ValueError(f"a feed {report.feed!r}")
+        changes = changes_from_wire(report.changes or ())
+        return follower.take_changes(report.before, Batch(report.position, changes))
+
+    async def _fetch_whole(self, name: str, member: NodeContact) -> None:
+        """Ask a reporter for a whole feed; the next report tells whether that was enough."""
+        try:
+            await anyio.sleep(FETCH_SPREAD_S * self._random.random())
+            data = await self._fetch(member.peers, name)
+            if isinstance(data, Failure):
+                self._log.info("feed_not_told", feed=name, node=member.node, reason=data.reason)
+                return
+            batch = decode_state(data)
+            self._followers[name].take_whole(batch)
+            self._log.info("feed_told", feed=name, node=member.node, position=batch.position)
+        except ValueError as error:
+            self._log.warning("feed_rejected", feed=name, node=member.node, problem=str(error))
+        finally:
+            self._fetching.discard(name)
--- /dev/null
+++ b/src/yokesill/watchers/group.py
@@ -0,0 +1,99 @@
+"""Who watches the registry for a zone: the first nodes by rank that are heard of.
+
+Nothing guards the watchers. Two too many cost calls and a paused one does no harm, since what
+they tell carries the registry's positions and nobody goes back. So no lease, no vote: a node watches
+while fewer than the wanted number above it in rank report, and it relies on reports as long as
+a current watcher's come; without them it asks the registry itself.
+"""
+
+import enum
+import random
+from collections.abc import Iterable
+
+from yokesill.rendezvous import name_hash, weight
+from yokesill.watchers.terms import WatchTerms
+
+RANK_SUBJECT = "registry-watcher"
+SPREAD_SHARE = 0.25
+
+
+class Duty(enum.StrEnum):
+    """What a node does to keep up with the registry.
+
+    It watches and tells its zone, relies on what watchers tell, or asks for itself alone.
+    """
+
+    WATCHING = "watching"
+    FOLLOWING = "following"
+    SOLITARY = "solitary"
+
+
+class WatcherGroup:
+    """One node's view of who watches for its zone.
+
+    Parameters
+    ----------
+    own
+        This node's name.
+    terms
+        How long to wait for whom.
+    source
+        Spreads over time when nodes of a zone lose patience.
+    now
+        The node's clock, in seconds.
+    """
+
+    def __init__(self, own: str, terms: WatchTerms, source: random.Random, now: float) -> None:
+        self._own = own
+        self._terms = terms
+        self._ranked: list[str] = [own]
+        self._heard_at_s: dict[str, float] = {}
+        self._settled_at_s = now + terms.settle_s
+        self._relied_at_s = self._settled_at_s - terms.patience_s / 2
+        self._patience_s = terms.patience_s + source.random() * SPREAD_SHARE * terms.patience_s
+
+    def set_members(self, nodes: Iterable[str]) -> None:
+        """Take which nodes are in the zone; this node counts in any case."""
+        subject = name_hash(RANK_SUBJECT)
+        members = {*nodes, self._own}
+        self._ranked = sorted(members, key=lambda node: (weight(name_hash(node), subject), node))
+        self._heard_at_s = {node: at_s for node, at_s in self._heard_at_s.items() if node in members}
+
+    def heard(self, node: str, current: bool, level: bool, now: float) -> None:
+        """Take a report.
+
+        Parameters
+        ----------
+        node
+            Who reported.
+        current
+            Whether it said that it can be relied on.
+        level
+            Whether this node now knows all that the reporter knows.
+        now
+            The node's clock, in seconds.
+        """
+        if not current:
+            return
+        self._heard_at_s[node] = now
+        if level:
+            self._relied_at_s = now
+
+    def duty(self, now: float) -> Duty:
+        """Return what this node has to do now."""
+        if now >= self._settled_at_s and self._wanted(now):
+            return Duty.WATCHING
+        if now - self._relied_at_s <= self._patience_s:
+            return Duty.FOLLOWING
+        return Duty.SOLITARY
+
+    def _wanted(self, now: float) -> bool:
+        """Whether fewer watchers than wanted reported above this node for long enough."""
+        rank = self._ranked.index(self._own)
+        silence_s = self._terms.takeover_s + rank * self._terms.step_s
+        if rank < self._terms.watchers:
+            return True
+        if now - self._settled_at_s < silence_s:
+            return False
+        above = (self._heard_at_s.get(node, float("-inf")) for node in self._ranked[:rank])
+        return sum(now - at_s < silence_s for at_s in above) < self._terms.watchers
--- /dev/null
+++ b/src/yokesill/watchers/terms.py
@@ -0,0 +1,55 @@
+"""The times of watching, all derived from the bound within which a change must be in force."""
+
+from typing import NamedTuple
+
+WATCHERS_PER_ZONE = 2
+SETTLE_S = 2.5
+REPORT_SHARE, TAKEOVER_SHARE, STEP_SHARE = 0.1, 0.25, 0.03
+PATIENCE_SHARE, AGE_SHARE, CHECK_SHARE = 0.3, 0.45, 0.35
+
+
+class WatchTerms(NamedTuple):
+    """How long the nodes of a zone wait for one another, in seconds.
+
+    Parameters
+    ----------
+    report_interval_s
+        Between two reports of a watcher that has nothing new to tell.
+    takeover_s
+        How long watchers must be silent until the next in rank takes over, and ``step_s`` how much
+        longer each further rank waits, so that not all do so at once.
+    patience_s
+        After so long without a report that can be relied on a node asks the registry itself.
+    age_limit_s
+        A watcher whose last good word of the registry is older can't be relied on.
+    check_interval_s
+        How often a watcher looks whether its wait for changes was swallowed.
+    settle_s
+        How long a starting node leaves watching to others, so that it learns first who is there.
+    """
+
+    report_interval_s: float
+    takeover_s: float
+    step_s: float
+    patience_s: float
+    age_limit_s: float
+    check_interval_s: float
+    settle_s: float = SETTLE_S
+    watchers: int = WATCHERS_PER_ZONE
+
+    @classmethod
+    def within(cls, bound_s: float) -> "WatchTerms":
+        """Return times such that a change is in force everywhere within ``bound_s``.
+
+        The worst case is a watcher that is cut from the registry without noticing: its word ages
+        (``age_limit_s``), then its followers lose patience (``patience_s`` and their spread); a sixth of
+        the bound is left for asking the registry.
+        """
+        return cls(
+            report_interval_s=REPORT_SHARE * bound_s,
+            takeover_s=TAKEOVER_SHARE * bound_s,
+            step_s=STEP_SHARE * bound_s,
+            patience_s=PATIENCE_SHARE * bound_s,
+            age_limit_s=AGE_SHARE * bound_s,
+            check_interval_s=CHECK_SHARE * bound_s,
+        )
--- a/tests/serving/test_figures.py
+++ b/tests/serving/test_figures.py
@@ -2,6 +2,7 @@
 
 from yokesill.gateway.events import Note
 from yokesill.gateway.messages import RequestSummary
+from yokesill.serving.exposition import render
 from yokesill.serving.figures import GatewayFigures
 from yokesill.verdict import Verdict
 
@@ -12,7 +13,7 @@
     figures.count_request("none", "rejected", None)
     figures.count_note(Note("attempt_added", {}))
     figures.gauge("yokesill_nodes", "Nodes", 8)
-    text = figures.render().decode()
+    text = render(figures).decode()
     for line in (
         'yokesill_requests_total{outcome="partial",route="wide"} 1.0',
         'yokesill_requests_total{outcome="rejected",route="none"} 1.0',
--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -32,7 +32,7 @@
         self.name = name
         self.events: tuple[Event, ...] | None = events
 
-    async def list(self) -> Batch | Failure:
+    async def list(self, stale: bool = False) -> Batch | Failure:
         return DOWN if self.events is None else Batch(1, self.events)
 
     async def changes(self, position: int, wait: float) -> Batch | Failure:
--- /dev/null
+++ b/tests/serving/test_zone_watch.py
@@ -0,0 +1,232 @@
+"""Every node knows what the registry says within the bound, whatever happens to those who watch it."""
+
+import random
+
+import anyio
+import pytest
+from zone import BOUND_S, Zone, in_a_zone
+
+from yokesill.gateway.events import ServerRemoved, ServersReplaced
+from yokesill.serving.feed_states import SERVERS
+from yokesill.serving.registry import Batch
+from yokesill.watchers.group import Duty
+from yokesill.watchers.messages import FeedReport, Report, encode_report
+
+# What the bound leaves for a request's way.
+WITHIN_S = 0.95 * BOUND_S
+
+
+def test_two_nodes_ask_and_twenty_know() -> None:
+    async def main(zone: Zone) -> None:
+        before = zone.full_calls()
+        for _ in range(20):
+            zone.change()
+            await anyio.sleep(1.5)
+            assert zone.behind() == []
+        assert zone.full_calls() - before <= 2 * 2 * 22
+
+    in_a_zone(main)
+
+
+def test_quiet_costs_hardly_a_call_whatever_the_number_of_nodes() -> None:
+    async def main(zone: Zone) -> None:
+        before = zone.full_calls()
+        await anyio.sleep(60.0)
+        assert zone.full_calls() - before <= 14
+
+    in_a_zone(main, 40)
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze", "silent", "busy"])
+@pytest.mark.parametrize("after_s", [0.0, 0.25, 0.5, 0.8])
+def test_a_change_is_known_in_time_whatever_happened_to_the_watchers_just_before(
+    fault: str, after_s: float
+) -> None:
+    async def main(zone: Zone) -> None:
+        await anyio.sleep(random.Random(after_s).random())
+        struck = zone.watchers()
+        for node in struck:
+            if fault == "kill":
+                node.kill()
+            elif fault == "freeze":
+                node.frozen = True
+            else:
+                node.store_mode = fault
+        await anyio.sleep(after_s)
+        zone.change()
+        await anyio.sleep(WITHIN_S)
+        names = {node.contact.node for node in struck}
+        assert set(zone.behind()) <= (names if fault == "freeze" else set())
+
+    in_a_zone(main)
+
+
+def test_watchers_that_thaw_tell_nothing_older_and_are_up_to_date_soon() -> None:
+    async def main(zone: Zone) -> None:
+        struck = zone.watchers()
+        for node in struck:
+            node.frozen = True
+        for _ in range(4):
+            zone.change()
+            await anyio.sleep(2.0)
+        for node in struck:
+            node.frozen = False
+        for _ in range(20):
+            await anyio.sleep(0.05)
+            others = {node.contact.node for node in struck}
+            assert set(zone.behind()) <= others
+        await anyio.sleep(2.0)
+        assert zone.behind() == []
+        assert len(zone.watchers()) == 2
+
+    in_a_zone(main)
+
+
+def test_a_node_that_the_store_turns_away_keeps_up_through_the_others() -> None:
+    async def main(zone: Zone) -> None:
+        followers = [node for node in zone.nodes if not node.watching]
+        for node in followers:
+            node.store_mode = "silent"
+        zone.change()
+        await anyio.sleep(1.5)
+        assert zone.behind() == []
+
+    in_a_zone(main)
+
+
+def test_a_node_that_hears_nobody_keeps_up_by_itself() -> None:
+    async def main(zone: Zone) -> None:
+        deaf = next(node for node in zone.nodes if not node.watching)
+        deaf.deaf = True
+        zone.change()
+        await anyio.sleep(WITHIN_S)
+        assert zone.behind() == []
+        assert deaf.watch.duty is not Duty.FOLLOWING
+        zone.change()
+        await anyio.sleep(WITHIN_S)
+        assert zone.behind() == []
+        deaf.deaf = False
+        await anyio.sleep(3.0)
+        assert deaf.watch.duty is Duty.FOLLOWING
+
+    in_a_zone(main, 60)
+
+
+def test_a_node_that_cannot_fetch_what_a_report_left_out_asks_for_itself() -> None:
+    async def main(zone: Zone) -> None:
+        cut = next(node for node in zone.nodes if not node.watching)
+        cut.fetches = False
+        for number in range(200):
+            zone.list_server(f"many-{number}")
+        await anyio.sleep(WITHIN_S)
+        assert zone.behind() == []
+
+    in_a_zone(main, 60)
+
+
+@pytest.mark.parametrize("loss", [0.1, 0.4])
+def test_lost_datagrams_are_noticed_and_made_good(loss: float) -> None:
+    async def main(zone: Zone) -> None:
+        zone.loss = loss
+        for _ in range(10):
+            zone.change()
+            await anyio.sleep(WITHIN_S)
+            assert zone.behind() == []
+
+    in_a_zone(main)
+
+
+def test_many_changes_at_once_that_fit_no_datagram_are_fetched_whole() -> None:
+    async def main(zone: Zone) -> None:
+        for number in range(200):
+            zone.list_server(f"many-{number}")
+        await anyio.sleep(WITHIN_S)
+        assert zone.behind() == []
+
+    in_a_zone(main)
+
+
+@pytest.mark.parametrize("mode", ["busy", "silent"])
+def test_a_store_that_was_away_and_forgot_its_history_is_followed_again(mode: str) -> None:
+    async def main(zone: Zone) -> None:
+        zone.standin.mode = mode
+        await anyio.sleep(15.0)
+        before = zone.full_calls()
+        zone.standin.remove("servers", "i-3")
+        zone.standin.forget_history()
+        zone.standin.mode = "up"
+        zone.change()
+        await anyio.sleep(3.5)
+        assert zone.behind() == []
+        assert len(zone.watchers()) == 2
+        assert zone.full_calls() - before <= 20 * 6
+
+    in_a_zone(main)
+
+
+def test_a_store_that_is_away_gets_cheap_questions_only() -> None:
+    async def main(zone: Zone) -> None:
+        zone.standin.mode = "busy"
+        zone.standin.forget_history()
+        await anyio.sleep(5.0)
+        before = zone.full_calls()
+        await anyio.sleep(30.0)
+        assert zone.full_calls() - before <= 4
+
+    in_a_zone(main)
+
+
+def test_most_of_the_zone_restarted_one_after_the_other_keeps_the_rest_up_to_date() -> None:
+    async def main(zone: Zone) -> None:
+        for node in zone.nodes[:12]:
+            node.kill()
+            zone.change()
+            await anyio.sleep(WITHIN_S)
+            assert zone.behind() == []
+        assert len(zone.watchers()) == 2
+
+    in_a_zone(main)
+
+
+def test_a_stranger_is_not_listened_to() -> None:
+    async def main(zone: Zone) -> None:
+        node = next(each for each in zone.nodes if not each.watching)
+        watcher = zone.watchers()[0].contact
+        far = tuple(FeedReport(name, 0, 10**6, []) for name in node.followers)
+        report = encode_report(Report(watcher.node, True, far))
+        node.watch.take(report, "10.66.0.1:2", anyio.current_time())
+        unknown = encode_report(Report("stranger", True, far))
+        node.watch.take(unknown, "10.66.0.1:2", anyio.current_time())
+        node.watch.take(b"\xffnonsense", watcher.reports, anyio.current_time())
+        assert max(each.position or 0 for each in node.followers.values()) < 10**6
+        zone.change()
+        await anyio.sleep(WITHIN_S)
+        assert zone.behind() == []
+
+    in_a_zone(main)
+
+
+def test_what_is_told_late_changes_nothing() -> None:
+    async def main(zone: Zone) -> None:
+        node = next(each for each in zone.nodes if not each.watching)
+        servers = node.followers[SERVERS]
+        old = servers.position or 0
+        zone.change()
+        await anyio.sleep(1.5)
+        now = servers.position
+        known = dict(node.servers)
+        assert servers.take_changes(old - 1, Batch(old, (ServerRemoved("i-0"),)))
+        assert servers.take_changes(old, Batch(now or 0, (ServerRemoved("i-0"),)))
+        servers.take_whole(Batch(old, (ServersReplaced(()),)))
+        assert (servers.position, node.servers) == (now, known)
+
+    in_a_zone(main)
+
+
+def test_a_zone_of_one_node_asks_for_itself() -> None:
+    async def main(zone: Zone) -> None:
+        zone.change()
+        await anyio.sleep(1.5)
+        assert zone.behind() == []
+
+    in_a_zone(main, 1)
--- /dev/null
+++ b/tests/serving/zone.py
@@ -0,0 +1,219 @@
+"""A zone of nodes that follow one store, in virtual time: their duties, datagrams and faults."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from conftest import run_virtual
+from memory_servers import Heard, MemoryServer, MemoryStream
+from store_standin import StoreStandin
+
+from yokesill.gateway import events as ev
+from yokesill.gateway.documents import Configuration, ServerRecord
+from yokesill.platform.feeds import ConfigurationFeed, ServerFeed
+from yokesill.platform.store import MetadataStore
+from yokesill.serving.api_client import ApiClient
+from yokesill.serving.feed_states import CONFIGURATION, SERVERS
+from yokesill.serving.follower import FeedFollower
+from yokesill.serving.registry import NodeContact
+from yokesill.serving.settings import Address
+from yokesill.serving.zone_watch import WholeFeed, ZoneWatch
+from yokesill.verdict import Failure, Reason, Verdict
+from yokesill.watchers.group import Duty
+from yokesill.watchers.terms import WatchTerms
+
+BOUND_S = 3.0
+GATHERING_S = 0.9
+UNREACHABLE = Failure(Reason.CONNECT_FAILED, Verdict.NOT_RUN, "unreachable")
+CONFIG: dict[str, Any] = {
+    "routes": [],
+    "services": [],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 1000,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+}
+
+
+class ZoneNode:
+    """One node: what it knows, and what is wrong with it.
+
+    ``store_mode``: ``up``, ``busy`` (503) or ``silent``. ``deaf``: no datagram reaches it. ``dead``: gone.
+    ``frozen``: nothing goes out or comes in until it thaws. ``fetches``: whether it can call other nodes.
+    """
+
+    def __init__(self, zone: "Zone", number: int) -> None:
+        host = f"10.0.0.{number + 1}"
+        self.contact = NodeContact(f"n{number}", "z1", f"{host}:1", f"{host}:2", f"{host}:3")
+        self.zone = zone
+        self.store_mode = "up"
+        self.deaf = self.dead = self.frozen = False
+        self.fetches = True
+        self.version = 0
+        self.went_back = False
+        self.servers: dict[str, ServerRecord] = {}
+        self.configuration: Configuration | None = None
+        self.full_calls = 0
+        server = MemoryServer(self._script, zone.tasks)
+        store = MetadataStore(ApiClient(Address("10.9.9.9", 80), server.connect))
+        source = random.Random(number)
+        terms = WatchTerms.within(BOUND_S)
+        check_s = terms.check_interval_s
+        feeds = {CONFIGURATION: ConfigurationFeed(store), SERVERS: ServerFeed(store)}
+        self.followers = {
+            name: FeedFollower(feed, self._learn, gathering_s, source, check_s, watching=False)
+            for (name, feed), gathering_s in zip(feeds.items(), (0.3, GATHERING_S), strict=True)
+        }
+        self.watch = ZoneWatch(
+            self.contact, self.followers, self._whole, self._send, self._fetch, terms, source
+        )
+        self.scope = anyio.CancelScope()
+
+    @property
+    def watching(self) -> bool:
+        return self.watch.duty is Duty.WATCHING
+
+    async def run(self) -> None:
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                for follower in self.followers.values():
+                    tasks.start_soon(follower.run)
+                tasks.start_soon(self.watch.run)
+
+    def kill(self) -> None:
+        self.dead = True
+        self.scope.cancel()
+
+    async def thawed(self) -> None:
+        while self.frozen:
+            await anyio.sleep(0.01)
+
+    async def _script(self, server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        if "stale=1" not in heard.head.split("\r\n")[0]:
+            self.full_calls += 1
+        await self.thawed()
+        if self.store_mode == "silent":
+            await anyio.sleep_forever()
+        if self.store_mode == "busy":
+            await stream.send(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+            return
+        await self.zone.standin.script(server, stream, heard)
+        await self.thawed()
+
+    async def _send(self, address: str, data: bytes) -> None:
+        await self.thawed()
+        self.zone.deliver(self.contact.reports, address, data)
+
+    async def _fetch(self, address: str, feed: str) -> bytes | Failure:
+        other = next((each for each in self.zone.nodes if each.contact.peers == address), None)
+        if other is None or other.dead or not self.fetches:
+            return UNREACHABLE
+        with anyio.move_on_after(1.0):
+            await other.thawed()
+            return other.watch.state(feed) or UNREACHABLE
+        return UNREACHABLE
+
+    def _whole(self, feed: str) -> WholeFeed | None:
+        if feed == SERVERS:
+            return ev.ServersReplaced(tuple(self.servers.values()))
+        return ev.ConfigurationLearnt(self.configuration) if self.configuration else None
+
+    def _learn(self, event: ev.Event) -> None:
+        if isinstance(event, ev.ConfigurationLearnt):
+            if event.configuration.version > self.version:
+                self.configuration, self.version = event.configuration, event.configuration.version
+        elif isinstance(event, ev.ServersReplaced):
+            self.servers = {record.instance: record for record in event.records}
+        elif isinstance(event, ev.ServerListed):
+            self.servers[event.record.instance] = event.record
+        elif isinstance(event, ev.ServerRemoved):
+            self.servers.pop(event.instance, None)
+
+
+class Zone:
+    """The nodes, their store, and the network between them."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, count: int) -> None:
+        self.tasks = tasks
+        self.standin = StoreStandin()
+        self.loss = 0.0
+        self.datagrams = 0
+        self._random = random.Random(7)
+        self._version = 0
+        self.nodes: list[ZoneNode] = []
+        self.configure()
+        for number in range(8):
+            self.list_server(f"i-{number}")
+        self.nodes = [ZoneNode(self, number) for number in range(count)]
+        for node in self.nodes:
+            node.watch.set_members(each.contact for each in self.nodes)
+            tasks.start_soon(node.run)
+
+    def deliver(self, sender: str, address: str, data: bytes) -> None:
+        self.datagrams += 1
+        for node in self.nodes:
+            lost = self._random.random() < self.loss
+            if node.contact.reports == address and not (node.dead or node.deaf or lost):
+                self.tasks.start_soon(self._hand_over, node, sender, data)
+
+    async def _hand_over(self, node: ZoneNode, sender: str, data: bytes) -> None:
+        await node.thawed()
+        node.watch.take(data, sender, anyio.current_time())
+
+    def configure(self) -> None:
+        self._version += 2
+        self.standin.put("config", "main", {**CONFIG, "configVersion": self._version})
+
+    def list_server(self, name: str, state: str = "ready") -> None:
+        spec = {"service": "s1", "address": "10.1.0.9:80", "zone": "z1", "capacity": 2, "state": state}
+        self.standin.put("servers", name, spec)
+
+    def change(self) -> None:
+        """One change of each kind: a version, a server that leaves, one that is gone, a new one."""
+        self.configure()
+        self.list_server("i-0", "draining" if not self._leaves("i-0") else "ready")
+        gone = next(name for of, name in self.standin.objects if of == "servers" and name != "i-0")
+        self.standin.remove("servers", gone)
+        self.list_server(f"j-{self._version}")
+
+    def _leaves(self, name: str) -> bool:
+        return bool(self.standin.objects[("servers", name)]["spec"]["state"] == "draining")
+
+    def behind(self) -> list[str]:
+        """Which living nodes don't know what the store says."""
+        told = {
+            name: item["spec"]["state"] == "draining"
+            for (of, name), item in self.standin.objects.items()
+            if of == "servers"
+        }
+        return [
+            node.contact.node
+            for node in self.nodes
+            if not node.dead
+            and (node.version, {name: each.leaving for name, each in node.servers.items()})
+            != (self._version, told)
+        ]
+
+    def watchers(self) -> list[ZoneNode]:
+        return [node for node in self.nodes if node.watching and not node.dead]
+
+    def full_calls(self) -> int:
+        return sum(node.full_calls for node in self.nodes)
+
+
+def in_a_zone(main: Callable[[Zone], Awaitable[None]], count: int = 20) -> None:
+    """Run ``main`` once a zone has settled."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            zone = Zone(tasks, count)
+            await anyio.sleep(6.0)
+            assert zone.behind() == []
+            assert len(zone.watchers()) == min(2, count)
+            await main(zone)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
--- /dev/null
+++ b/tests/watchers/test_group.py
@@ -0,0 +1,87 @@
+"""Who watches for a zone: decided by each node alone, from what it hears."""
+
+import random
+
+from yokesill.watchers.group import Duty, WatcherGroup
+from yokesill.watchers.terms import WatchTerms
+
+TERMS = WatchTerms.within(3.0)
+NAMES = [f"n{number}" for number in range(12)]
+SETTLED = TERMS.settle_s
+
+
+def group(own: str, members: list[str] = NAMES, terms: WatchTerms = TERMS) -> WatcherGroup:
+    made = WatcherGroup(own, terms, random.Random(1), 0.0)
+    made.set_members(members)
+    return made
+
+
+def ranked() -> list[str]:
+    """All names by rank, found by asking who would watch alone among ever fewer."""
+    rest: list[str] = list(NAMES)
+    order: list[str] = []
+    alone = TERMS._replace(watchers=1)
+    while rest:
+        first = next(name for name in rest if group(name, rest, alone).duty(SETTLED) is Duty.WATCHING)
+        order.append(first)
+        rest.remove(first)
+    return order
+
+
+def test_two_nodes_watch_and_all_agree_on_them() -> None:
+    duties = {name: group(name).duty(SETTLED) for name in NAMES}
+    assert sorted(duties.values()) == [Duty.FOLLOWING] * 10 + [Duty.WATCHING] * 2
+
+
+def test_nobody_watches_before_it_can_know_who_else_is_there() -> None:
+    assert {group(name).duty(0.5 * SETTLED) for name in NAMES} == {Duty.FOLLOWING}
+
+
+def test_a_node_without_others_watches_for_itself() -> None:
+    assert group("n1", []).duty(SETTLED) is Duty.WATCHING
+
+
+def test_after_the_watchers_fall_silent_the_next_in_rank_takes_over_before_the_others() -> None:
+    order = ranked()
+    taken_over: dict[str, float] = {}
+    for rank, name in enumerate(order[2:], 2):
+        member = group(name)
+        for tick in range(100):
+            now = SETTLED + 10 + tick * 0.02
+            if tick == 0:
+                for watcher in order[:2]:
+                    member.heard(watcher, True, True, now)
+            if member.duty(now) is Duty.WATCHING:
+                taken_over[name] = now
+                break
+        assert taken_over[name] - SETTLED - 10 >= TERMS.takeover_s, rank
+    assert list(taken_over.values()) == sorted(taken_over.values())
+    assert taken_over[order[2]] < taken_over[order[-1]]
+
+
+def test_a_node_that_took_over_steps_down_when_those_above_report_again() -> None:
+    order = ranked()
+    third = group(order[2])
+    assert third.duty(SETTLED + 10) is Duty.WATCHING
+    for watcher in order[:2]:
+        third.heard(watcher, True, True, SETTLED + 10)
+    assert third.duty(SETTLED + 10.1) is Duty.FOLLOWING
+
+
+def test_reports_of_watchers_that_cannot_be_relied_on_do_not_count() -> None:
+    order = ranked()
+    last = group(order[-1])
+    for tenth in range(30):
+        now = SETTLED + 10 + tenth / 10
+        last.heard(order[0], False, True, now)
+        last.heard(order[1], True, False, now)
+    assert last.duty(now) is not Duty.FOLLOWING
+
+
+def test_a_node_without_reports_asks_for_itself_well_within_the_bound() -> None:
+    last = group(ranked()[-1])
+    last.heard(ranked()[0], True, True, SETTLED + 10)
+    last.heard(ranked()[1], True, True, SETTLED + 10)
+    assert last.duty(SETTLED + 10 + 0.9 * TERMS.patience_s) is Duty.FOLLOWING
+    assert last.duty(SETTLED + 10 + 1.3 * TERMS.patience_s) is not Duty.FOLLOWING
+    assert TERMS.age_limit_s + 1.25 * TERMS.patience_s < 0.85 * 3.0
