What binds: logs are streamed, and a node's first wide requests stand apart

Cause: 195 nodes' logs did not fit a reading that keeps every line. Change: a request's lines are kept until its end only; a second table tells how wide requests went by how many the node had before.

--- a/tests/test_what_binds.py
+++ b/tests/test_what_binds.py
@@ -1,6 +1,6 @@
 """The table of what binds, on a recorded excerpt of our own logs."""
 
-from what_binds import read, table, windows
+from what_binds import experience, experience_rows, read, table, windows
 
 EXCERPT = """
 starting the day
@@ -38,3 +38,20 @@
     line = '{"request": "r1", "status": 200, "event": "request_ended", "timestamp": "2026-01-01T00:00:05Z"}'
     (start_s,) = windows(list(read([line])), 10.0)[0]
     assert start_s % 10 == 0
+
+
+def test_a_nodes_first_wide_request_stands_apart_from_its_later_ones() -> None:
+    wide = '{"request": "r", "status": 200, "ms": %s, "covered": %s, "asked": 10, "event": "request_ended"}'
+    lines = [
+        "1.0 n1 " + wide % (120, 8),
+        "2.0 n2 " + wide % (100, 10),
+        "3.0 n1 " + wide % (70, 10),
+        '4.0 n1 {"request": "x", "status": 200, "ms": 9, "covered": 1, "asked": 1, "event": "request_ended"}',
+    ]
+    found = experience(read(lines))
+    assert found[0].milliseconds == [120, 100]
+    assert found[1].milliseconds == [70]
+    assert [row.split() for row in experience_rows(found)[1:]] == [
+        ["0", "2", "1.00", "110.0", "0.900"],
+        ["1", "1", "1.00", "70.0", "1.000"],
+    ]
