--- /dev/null
+++ b/src/yokesill/serving/handing.py
@@ -0,0 +1,96 @@
+"""Hands wide requests over to the zone's coordinators, or back to this node when none takes them."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+import anyio
+
+from yokesill.gateway.coordination import CoordinatorChoice
+from yokesill.gateway.documents import Configuration, Route
+from yokesill.gateway.events import Note
+from yokesill.gateway.messages import GatewayRequest
+from yokesill.serving.answers import HttpAnswer
+from yokesill.serving.coordinated_messages import HandedRequest, encode_handed
+from yokesill.serving.coordinator_client import CoordinatorClient
+from yokesill.serving.observer import Observer
+from yokesill.verdict import Failure, Reason, Verdict
+
+# The way to a coordinator of the same zone and back, with what both nodes do beside gathering.
+HOP_S = 0.010
+# The caller must have its answer by then, whatever the coordinator does.
+LAST_MOMENT_S = 0.012
+ACKNOWLEDGE_SHARE = 0.35
+
+
+class HandOver:
+    """Runs a request at a coordinator if one should and does take it.
+
+    Parameters
+    ----------
+    choice
+        Decides which coordinator, if any.
+    client
+        Calls it.
+    coordinators
+        Return the zone's coordinators that can be relied on now, and where they are reached.
+    configuration
+        Return the configuration in force here.
+    observer
+        Is told how it ended.
+    """
+
+    def __init__(
+        self,
+        choice: CoordinatorChoice,
+        client: CoordinatorClient,
+        coordinators: Callable[[], Mapping[str, str]],
+        configuration: Callable[[], Configuration | None],
+        observer: Observer,
+    ) -> None:
+        self._choice = choice
+        self._client = client
+        self._coordinators = coordinators
+        self._configuration = configuration
+        self._observer = observer
+
+    async def __call__(self, request: GatewayRequest) -> HttpAnswer | GatewayRequest:
+        """Return a coordinator's final answer, or the request as this node must run it itself."""
+        now = anyio.current_time()
+        configuration = self._configuration()
+        route = configuration.find(request.host, request.path) if configuration else None
+        if configuration is None or route is None:
+            return request
+        coordinators = self._coordinators()
+        node = self._choice.choose(route, coordinators, now)
+        self._choice.count(route, now)
+        if node is None:
+            return request
+        outcome = await self._ask(coordinators[node], request, route, configuration.version, now)
+        if isinstance(outcome, HttpAnswer):
+            self._observer.coordinated(request, route.name, node, outcome, anyio.current_time())
+            return outcome
+        return self._go_around(node, request, outcome)
+
+    async def _ask(
+        self, address: str, request: GatewayRequest, route: Route, version: int, now: float
+    ) -> HttpAnswer | Failure:
+        patience = request.patience if request.patience is not None else route.timeout
+        waited_s = now - request.arrived_at + HOP_S
+        until = request.arrived_at + min(route.timeout, patience) - LAST_MOMENT_S
+        if waited_s >= patience or now >= until:
+            return Failure(Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN, "no time is left")
+        message = encode_handed(HandedRequest(version, waited_s, replace(request, patience=patience)))
+        acknowledge_s = ACKNOWLEDGE_SHARE * route.target
+        return await self._client.ask(address, request.request_id, message, acknowledge_s, until)
+
+    def _go_around(self, node: str, request: GatewayRequest, failure: Failure) -> GatewayRequest:
+        self._choice.avoid(node, anyio.current_time())
+        details: dict[str, object] = {
+            "request": request.request_id,
+            "coordinator": node,
+            "reason": failure.reason.value,
+            "verdict": failure.verdict.label,
+            "detail": failure.detail,
+        }
+        self._observer.note(Note("coordinator_missed", details))
+        return request if failure.verdict is Verdict.NOT_RUN else replace(request, asked_before=True)
