--- a/bench/what_binds.py
+++ b/bench/what_binds.py
@@ -96,7 +96,7 @@
             continue
         if line.fields.get("event") != "request_ended":
             by_request[request].append(line.fields)
-        elif "coordinator" not in line.fields and line.fields.get("status") != NOT_FOUND:
+        elif line.fields.get("status") != NOT_FOUND:
             yield line, by_request.pop(request, [])
 
 
--- a/src/yokesill/serving/following.py
+++ b/src/yokesill/serving/following.py
@@ -89,14 +89,6 @@
         if self._watch is not None:
             self._watch.set_members(contacts)
 
-    def is_member(self, host: str) -> bool:
-        """Whether a host is another node of this zone."""
-        return self._watch is not None and self._watch.is_member(host)
-
-    def coordinators(self) -> dict[str, str]:
-        """Return the nodes that gather wide requests for this one, and ``HOST:PORT`` of each."""
-        return {} if self._watch is None else self._watch.coordinators()
-
     def state(self, feed: str) -> bytes | None:
         """Return a whole feed for another node; ``None`` if this one has none to tell."""
         return None if self._watch is None else self._watch.state(feed)
--- a/src/yokesill/serving/observer.py
+++ b/src/yokesill/serving/observer.py
@@ -53,21 +53,6 @@
             **details,
         )
 
-    def coordinated(
-        self, request: GatewayRequest, route: str, node: str, answer: HttpAnswer, now: float
-    ) -> None:
-        """Tell how a request ended that another node gathered; that one tells the rest."""
-        self._figures.count_request(route, answer.outcome, None)
-        self._log.info(
-            "request_ended",
-            request=request.request_id,
-            route=route,
-            status=answer.status,
-            outcome=answer.outcome,
-            ms=round((now - request.arrived_at) * 1000, 1),
-            coordinator=node,
-        )
-
     def caller_left(self, request: GatewayRequest) -> None:
         """Tell that a caller went away before its answer."""
         self._figures.count_request("unknown", "caller_left", None)
--- a/src/yokesill/serving/zone_watch.py
+++ b/src/yokesill/serving/zone_watch.py
@@ -91,20 +91,6 @@
         }
         self._group.set_members(self._members)
 
-    def is_member(self, host: str) -> bool:
-        """Whether a host is another node of this zone."""
-        return any(each.peers.rpartition(":")[0] == host for each in self._members.values())
-
-    def coordinators(self) -> dict[str, str]:
-        """Return the nodes that gather wide requests for this one, and where: the zone's watchers.
-
-        They are known to live, know the newest configuration, and are few. A watcher has none.
-        """
-        if self.duty is Duty.WATCHING:
-            return {}
-        reporting = self._group.reporting(anyio.current_time())
-        return {node: self._members[node].peers for node in reporting if node in self._members}
-
     async def run(self) -> None:
         """Do what this node's duty is until cancelled."""
         async with anyio.create_task_group() as self._tasks:
--- a/src/yokesill/watchers/group.py
+++ b/src/yokesill/watchers/group.py
@@ -79,10 +79,6 @@
         if level:
             self._relied_at_s = now
 
-    def reporting(self, now: float) -> list[str]:
-        """Return the watchers that reported lately and can be relied on."""
-        return [node for node, at_s in self._heard_at_s.items() if now - at_s < self._terms.takeover_s]
-
     def duty(self, now: float) -> Duty:
         """Return what this node has to do now."""
         if now >= self._settled_at_s and self._wanted(now):
