--- a/bench/overload.py
+++ b/bench/overload.py
@@ -32,7 +32,7 @@
     Split,
     WeightedService,
 )
-from yokesill.gateway.messages import Attempt, GatewayRequest, ServerReply
+from yokesill.gateway.messages import Attempt, GatewayRequest, Load, ServerReply
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.router import GatewayRouter
 from yokesill.verdict import Failure, Reason, Verdict
@@ -74,7 +74,8 @@
 class Scenario(NamedTuple):
     """How many shards lose how many servers, how, and how many callers come (a second).
 
-    ``dark`` of the servers that each shard loses say nothing at all; the others are slow.
+    ``dark`` of the servers that each shard loses say nothing at all; the others are slow. ``counted`` is
+    how many nodes there are, of which ``NODES`` have callers; servers that ``tell_load`` report queues.
     """
 
     name: str
@@ -83,6 +84,8 @@
     slow_factor: float
     callers_a_second: float
     dark: int = 0
+    counted: int = NODES
+    tell_load: bool = False
 
 
 SCENARIOS = (
@@ -92,6 +95,9 @@
     Scenario("two of three slow, 1.2", 4, 2, 8.0, 190.0),
     Scenario("two shards all slow, 0.7", 2, 3, 8.0, 80.0),
     Scenario("two shards all slow, 1.2", 2, 3, 8.0, 130.0),
+    Scenario("two shards all slow, 0.7, of 195 nodes", 2, 3, 8.0, 80.0, counted=195),
+    Scenario("two shards all slow, 0.7, of 195 nodes, told", 2, 3, 8.0, 80.0, counted=195, tell_load=True),
+    Scenario("two shards all slow, 1.2, of 195 nodes, told", 2, 3, 8.0, 130.0, counted=195, tell_load=True),
     Scenario("two shards all slow or dark", 2, 3, 8.0, 112.0, dark=1),
 )
 
@@ -253,7 +259,7 @@
 
         def done(ran: bool) -> None:
             if ran:
-                reply = ServerReply(200, (), b"", b"s")
+                reply = ServerReply(200, (), b"", b"s", play.load_of(attempt))
                 answer = ev.AttemptAnswered(attempt.number, reply, sent_at=sent_at)
                 self._world.at(self._world.now + WAY_S, lambda: end(answer))
             else:
@@ -312,7 +318,7 @@
         services = {name: ServiceLimits(CONNECTIONS) for route in routes for name in route.services}
         self.nodes = [Node(self, f"n{number}", options) for number in range(NODES)]
         for node in self.nodes:
-            node.feed(ev.NodesCounted(NODES))
+            node.feed(ev.NodesCounted(scenario.counted))
             node.feed(ev.ConfigurationLearnt(Configuration(1, routes, services)))
             for record in records:
                 node.feed(ev.ServerListed(record))
@@ -323,6 +329,11 @@
         work_s = next(each.work_s for each in CLASSES if each.name == name)
         return work_s * self.random.lognormvariate(-(WORK_SPREAD**2) / 2, WORK_SPREAD)
 
+    def load_of(self, attempt: Attempt) -> Load | None:
+        """Return what an attempt's server tells of itself, if it does."""
+        server = self.servers[attempt.server.instance]
+        return Load(server.running, len(server.queue), SLOTS) if self._scenario.tell_load else None
+
     def count_arrival(self, attempt: Attempt) -> None:
         """Count what reaches a server beyond a request's first attempt at its service."""
         key = (attempt.request.key, attempt.server.service)
