--- a/src/yokesill/gateway/selection.py
+++ b/src/yokesill/gateway/selection.py
@@ -19,7 +19,7 @@
     ``tried`` are instances that were asked before, ``subset`` those that this node connects to first.
     ``typical_s`` is what the route's attempts usually take; a server whose entry vanished is a last
     resort for ``removed_grace_s``. With ``last_resort`` a failing server is better than none.
-    ``nodes`` at the most share the pace of slow servers; 0 when those are not paced.
+    ``nodes`` share the pace of slow servers; 0 when those are not paced.
     """
 
     tried: Collection[str]
@@ -73,14 +73,14 @@
 def _slow_choice(server: ServerState, wanted: Wanted, now: float) -> Choice:
     """Return what asking a slow server would mean.
 
-    Each node takes its share of the pace that the server's own latency shows (slots / latency /
-    sharers), so that together they keep it busy without a queue that makes everybody late.
+    All nodes see the same slow server and none sees its queue. Each takes its share of the pace that
+    the server's own latency shows (slots / latency / nodes), so that together they keep it busy
+    without a queue that makes everybody late.
     """
     slowness = max(1.0, server.slowness(now))
     pace_s = 0.0
     if not server.failing:
-        sharers = min(wanted.nodes, server.sharing.sharers)
-        pace_s = PACE_SHARE * slowness * server.last_usual_s * sharers / max(1, server.record.slots)
+        pace_s = PACE_SHARE * slowness * server.last_usual_s * wanted.nodes / max(1, server.record.slots)
     room_at_s = max(server.last_sent_at_s + pace_s, server.refused_until_s)
     expected_s = server.expected(slowness * wanted.typical_s, now) + max(0.0, room_at_s - now)
     return Choice(server, expected_s, False, room_at_s, pace_s)
--- a/src/yokesill/gateway/servers.py
+++ b/src/yokesill/gateway/servers.py
@@ -7,7 +7,6 @@
 from yokesill.gateway.distances import ZoneDistances
 from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.messages import Load
-from yokesill.gateway.sharing import SharerEstimate
 from yokesill.rendezvous import name_hash
 
 COLD, ACTIVE, EJECTED, LEAVING = "cold", "active", "ejected", "leaving"
@@ -76,7 +75,6 @@
         self._warm_at = now + record.warmup
         self._load: Load | None = None
         self._load_at = 0.0
-        self.sharing = SharerEstimate()
 
     @property
     def state(self) -> str:
@@ -236,7 +234,6 @@
         self._slowness += SLOWNESS_WEIGHT * (ratio - self._slowness)
         if ratio <= SLOW_RATIO:
             self._slow_streak = 0
-            self.sharing.recovered()
             self._count_good(now)
             if sent_at >= self._suspected_at:
                 self._on_trial = False
@@ -248,8 +245,6 @@
             self._judged_at = now
             self._evidence = True
             self._count_slow(now)
-        if ratio > SLOW_RATIO:
-            self.sharing.answered(now - sent_at, load)
         return self._state if self._state != before else None
 
     def _count_slow(self, now: float) -> None:
@@ -273,7 +268,6 @@
     def shed(self, now: float) -> None:
         """Take a rejection: it is full at this moment."""
         self._shed_until = now + SHED_PAUSE
-        self.sharing.rejected()
 
     def refused(self, now: float) -> None:
         """Take that it reset a new connection at once: it holds as many as it bears.
