While the registry is dark a few nodes go on telling; ports are checked; a registry that answers a check is regained

Cause: found by a test of 40 nodes that start while the store is silent: watchers that nobody can rely on had nothing new and said nothing, so a node that starts then, or lost the last datagram before, learnt nothing from its zone. Then, after the store's return, nine nodes watched instead of two for up to 25 s: a wait that the silent store had swallowed kept its node "lost" although its checks were answered. Ruled out: that every node reports then (n^2 datagrams of a zone).

Change: the first in rank that know anything report also while they are not current; a check that is answered ends the outage and renews the wait. The second port of the platform's range is used only if there is one, and a range that is none is told with its place.

--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -14,9 +14,7 @@
         reader = SettingsReader(tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
         return [SettingsProblem("(file)", str(error))]
-    port = reader.first_port("portRange")
-    own_port = None if port is None else Address(reader.text("ip"), port)
-    reports = None if own_port is None else Address(own_port.host, own_port.port + 1)
+    own_port, reports = _own_addresses(reader)
     settings = GatewaySettings(
         node=reader.text("nodeName"),
         zone=reader.text("zone"),
@@ -42,6 +40,14 @@
     return reader.problems or settings
 
 
+def _own_addresses(reader: SettingsReader) -> tuple[Address | None, Address | None]:
+    """Return the first two addresses that nodes may use among themselves, as far as there are any."""
+    ports = reader.ports("portRange")
+    host = reader.text("ip") if ports else ""
+    first, second, *_ = (*(Address(host, port) for port in ports[:2]), None, None)
+    return first, second
+
+
 def load_settings(path: Path) -> GatewaySettings | list[SettingsProblem]:
     """Read the settings file at ``path``."""
     try:
--- a/src/yokesill/serving/follower.py
+++ b/src/yokesill/serving/follower.py
@@ -173,7 +173,7 @@
                 pause_s = min(FAILED_CHECK_PAUSE_S, self._check_interval_s)
                 continue
             if isinstance(outcome, Batch) and not outcome.events:
-                self.confirmed_at_s = anyio.current_time()
+                self._confirm()
                 continue
             await anyio.sleep(CHECK_GRACE_S)
             if position == self._position and self._call_scope is not None:
@@ -181,6 +181,13 @@
                 self._list_next = isinstance(outcome, HistoryLost)
                 self._call_scope.cancel()
 
+    def _confirm(self) -> None:
+        """Take that the registry answers and has nothing new; a wait begun while it was lost is renewed."""
+        self.confirmed_at_s = anyio.current_time()
+        if not self.connected and self._call_scope is not None:
+            self._mark(True, "")
+            self._call_scope.cancel()
+
     def _waits_long(self) -> bool:
         return self._call_scope is not None and anyio.current_time() - self._asked_at >= CHECK_GRACE_S
 
--- a/src/yokesill/serving/settings_reader.py
+++ b/src/yokesill/serving/settings_reader.py
@@ -56,10 +56,16 @@
         value = self._get(place)
         return {str(key): str(each) for key, each in value.items()} if isinstance(value, dict) else {}
 
-    def first_port(self, place: str) -> int | None:
-        """Return the first of a pair of ports."""
+    def ports(self, place: str) -> range:
+        """Return the ports from the first to the second of a pair; none where it is missing."""
         value = self._get(place)
-        return value[0] if isinstance(value, list) and value and isinstance(value[0], int) else None
+        if value is None:
+            return range(0)
+        pair = value if isinstance(value, list) and len(value) == 2 else []
+        if not pair or not all(type(each) is int for each in pair) or not 0 < pair[0] <= pair[1] < 1 << 16:
+            self._complain(place, "two ports are needed, the first not above the second", value)
+            return range(0)
+        return range(pair[0], pair[1] + 1)
 
     def _parse_address(self, place: str, value: Any) -> Address | None:
         host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
--- a/src/yokesill/serving/zone_watch.py
+++ b/src/yokesill/serving/zone_watch.py
@@ -122,15 +122,19 @@
         self._report_wanted.set()
 
     async def _report_if_due(self) -> None:
-        """Report news at once, and a sign of life now and then while others can rely on this node."""
+        """Report news at once, and a sign of life now and then while that is of use to others."""
         now = anyio.current_time()
         current = self._current(now)
-        quiet = now - self._reported_at_s < self._terms.report_interval_s or not current
+        useful = current or self._group.speaks(now)
+        quiet = now - self._reported_at_s < self._terms.report_interval_s or not useful
         if quiet and not self._unreported and current == self._reported_current:
             return
         self._reported_at_s, self._reported_current = now, current
-        data = encode_report(Report(self._own.node, current, self._feed_reports()))
+        feeds = self._feed_reports()
         self._unreported.clear()
+        if not feeds:
+            return
+        data = encode_report(Report(self._own.node, current, feeds))
         for member in list(self._members.values()):
             await self._send(member.reports, data)
 
@@ -174,8 +178,8 @@
         except ValueError as error:
             self._log.warning("datagram_rejected", sender=sender, problem=str(error))
             return
-        whole = len(report.feeds) == len(self._followers)
-        self._group.heard(report.node, report.current, whole and not behind, now)
+        if len(report.feeds) == len(self._followers):
+            self._group.heard(report.node, report.current, not behind, now)
         for each in behind:
             if each.feed not in self._fetching:
                 self._fetching.add(each.feed)
--- a/src/yokesill/watchers/group.py
+++ b/src/yokesill/watchers/group.py
@@ -48,6 +48,7 @@
         self._terms = terms
         self._ranked: list[str] = [own]
         self._heard_at_s: dict[str, float] = {}
+        self._seen_at_s: dict[str, float] = {}
         self._settled_at_s = now + terms.settle_s
         self._relied_at_s = self._settled_at_s - terms.patience_s / 2
         self._patience_s = terms.patience_s + source.random() * SPREAD_SHARE * terms.patience_s
@@ -58,6 +59,7 @@
         members = {*nodes, self._own}
         self._ranked = sorted(members, key=lambda node: (weight(name_hash(node), subject), node))
         self._heard_at_s = {node: at_s for node, at_s in self._heard_at_s.items() if node in members}
+        self._seen_at_s = {node: at_s for node, at_s in self._seen_at_s.items() if node in members}
 
     def heard(self, node: str, current: bool, level: bool, now: float) -> None:
         """Take a report.
@@ -73,6 +75,7 @@
         now
             The node's clock, in seconds.
         """
+        self._seen_at_s[node] = now
         if not current:
             return
         self._heard_at_s[node] = now
@@ -87,13 +90,25 @@
             return Duty.FOLLOWING
         return Duty.SOLITARY
 
+    def speaks(self, now: float) -> bool:
+        """Whether this node, although it can't be relied on, should tell what it knows.
+
+        While the registry is dark everybody watches and nobody is current; few need to speak, for
+        those that start then or have missed something.
+        """
+        return self._too_few(self._seen_at_s, now)
+
     def _wanted(self, now: float) -> bool:
-        """Whether fewer watchers than wanted reported above this node for long enough."""
+        """Whether fewer watchers than wanted that can be relied on reported above this node."""
+        return self._too_few(self._heard_at_s, now)
+
+    def _too_few(self, reported_at_s: dict[str, float], now: float) -> bool:
+        """Whether fewer nodes than wanted reported above this one for long enough."""
         rank = self._ranked.index(self._own)
         silence_s = self._terms.takeover_s + rank * self._terms.step_s
         if rank < self._terms.watchers:
             return True
         if now - self._settled_at_s < silence_s:
             return False
-        above = (self._heard_at_s.get(node, float("-inf")) for node in self._ranked[:rank])
+        above = (reported_at_s.get(node, float("-inf")) for node in self._ranked[:rank])
         return sum(now - at_s < silence_s for at_s in above) < self._terms.watchers
--- a/tests/platform/test_reading.py
+++ b/tests/platform/test_reading.py
@@ -88,3 +88,22 @@
     assert isinstance(problems, list)
     assert {each.place for each in problems} == {"zone", "listenAddrs.front", "bounds.graceS"}
     assert isinstance(parse_settings("= nonsense"), list)
+
+
+def test_nodes_speak_to_one_another_on_the_first_two_ports_of_their_range() -> None:
+    settings = parse_settings(SETTINGS)
+    assert isinstance(settings, GatewaySettings)
+    assert (settings.datagrams, settings.reports) == (Address("10.1.0.9", 7380), Address("10.1.0.9", 7381))
+    single = parse_settings(SETTINGS.replace("[7380, 7395]", "[7380, 7380]"))
+    assert isinstance(single, GatewaySettings)
+    assert (single.datagrams, single.reports) == (Address("10.1.0.9", 7380), None)
+    none = parse_settings(SETTINGS.replace("portRange = [7380, 7395]", ""))
+    assert isinstance(none, GatewaySettings)
+    assert (none.datagrams, none.reports) == (None, None)
+
+
+@pytest.mark.parametrize("ports", ["[7380]", "[7395, 7380]", '["a", "b"]', "7380", "[0, 70000]"])
+def test_a_range_of_ports_that_is_none_is_told_with_its_place(ports: str) -> None:
+    problems = parse_settings(SETTINGS.replace("[7380, 7395]", ports))
+    assert isinstance(problems, list)
+    assert [each.place for each in problems] == ["portRange"]
--- a/tests/serving/test_zone_watch.py
+++ b/tests/serving/test_zone_watch.py
@@ -4,7 +4,7 @@
 
 import anyio
 import pytest
-from zone import BOUND_S, Zone, in_a_zone
+from zone import BOUND_S, Zone, ZoneNode, in_a_zone
 
 from yokesill.gateway.events import ServerRemoved, ServersReplaced
 from yokesill.serving.feed_states import SERVERS
@@ -188,6 +188,48 @@
     in_a_zone(main)
 
 
+def test_changes_in_quick_succession_all_arrive_in_time() -> None:
+    async def main(zone: Zone) -> None:
+        for _ in range(6):
+            zone.change()
+            await anyio.sleep(0.15)
+        await anyio.sleep(WITHIN_S)
+        assert zone.behind() == []
+
+    in_a_zone(main)
+
+
+def test_many_nodes_killed_at_one_moment_leave_the_others_up_to_date() -> None:
+    async def main(zone: Zone) -> None:
+        watchers = zone.watchers()
+        others = [node for node in zone.nodes if node not in watchers]
+        for node in (*watchers, *others[:6]):
+            node.kill()
+        zone.change()
+        await anyio.sleep(WITHIN_S)
+        assert zone.behind() == []
+        await anyio.sleep(3.0)
+        assert len(zone.watchers()) == 2
+
+    in_a_zone(main)
+
+
+def test_nodes_that_start_while_the_store_is_dark_learn_from_those_that_know() -> None:
+    async def main(zone: Zone) -> None:
+        zone.standin.mode = "silent"
+        joined = [ZoneNode(zone, number) for number in range(20, 60)]
+        zone.join(joined)
+        await anyio.sleep(5.0)
+        assert {node.version for node in joined} == {zone.nodes[0].version}
+        zone.standin.mode = "up"
+        zone.change()
+        await anyio.sleep(6.0)
+        assert zone.behind() == []
+        assert len(zone.watchers()) == 2
+
+    in_a_zone(main)
+
+
 def test_a_stranger_is_not_listened_to() -> None:
     async def main(zone: Zone) -> None:
         node = next(each for each in zone.nodes if not each.watching)
--- a/tests/serving/zone.py
+++ b/tests/serving/zone.py
@@ -147,10 +147,15 @@
         self.configure()
         for number in range(8):
             self.list_server(f"i-{number}")
-        self.nodes = [ZoneNode(self, number) for number in range(count)]
+        self.join([ZoneNode(self, number) for number in range(count)])
+
+    def join(self, nodes: list[ZoneNode]) -> None:
+        """Start nodes; everybody learns of them."""
+        self.nodes = [*self.nodes, *nodes]
         for node in self.nodes:
             node.watch.set_members(each.contact for each in self.nodes)
-            tasks.start_soon(node.run)
+        for node in nodes:
+            self.tasks.start_soon(node.run)
 
     def deliver(self, sender: str, address: str, data: bytes) -> None:
         self.datagrams += 1
