--- a/Makefile
+++ b/Makefile
@@ -3,18 +3,31 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check unit guards spec bench bench-platform clean
+.PHONY: demo test tools check unit guards spec bench bench-platform clean
 
-$(VENV)/.installed: requirements.txt pyproject.toml
+PIP := $(BIN)/pip install --quiet --disable-pip-version-check
+
+# What running needs; checking needs more (mypy, pytest, matplotlib ...), which `make test` adds.
+$(VENV)/.runs: requirements-demo.txt pyproject.toml
+	@echo "installing what running needs into $(VENV); a minute or two, once"
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	$(PIP) -r requirements-demo.txt
+	$(PIP) --no-deps --no-build-isolation -e .
+	touch $@
+
+$(VENV)/.installed: requirements.txt $(VENV)/.runs
+	@echo "installing what tests and checks need; a minute or two, once"
+	$(PIP) -r requirements.txt
 	touch $@
 
-demo: $(VENV)/.installed
+demo: $(VENV)/.runs
 	$(BIN)/yokesill demo
 
-test: check unit guards spec
+test: tools check unit guards spec
+
+# Said at once, not after minutes of tests.
+tools:
+	@command -v spin >/dev/null && command -v gcc >/dev/null || { echo "model checking needs spin and gcc: apt-get install -y spin gcc libc6-dev"; exit 2; }
 
 check: $(VENV)/.installed
 	$(BIN)/ruff format --check src tests spec bench deploy
--- a/bench/gateway_subrequest.py
+++ b/bench/gateway_subrequest.py
@@ -66,7 +66,7 @@
 async def measure(fan_out: int) -> float:
     """Return microseconds of this process's processor time for one sub-request."""
     services = tuple(f"s{number}" for number in range(fan_out))
-    route = Route("wide", "h", "/w/", True, 5.0, 4.0, 2, 1, Gather(services, 50, 0.9))
+    route = Route("wide", "h", "/w/", True, 5.0, 4.0, 2, 1, Gather(services, 50, 1.0))
     router = GatewayRouter(GatewayOptions(zone="z1"), random.Random(1), anyio.current_time())
     driver = GatewayDriver(router, ServerClient(HeaderNames()), lambda note: None)
     limits = {name: ServiceLimits(100) for name in services}
--- a/tests/platform/test_starting.py
+++ b/tests/platform/test_starting.py
@@ -103,3 +103,9 @@
         "sniffio",
     }
     assert loaded - optional <= declared
+
+
+def test_every_list_of_packages_pins_what_the_whole_list_pins() -> None:
+    whole = set((ROOT / "requirements.txt").read_text().split())
+    for name in ("requirements-serve.txt", "requirements-demo.txt"):
+        assert set((ROOT / name).read_text().split()) <= whole, name
