What is read while a report goes out is told right after

Cause: found by reading the change: the event that asks for a report was renewed after sending, so news read meanwhile was dropped and its zone learnt of it by the next sign of life, and then fetched the whole feed. Ruled out: nothing was wrong in the end, positions show the gap. Change: the event is renewed before reporting. A test with slow datagrams fails first.

--- a/src/yokesill/serving/zone_watch.py
+++ b/src/yokesill/serving/zone_watch.py
@@ -96,11 +96,13 @@
         async with anyio.create_task_group() as self._tasks:
             pause_s = self._terms.report_interval_s / TICKS_PER_REPORT
             while True:
+                # Before reporting: what is read while a report goes out asks for another one.
+                self._report_wanted = anyio.Event()
                 self._take_up(self._group.duty(anyio.current_time()))
                 if self.duty is Duty.WATCHING:
                     await self._report_if_due()
-                self._unreported.clear()
-                self._report_wanted = anyio.Event()
+                else:
+                    self._unreported.clear()
                 with anyio.move_on_after(pause_s):
                     await self._report_wanted.wait()
 
--- a/tests/serving/test_zone_watch.py
+++ b/tests/serving/test_zone_watch.py
@@ -136,6 +136,22 @@
     in_a_zone(main)
 
 
+def test_what_is_read_while_a_report_goes_out_is_told_right_after() -> None:
+    async def main(zone: Zone) -> None:
+        await anyio.sleep(2.0)
+        zone.sending_s = 0.01
+        for node in zone.nodes:
+            node.fetched.clear()
+        zone.configure()
+        await anyio.sleep(0.05)
+        zone.list_server("i-0", "draining")
+        await anyio.sleep(1.0)
+        assert zone.behind() == []
+        assert [feed for node in zone.nodes for feed in node.fetched if feed == SERVERS] == []
+
+    in_a_zone(main)
+
+
 def test_many_changes_at_once_that_fit_no_datagram_are_fetched_whole() -> None:
     async def main(zone: Zone) -> None:
         for number in range(200):
--- a/tests/serving/zone.py
+++ b/tests/serving/zone.py
@@ -52,6 +52,7 @@
         self.store_mode = "up"
         self.deaf = self.dead = self.frozen = False
         self.fetches = True
+        self.fetched: list[str] = []
         self.version = 0
         self.went_back = False
         self.servers: dict[str, ServerRecord] = {}
@@ -105,10 +106,12 @@
 
     async def _send(self, address: str, data: bytes) -> None:
         await self.thawed()
+        await anyio.sleep(self.zone.sending_s)
         self.zone.deliver(self.contact.reports, address, data)
 
     async def _fetch(self, address: str, feed: str) -> bytes | Failure:
         other = next((each for each in self.zone.nodes if each.contact.peers == address), None)
+        self.fetched.append(feed)
         if other is None or other.dead or not self.fetches:
             return UNREACHABLE
         with anyio.move_on_after(1.0):
@@ -140,6 +143,7 @@
         self.tasks = tasks
         self.standin = StoreStandin()
         self.loss = 0.0
+        self.sending_s = 0.0
         self.datagrams = 0
         self._random = random.Random(7)
         self._version = 0
