--- a/tests/serving/test_zone_watch.py
+++ b/tests/serving/test_zone_watch.py
@@ -233,6 +233,7 @@
 def test_nodes_that_start_while_the_store_is_dark_learn_from_those_that_know() -> None:
     async def main(zone: Zone) -> None:
         zone.standin.mode = "silent"
+        await anyio.sleep(6.0)
         joined = [ZoneNode(zone, number) for number in range(20, 60)]
         zone.join(joined)
         await anyio.sleep(5.0)
