Evacuated zones, cold servers' bounds, and routes' regions are heeded

Nothing new goes to the zone's servers: they are no candidates for first attempts, hedges, retries, waiting requests or last resorts. What only such a zone could serve is rejected at once as not run. What is under way ends by itself. - Cold servers: equal shares of a few requests a second are less than one for each of many nodes, and random admission has no bound. So a few nodes own a cold server by rendezvous, each sends a fixed number in any second, the others nothing; half of the bound is dealt out, the rest covers different views of who is there and requests that waited for a connection. FeedFollower.known, read by nobody, is gone.

--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -75,7 +75,8 @@
             nodes=context.nodes if context.options.paces else 0,
             heeds_refusals=context.options.heeds_refusals,
         )
-        return choose_server(context.servers.of_service(self.service), wanted, now, context.random_source)
+        candidates = context.candidates(self.service, self._route, now)
+        return choose_server(candidates, wanted, now, context.random_source)
 
     def begin(
         self, choice: Choice | None, deadline: float, hedge_delay: float, now: float, actions: list[Action]
@@ -141,6 +142,7 @@
         live = LiveAttempt(number, self._request.request_id, server, now, extra)
         context.live[number] = self._live[number] = live
         server.begin(number, context.typical(self._route).median, now)
+        context.sent(server, now)
         self._tried.add(server.record.instance)
         self.sent += 1
         self.extras += extra
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -2,12 +2,13 @@
 
 import itertools
 import random
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
 from yokesill.gateway.budget import BudgetTerms, ExtraAttemptBudget
-from yokesill.gateway.documents import Configuration, Route
+from yokesill.gateway.cold_starts import ColdStarts
+from yokesill.gateway.documents import Configuration, Route, ServiceLimits
 from yokesill.gateway.estimates import TypicalLatency
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.selection import Choice
@@ -55,6 +56,7 @@
     live: dict[int, LiveAttempt] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
     waiting: WaitingRoom[Any] = field(default_factory=WaitingRoom)
+    cold_starts: ColdStarts = field(init=False)
     _node_hash: int = field(init=False, default=0)
     _terms: BudgetTerms | None = None
     _budgets: dict[str, ExtraAttemptBudget] = field(default_factory=dict)
@@ -62,8 +64,9 @@
     _longest_patience: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Hash this node's name once."""
+        """Hash this node's name once, and count what cold servers get of it."""
         self._node_hash = name_hash(self.options.node)
+        self.cold_starts = ColdStarts(self.options.node, self.options.cold_starts)
 
     def budget(self, service: str) -> ExtraAttemptBudget:
         """Return the service's budget of extra attempts."""
@@ -126,9 +129,35 @@
         """Take how late one timer came."""
         self.lateness += LATENESS_WEIGHT * (min(seconds, LATENESS_CEILING) - self.lateness)
 
+    def limits(self, service: str) -> ServiceLimits | None:
+        """Return what the service's servers bear; ``None`` if the configuration doesn't say."""
+        return self.configuration.services.get(service) if self.configuration else None
+
+    def candidates(self, service: str, route: Route, now: float) -> Iterable[ServerState]:
+        """Return the servers that a route's request may go to at all.
+
+        Not those of evacuated zones or of regions that the route doesn't allow, and not cold ones
+        beyond this node's part of what they bear.
+        """
+        servers = self.servers.reachable(service)
+        if route.regions:
+            regions = self.options.regions
+            servers = [each for each in servers if regions.get(each.record.zone) in route.regions]
+        limits = self.limits(service)
+        if limits is None or limits.cold_requests_per_s <= 0.0:
+            return servers
+        bears, cold_starts = limits.cold_requests_per_s, self.cold_starts
+        return [each for each in servers if not each.cold(now) or cold_starts.allows(each.record, bears, now)]
+
+    def sent(self, server: ServerState, now: float) -> None:
+        """Count a request that is sent to a server which may be cold."""
+        limits = self.limits(server.record.service)
+        if limits is not None and limits.cold_requests_per_s > 0.0 and server.cold(now):
+            self.cold_starts.sent(server.record, now)
+
     def connection_limit(self, service: str) -> int:
         """Return how many connections this node may hold to each of the service's servers."""
-        limits = self.configuration.services.get(service) if self.configuration else None
+        limits = self.limits(service)
         if limits is None:
             return 1
         return max(1, int(self.options.connection_share * limits.connections / max(1, self.nodes)))
@@ -141,7 +170,7 @@
         rendezvous hash, so that every server gets its share of the nodes.
         """
         servers = self.servers.present(service)
-        limits = self.configuration.services.get(service) if self.configuration else None
+        limits = self.limits(service)
         if limits is None or not servers:
             return [each.record.instance for each in servers]
         bearable = self.options.connection_share * limits.connections * len(servers)
--- a/src/yokesill/gateway/documents.py
+++ b/src/yokesill/gateway/documents.py
@@ -35,9 +35,10 @@
 class Route:
     """How one class of requests is answered.
 
-    ``timeout`` is the longest that a request is held and ``target`` the latency that it should
-    have, both in seconds. ``attempts`` bounds the servers that one request may run on (for each
-    service of a gather). ``priority`` 0 is the most urgent.
+    Only servers in ``regions`` may get its requests; any may when there are none. ``timeout`` is the
+    longest that a request is held and ``target`` the latency that it should have, both in seconds.
+    ``attempts`` bounds the servers that one request may run on (for each service of a gather).
+    ``priority`` 0 is the most urgent.
     """
 
     name: str
@@ -49,6 +50,7 @@
     attempts: int
     priority: int
     destination: Gather | Split
+    regions: tuple[str, ...] = ()
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -70,9 +72,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceLimits:
-    """What the servers of one service bear: connections to each, from all nodes together."""
+    """What the servers of one service bear, each from all nodes together.
+
+    ``connections`` at a time, and while a server is cold ``cold_requests_per_s``; 0 is no bound.
+    """
 
     connections: int
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/yokesill/gateway/events.py
+++ b/src/yokesill/gateway/events.py
@@ -101,6 +101,24 @@
     records: tuple[ServerRecord, ...]
 
 
+class ZoneEvacuated(NamedTuple):
+    """Operators want nothing new to go to a zone's servers."""
+
+    zone: str
+
+
+class ZoneReopened(NamedTuple):
+    """A zone's evacuation was taken back."""
+
+    zone: str
+
+
+class EvacuationsReplaced(NamedTuple):
+    """All zones that are evacuated as of one moment."""
+
+    zones: frozenset[str]
+
+
 class ServerSuspected(NamedTuple):
     """The nodes together found that a server is slow or failing; go around it for ``for_s``."""
 
@@ -115,6 +133,12 @@
     count: int
 
 
+class NodesMet(NamedTuple):
+    """The names of all nodes that are there."""
+
+    names: frozenset[str]
+
+
 Event = (
     RequestArrived
     | AttemptAnswered
@@ -126,8 +150,12 @@
     | ServerListed
     | ServerRemoved
     | ServersReplaced
+    | ZoneEvacuated
+    | ZoneReopened
+    | EvacuationsReplaced
     | ServerSuspected
     | NodesCounted
+    | NodesMet
 )
 
 
--- a/src/yokesill/gateway/messages.py
+++ b/src/yokesill/gateway/messages.py
@@ -33,11 +33,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """What a server reported of itself: requests running and waiting, and its slots."""
+    """What a server reported of itself: requests running and waiting, and its slots.
+
+    ``work_percent`` is how long work takes there at this moment; 100 is as usual.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int = 100
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/yokesill/gateway/options.py
+++ b/src/yokesill/gateway/options.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from yokesill.gateway.budget import BudgetTerms
+from yokesill.gateway.cold_starts import ColdStartTerms
 
 DEFAULT_BUDGET = BudgetTerms(ratio=0.1, allowance=10.0, window=10.0)
 
@@ -31,6 +32,7 @@
     node: str = ""
     regions: dict[str, str] = field(default_factory=dict)
     budget: BudgetTerms = DEFAULT_BUDGET
+    cold_starts: ColdStartTerms = ColdStartTerms()  # noqa: RUF009 (immutable)
     fresh_margin: float = 0.0145
     kept_margin: float = 0.0115
     gather_hedge_factor: float = 2.0
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -65,7 +65,9 @@
         return actions
 
     def _forget_removed(self, now: float, actions: list[ev.Action]) -> None:
-        actions.extend(ev.ForgetServer(instance) for instance in self.servers.forget_removed(now))
+        for instance in self.servers.forget_removed(now):
+            self._context.cold_starts.forget(instance)
+            actions.append(ev.ForgetServer(instance))
 
     # --- requests ---
 
@@ -196,6 +198,13 @@
             return
         actions.append(notes.server_state(attempt, state, why, now))
 
+    # --- evacuations ---
+
+    def _evacuate(self, zones: frozenset[str], actions: list[ev.Action]) -> None:
+        """Take which zones are evacuated; what is under way there ends by itself."""
+        for zone in sorted(self.servers.evacuate(zones)):
+            actions.append(ev.Note("zone_evacuated", {"zone": zone, "evacuated": zone in zones}))
+
     # --- configuration ---
 
     def _learn(self, configuration: Configuration, actions: list[ev.Action]) -> None:
@@ -265,6 +274,26 @@
     router._context.nodes = max(1, event.count)
 
 
+@_take.register
+def _(event: ev.NodesMet, router: GatewayRouter, now: float, actions: Actions) -> None:
+    router._context.cold_starts.set_nodes(event.names)
+
+
+@_take.register
+def _(event: ev.ZoneEvacuated, router: GatewayRouter, now: float, actions: Actions) -> None:
+    router._evacuate(router.servers.evacuated | {event.zone}, actions)
+
+
+@_take.register
+def _(event: ev.ZoneReopened, router: GatewayRouter, now: float, actions: Actions) -> None:
+    router._evacuate(router.servers.evacuated - {event.zone}, actions)
+
+
+@_take.register
+def _(event: ev.EvacuationsReplaced, router: GatewayRouter, now: float, actions: Actions) -> None:
+    router._evacuate(event.zones, actions)
+
+
 @_take.register
 def _(event: ev.ServerSuspected, router: GatewayRouter, now: float, actions: Actions) -> None:
     if router.options.heeds_suspicions and router.servers.suspect(event.instance, event.for_s, now):
--- a/src/yokesill/gateway/server_table.py
+++ b/src/yokesill/gateway/server_table.py
@@ -18,6 +18,7 @@
         self._options = options
         self._by_instance: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
+        self._evacuated: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         """How many servers are known."""
@@ -43,7 +44,7 @@
         state = self._by_instance.get(instance)
         if state is None or state.leaving:
             return False
-        others = (each for each in self.of_service(state.record.service) if each is not state)
+        others = (each for each in self.reachable(state.record.service) if each is not state)
         if not any(not each.leaving and not each.suspected(now) for each in others):
             return False
         known = state.suspected(now)
@@ -58,9 +59,26 @@
         """Return a service's servers."""
         return self._by_service.get(service, {}).values()
 
+    def reachable(self, service: str) -> Iterable[ServerState]:
+        """Return a service's servers outside evacuated zones; nothing new goes to any other."""
+        servers = self.of_service(service)
+        if not self._evacuated:
+            return servers
+        return [each for each in servers if each.record.zone not in self._evacuated]
+
     def present(self, service: str) -> list[ServerState]:
         """Return a service's servers that may get new work."""
-        return [each for each in self.of_service(service) if not each.leaving]
+        return [each for each in self.reachable(service) if not each.leaving]
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The zones whose servers get nothing new."""
+        return self._evacuated
+
+    def evacuate(self, zones: Iterable[str]) -> frozenset[str]:
+        """Send nothing new to the servers of these zones, and of no others; return what changed."""
+        before, self._evacuated = self._evacuated, frozenset(zones)
+        return before ^ self._evacuated
 
     def put(self, record: ServerRecord, now: float) -> bool:
         """Take a server's entry; return whether anything but its warm-up changed."""
--- a/src/yokesill/gateway/servers.py
+++ b/src/yokesill/gateway/servers.py
@@ -160,6 +160,10 @@
             self._good_since, self._good_answers = now, 0
         self._good_answers += 1
 
+    def cold(self, now: float) -> bool:
+        """Whether it is still slow, and bears little, after its start."""
+        return now < self._warm_at
+
     def pausing(self, now: float) -> bool:
         """Whether it rejected work just now."""
         return now < self._shed_until
@@ -188,11 +192,13 @@
         """Return the expected latency of one more request that usually takes ``typical`` seconds."""
         slots = max(1, self.record.slots)
         busy = self.in_flight
+        pace = COLD_SLOWNESS if self.cold(now) else 1.0
         if self._load is not None and now - self._load_at < LOAD_LIFETIME:
             # The report counts the request that it came with.
             busy = max(busy, self._load.running + self._load.waiting - 1)
+            pace = max(pace, self._load.work_percent / 100.0)
         queued = max(0, busy + 1 - slots)
-        work = typical * (COLD_SLOWNESS if now < self._warm_at else 1.0)
+        work = typical * pace
         return self.round_trip + self._connecting_time() + work * (1.0 + queued / slots)
 
     def _connecting_time(self) -> float:
--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -4,14 +4,24 @@
 
 from yokesill.gateway.events import (
     ConfigurationLearnt,
+    EvacuationsReplaced,
     Event,
     ServerListed,
     ServerRemoved,
     ServersReplaced,
+    ZoneEvacuated,
+    ZoneReopened,
+)
+from yokesill.platform.documents import read_configuration, read_server
+from yokesill.platform.names import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    EVACUATIONS_KIND,
+    NODES_KIND,
+    SERVERS_KIND,
 )
-from yokesill.platform.documents import ObjectError, read_configuration, read_server
-from yokesill.platform.names import CONFIGURATION_KIND, CONFIGURATION_NAME, NODES_KIND, SERVERS_KIND
 from yokesill.platform.store import MetadataStore, StoredItem, StoreView
+from yokesill.serving.object_fields import ObjectError
 from yokesill.serving.registry import (
     Batch,
     Feed,
@@ -73,6 +83,13 @@
         super().__init__("servers", SERVERS_KIND, store, _server_batch, _all_servers_batch)
 
 
+class EvacuationFeed(StoreFeed):
+    """The zones that operators evacuate, each under an object of its name."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        super().__init__("evacuations", EVACUATIONS_KIND, store, _evacuation_batch, _all_evacuations_batch)
+
+
 class StoredNodes(NodeDirectory):
     """The nodes, each under an object of its own."""
 
@@ -119,6 +136,16 @@
     return Batch(view.at, (ServersReplaced(records),), problems)
 
 
+def _evacuation_batch(view: StoreView) -> Batch:
+    events = tuple(ZoneReopened(item.name) if item.gone else ZoneEvacuated(item.name) for item in view.items)
+    return Batch(view.at, events)
+
+
+def _all_evacuations_batch(view: StoreView) -> Batch:
+    zones = frozenset(item.name for item in view.items if not item.gone)
+    return Batch(view.at, (EvacuationsReplaced(zones),))
+
+
 def _server_events(view: StoreView) -> tuple[tuple[Event, ...], tuple[Problem, ...]]:
     events: list[Event] = []
     problems: list[Problem] = []
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -12,7 +12,7 @@
 
 from yokesill import logs
 from yokesill.gateway.options import GatewayOptions
-from yokesill.platform.feeds import ConfigurationFeed, ServerFeed, StoredNodes
+from yokesill.platform.feeds import ConfigurationFeed, EvacuationFeed, ServerFeed, StoredNodes
 from yokesill.platform.names import HEADER_NAMES, READY_PATH, SETTINGS_VARIABLE, SWITCHED_OFF_VARIABLE
 from yokesill.platform.settings import load_settings
 from yokesill.platform.store import MetadataStore
@@ -55,6 +55,7 @@
     return Surroundings(
         configuration=ConfigurationFeed(store),
         servers=ServerFeed(store),
+        evacuations=EvacuationFeed(store) if settings.evacuation_bound_s is not None else None,
         nodes=StoredNodes(store),
         names=HEADER_NAMES,
         ready_path=READY_PATH,
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -4,9 +4,13 @@
 from pathlib import Path
 
 from yokesill.gateway.budget import BudgetTerms
+from yokesill.gateway.cold_starts import ColdStartTerms
 from yokesill.serving.settings import Address, GatewaySettings, SettingsProblem
 from yokesill.serving.settings_reader import SettingsReader
 
+# The contract under which operators evacuate zones, and the bound where its figure is missing.
+EVACUATING_CONTRACT, EVACUATION_BOUND_S = "places", 5.0
+
 
 def parse_settings(text: str) -> GatewaySettings | list[SettingsProblem]:
     """Read settings; unknown fields are passed over, as the platform asks."""
@@ -35,11 +39,25 @@
         configuration_bound_s=max(1.0, reader.number("bounds.configApplyMs", 3000) / 1000),
         leaving_bound_s=reader.number("bounds.drainMs", 2000) / 1000,
         recovery_bound_s=max(1.0, reader.number("bounds.contactMs", 4000) / 1000),
+        evacuation_bound_s=_evacuation_bound_s(reader),
+        cold_starts=ColdStartTerms(
+            overshoot=reader.number("bounds.warmupOvershoot", 1.0),
+            slack=reader.number("bounds.warmupSlack", 0.0),
+        ),
+        cores=reader.number("limits.cpuShare", 1.0) * reader.number("limits.cpuCores", 1.0),
         stop_grace=reader.number("bounds.graceS", 6.0),
     )
     return reader.problems or settings
 
 
+def _evacuation_bound_s(reader: SettingsReader) -> float | None:
+    """Return within what time evacuations must be heeded; ``None`` where there are none."""
+    bound_ms = reader.number("bounds.evacuateMs", 0.0)
+    if bound_ms:
+        return bound_ms / 1000
+    return EVACUATION_BOUND_S if EVACUATING_CONTRACT in reader.words("contracts") else None
+
+
 def _own_addresses(reader: SettingsReader) -> tuple[Address | None, Address | None]:
     """Return the first two addresses that nodes may use among themselves, as far as there are any."""
     ports = reader.ports("portRange")
--- a/src/yokesill/serving/feed_states.py
+++ b/src/yokesill/serving/feed_states.py
@@ -6,7 +6,16 @@
 
 import cbor2
 
-from yokesill.gateway.events import ConfigurationLearnt, Event, ServerListed, ServerRemoved, ServersReplaced
+from yokesill.gateway.events import (
+    ConfigurationLearnt,
+    EvacuationsReplaced,
+    Event,
+    ServerListed,
+    ServerRemoved,
+    ServersReplaced,
+    ZoneEvacuated,
+    ZoneReopened,
+)
 from yokesill.serving.registry import Batch
 from yokesill.serving.snapshots import (
     configuration_from_wire,
@@ -15,11 +24,15 @@
     server_to_wire,
 )
 
-CONFIGURATION, SERVERS = "configuration", "servers"
+CONFIGURATION, SERVERS, EVACUATIONS = "configuration", "servers", "evacuations"
+# A change of one zone is a pair of this word and the zone's name.
+EVACUATED, REOPENED = "evacuated", "reopened"
+
+WholeFeed = ConfigurationLearnt | ServersReplaced | EvacuationsReplaced
 
 
 def changes_to_wire(events: Iterable[Event]) -> list[Any] | None:
-    """Return changes of servers for a datagram; ``None`` when only the whole feed tells them."""
+    """Return changes for a datagram; ``None`` when only the whole feed tells them."""
     items = [_change_to_wire(event) for event in events]
     return None if None in items else items
 
@@ -39,30 +52,60 @@
     return event.instance
 
 
+@_change_to_wire.register
+def _(event: ZoneEvacuated) -> Any:
+    return [EVACUATED, event.zone]
+
+
+@_change_to_wire.register
+def _(event: ZoneReopened) -> Any:
+    return [REOPENED, event.zone]
+
+
 def changes_from_wire(items: Iterable[Any]) -> tuple[Event, ...]:
     """Read changes.
 
     Raises
     ------
     ValueError
-        An item is neither a server's entry nor the name of one that is gone.
+        An item is neither a zone, nor a server's entry, nor the name of one that is gone.
     """
     try:
-        return tuple(
-            ServerRemoved(item) if isinstance(item, str) else ServerListed(server_from_wire(item))
-            for item in items
-        )
+        return tuple(_change_from_wire(item) for item in items)
     except TypeError as error:
         raise ValueError(f"a malformed change: {error!r}") from error
 
 
-def encode_state(position: int, event: ConfigurationLearnt | ServersReplaced) -> bytes:
+def _change_from_wire(item: Any) -> Event:
+    if isinstance(item, str):
+        return ServerRemoved(item)
+    match item:
+        case [str() as word, str() as zone] if word in (EVACUATED, REOPENED):
+            return ZoneEvacuated(zone) if word == EVACUATED else ZoneReopened(zone)
+    return ServerListed(server_from_wire(item))
+
+
+@singledispatch
+def encode_state(event: WholeFeed, position: int) -> bytes:
     """Return a whole feed as known at ``position``."""
-    if isinstance(event, ConfigurationLearnt):
-        return cbor2.dumps([CONFIGURATION, position, configuration_to_wire(event.configuration)])
+    raise TypeError(f"no feed: {event!r}")
+
+
+@encode_state.register
+def _(event: ConfigurationLearnt, position: int) -> bytes:
+    return cbor2.dumps([CONFIGURATION, position, configuration_to_wire(event.configuration)])
+
+
+@encode_state.register
+def _(event: ServersReplaced, position: int) -> bytes:
     return cbor2.dumps([SERVERS, position, [server_to_wire(record) for record in event.records]])
 
 
+@encode_state.register
+def _(event: EvacuationsReplaced, position: int) -> bytes:
+    return cbor2.dumps([EVACUATIONS, position, sorted(event.zones)])
+
+
 def decode_state(data: bytes) -> Batch:
     """Read a whole feed.
 
@@ -80,6 +123,8 @@
             event = ConfigurationLearnt(configuration_from_wire(content))
         elif feed == SERVERS:
             event = ServersReplaced(tuple(server_from_wire(each) for each in content))
+        elif feed == EVACUATIONS:
+            event = EvacuationsReplaced(frozenset(str(zone) for zone in content))
         else:
             raise ValueError(f"a feed {feed!r}")
     except (KeyError, TypeError, AttributeError, cbor2.CBORDecodeError) as error:
--- a/src/yokesill/serving/follower.py
+++ b/src/yokesill/serving/follower.py
@@ -20,7 +20,7 @@
     """Keeps the router up to date with one feed.
 
     ``gathering_time`` (s) passes after each batch of changes, so that changes in quick succession
-    come in one call. ``known`` is set once the feed was listed or told of.
+    come in one call.
 
     A wait for changes that the registry takes while it is silent is never answered, and its
     connection stays open. So a cheap check looks for changes beside it.
@@ -39,7 +39,6 @@
         check_interval_s: float = CHECK_INTERVAL_S,
         watching: bool = True,
     ) -> None:
-        self.known = anyio.Event()
         self.connected = False
         self.confirmed_at_s = float("-inf")
         self.calls = 0
@@ -212,7 +211,6 @@
             self._log.error("entry_rejected", place=problem.place, problem=problem.message)
         self._position = batch.position
         self._list_next = False
-        self.known.set()
 
     def _mark(self, connected: bool, why: str) -> None:
         """Tell of a lost or regained registry, once each."""
--- a/src/yokesill/serving/following.py
+++ b/src/yokesill/serving/following.py
@@ -2,32 +2,39 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import anyio
 
 from yokesill.gateway.events import Event
-from yokesill.serving.feed_states import CONFIGURATION, SERVERS
+from yokesill.serving.feed_states import SERVERS, WholeFeed
 from yokesill.serving.follower import FeedFollower
 from yokesill.serving.registry import Feed, NodeContact
 from yokesill.serving.settings import GatewaySettings
 from yokesill.serving.watch_link import WatchLink
-from yokesill.serving.zone_watch import WholeFeed, ZoneWatch
+from yokesill.serving.zone_watch import ZoneWatch
 from yokesill.watchers.terms import WatchTerms
 
-CONFIGURATION_GATHERING_S = 0.3
+# Changes that operators make are few, and their bound counts from the registry's answer.
+OPERATORS_GATHERING_S = 0.3
+
+
+class FollowedFeed(NamedTuple):
+    """A feed, and who takes its events."""
+
+    feed: Feed
+    learn: Callable[[Event], None]
 
 
 class RegistryFollowing:
-    """The followers of both feeds, and what keeps them up to date.
+    """The followers of all feeds, and what keeps them up to date.
 
     Parameters
     ----------
     settings
         Where nodes reach one another, and the bounds to keep.
     feeds
-        The registry's configuration and servers.
-    learn
-        Take an event of the configuration's feed, and of the servers'.
+        What is followed, by the names under which nodes tell one another of it.
     whole
         Return a whole feed as this node knows it, by its name; ``None`` while it knows nothing.
     few_watchers
@@ -39,8 +46,7 @@
     def __init__(
         self,
         settings: GatewaySettings,
-        feeds: tuple[Feed, Feed],
-        learn: tuple[Callable[[Event], None], Callable[[Event], None]],
+        feeds: dict[str, FollowedFeed],
         whole: Callable[[str], WholeFeed | None],
         few_watchers: bool,
         source: random.Random,
@@ -48,14 +54,13 @@
         shared = few_watchers and settings.reports is not None and settings.peers is not None
         terms = WatchTerms.within(settings.change_bound_s)
         check_s = terms.check_interval_s if shared else settings.check_interval_s
-        gathering_s = (CONFIGURATION_GATHERING_S, settings.gathering_time_s)
         self.contact = _contact(settings)
-        self._followers = {
-            name: FeedFollower(feed, take, gather_s, source, check_s, watching=not shared)
-            for name, feed, take, gather_s in zip(
-                (CONFIGURATION, SERVERS), feeds, learn, gathering_s, strict=True
+        self._followers: dict[str, FeedFollower] = {}
+        for name, (feed, learn) in feeds.items():
+            gathering_s = settings.gathering_time_s if name == SERVERS else OPERATORS_GATHERING_S
+            self._followers[name] = FeedFollower(
+                feed, learn, gathering_s, source, check_s, watching=not shared
             )
-        }
         self._watch: ZoneWatch | None = None
         if shared and settings.reports is not None:
             self._link = WatchLink(settings.reports)
@@ -72,9 +77,9 @@
         """What this node does to keep up; empty where nodes don't watch for one another."""
         return "" if self._watch is None else self._watch.duty
 
-    def position(self, feed: str) -> int:
-        """Up to which position a feed is known; 0 while nothing is."""
-        return self._followers[feed].position or 0
+    def positions(self) -> dict[str, int]:
+        """Return up to which position each feed is known; 0 while nothing is."""
+        return {name: each.position or 0 for name, each in self._followers.items()}
 
     async def run(self) -> None:
         """Keep up until cancelled."""
--- /dev/null
+++ b/src/yokesill/serving/object_fields.py
@@ -0,0 +1,60 @@
+"""Takes typed fields out of objects that were read; raises ``ObjectError`` naming the place."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+Value = TypeVar("Value")
+
+
+class ObjectError(ValueError):
+    """An object lacks a field or has one of a wrong kind."""
+
+
+def take(fields: Any, name: str, read: Callable[[Any], Value], place: str) -> Value:
+    """Return a table's field as ``read`` makes it; ``place`` is where the table stands."""
+    if not isinstance(fields, dict):
+        raise ObjectError(f"{place}: a table is needed")
+    if name not in fields:
+        raise ObjectError(f"{place}.{name}: is missing")
+    try:
+        return read(fields[name])
+    except ObjectError as error:
+        raise ObjectError(f"{place}.{name}: {error}") from error
+
+
+def text(value: Any) -> str:
+    """Return a text."""
+    if not isinstance(value, str):
+        raise ObjectError("a text is needed")
+    return value
+
+
+def number(value: Any) -> float:
+    """Return a number as a float."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ObjectError("a number is needed")
+    return float(value)
+
+
+def whole(value: Any) -> int:
+    """Return a number without its fraction."""
+    return int(number(value))
+
+
+def seconds(value: Any) -> float:
+    """Return milliseconds as seconds."""
+    return number(value) / 1000
+
+
+def table(value: Any) -> dict[str, Any]:
+    """Return a table."""
+    if not isinstance(value, dict):
+        raise ObjectError("a table is needed")
+    return value
+
+
+def items(value: Any) -> list[Any]:
+    """Return a list."""
+    if not isinstance(value, list):
+        raise ObjectError("a list is needed")
+    return value
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -11,8 +11,10 @@
 from yokesill.charts.flat import transition_table
 from yokesill.gateway.events import (
     ConfigurationLearnt,
+    EvacuationsReplaced,
     Event,
     NodesCounted,
+    NodesMet,
     ServersReplaced,
     ServerSuspected,
 )
@@ -24,9 +26,9 @@
 from yokesill.serving.application import GatewayApplication
 from yokesill.serving.awaited import connect_tcp
 from yokesill.serving.driver import GatewayDriver
-from yokesill.serving.feed_states import CONFIGURATION, SERVERS
+from yokesill.serving.feed_states import CONFIGURATION, EVACUATIONS, SERVERS, WholeFeed
 from yokesill.serving.figures import GatewayFigures
-from yokesill.serving.following import RegistryFollowing
+from yokesill.serving.following import FollowedFeed, RegistryFollowing
 from yokesill.serving.listener import Listener, create_listener
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.node_count import NodeCounter
@@ -38,7 +40,6 @@
 from yokesill.serving.server_client import ServerClient
 from yokesill.serving.settings import Address, GatewaySettings
 from yokesill.serving.snapshots import encode_snapshot
-from yokesill.serving.zone_watch import WholeFeed
 from yokesill.watchers.group import Duty
 
 POLL = 0.01
@@ -49,7 +50,8 @@
 class Surroundings:
     """What a node is connected to: the registry's feeds and the words spoken with callers.
 
-    ``callers_socket`` listens for callers already; without it the node opens one itself.
+    Without ``evacuations`` zones are never evacuated. ``callers_socket`` listens for callers already;
+    without it the node opens one itself.
     """
 
     configuration: Feed
@@ -59,6 +61,7 @@
     ready_path: str
     move_registry: Callable[[Address], None] = lambda _address: None
     callers_socket: socket.socket | None = None
+    evacuations: Feed | None = None
 
 
 class GatewayProcess:
@@ -119,6 +122,7 @@
             regions=settings.regions,
             budget=settings.budget,
             removed_grace=settings.removed_grace_s,
+            cold_starts=settings.cold_starts,
         ).without(settings.switched_off)
         self.router = GatewayRouter(options, self._random, now)
         self._client = ServerClient(around.names)
@@ -128,8 +132,7 @@
         self._application = GatewayApplication(self.driver, around.names, observer, prefix)
         self._following = RegistryFollowing(
             settings,
-            (around.configuration, around.servers),
-            (self._learn, self.driver.feed),
+            self._feeds(),
             self._whole,
             options.few_watchers,
             self._random,
@@ -150,6 +153,16 @@
         self._front = create_listener(self._application)
         self._side: list[Listener] = []
 
+    def _feeds(self) -> dict[str, FollowedFeed]:
+        around = self._surroundings
+        feeds = {
+            CONFIGURATION: FollowedFeed(around.configuration, self._learn),
+            SERVERS: FollowedFeed(around.servers, self.driver.feed),
+        }
+        if around.evacuations is not None:
+            feeds[EVACUATIONS] = FollowedFeed(around.evacuations, self.driver.feed)
+        return feeds
+
     async def _listen(self) -> None:
         await self._front.start(self.settings.callers, self._surroundings.callers_socket)
         for address in (self.settings.probes, self.settings.metrics, self.settings.peers):
@@ -194,12 +207,15 @@
 
     def _snapshot(self) -> bytes | None:
         configuration = self.router.configuration
-        return encode_snapshot(configuration, self.router.servers.records()) if configuration else None
+        servers = self.router.servers
+        return encode_snapshot(configuration, servers.records(), servers.evacuated) if configuration else None
 
     def _whole(self, feed: str) -> WholeFeed | None:
         configuration = self.router.configuration
         if feed == SERVERS:
             return ServersReplaced(tuple(self.router.servers.records()))
+        if feed == EVACUATIONS:
+            return EvacuationsReplaced(self.router.servers.evacuated)
         return ConfigurationLearnt(configuration) if configuration is not None else None
 
     def _learn(self, event: Event) -> None:
@@ -215,6 +231,7 @@
         """Exchange what is seen of servers with the nodes that can be reached."""
         contacts = tuple(contacts)
         self._following.set_nodes(contacts)
+        self.driver.feed(NodesMet(frozenset(each.node for each in contacts)))
         reachable = (each for each in contacts if each.datagrams)
         self._outliers.set_peers(Peer(each.node, each.datagrams, each.zone) for each in reachable)
 
@@ -236,8 +253,8 @@
         following = self._following
         gauge("yokesill_registry_calls", "Calls that follow feeds", following.calls)
         gauge("yokesill_registry_asking", "Whether this node asks it", following.duty != Duty.FOLLOWING)
-        for feed in (CONFIGURATION, SERVERS):
-            gauge(f"yokesill_registry_{feed}_position", "Known up to here", following.position(feed))
+        for feed, position in following.positions().items():
+            gauge(f"yokesill_registry_{feed}_position", "Known up to here", position)
         # Loaded when somebody asks for the figures, not before: the library is priced in memory.
         exposition = importlib.import_module("yokesill.serving.exposition")
         text: bytes = exposition.render(self.figures)
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field, fields
 
 from yokesill.gateway.budget import BudgetTerms
+from yokesill.gateway.cold_starts import ColdStartTerms
 
 STOP_MARGIN = 0.4
 WITHDRAW_SHARE = 0.5
@@ -46,6 +47,9 @@
     ``reports`` (UDP) watchers tell their zone of the registry.
     ``configuration_bound_s`` is how long after the registry took a configuration it must be in force.
     ``leaving_bound_s`` is how long after the registry took that a server leaves it may still get work.
+    ``evacuation_bound_s`` is the same for a zone that is evacuated; ``None`` where that never happens.
+    ``cold_starts`` says how far all nodes together may go with a cold server, ``cores`` how much of a
+    processor this node has.
     ``recovery_bound_s`` is how long after a trouble of the registry a node may be behind.
     ``stop_grace`` is the time from the request to stop until the process is killed.
     ``switched_off`` names mechanisms that an experiment does without, see ``GatewayOptions``.
@@ -67,6 +71,9 @@
     configuration_bound_s: float = 3.0
     leaving_bound_s: float = 2.0
     recovery_bound_s: float = 4.0
+    evacuation_bound_s: float | None = None
+    cold_starts: ColdStartTerms = ColdStartTerms()  # noqa: RUF009 (immutable)
+    cores: float = 1.0
     log_level: str = "info"
     switched_off: tuple[str, ...] = ()
 
@@ -96,7 +103,8 @@
     @property
     def change_bound_s(self) -> float:
         """Within what time any change of the registry must be heeded."""
-        return min(self.configuration_bound_s, self.leaving_bound_s)
+        bound_s = min(self.configuration_bound_s, self.leaving_bound_s)
+        return bound_s if self.evacuation_bound_s is None else min(bound_s, self.evacuation_bound_s)
 
     @property
     def check_interval_s(self) -> float:
--- a/src/yokesill/serving/snapshots.py
+++ b/src/yokesill/serving/snapshots.py
@@ -18,18 +18,21 @@
     Split,
     WeightedService,
 )
-from yokesill.gateway.events import ConfigurationLearnt, Event, ServersReplaced
+from yokesill.gateway.events import ConfigurationLearnt, EvacuationsReplaced, Event, ServersReplaced
 
-FORMAT = 1
+FORMAT = 2
 
 
-def encode_snapshot(configuration: Configuration, servers: list[ServerRecord]) -> bytes:
+def encode_snapshot(
+    configuration: Configuration, servers: list[ServerRecord], evacuated: frozenset[str]
+) -> bytes:
     """Return a node's state as bytes."""
     return cbor2.dumps(
         {
             "format": FORMAT,
             **configuration_to_wire(configuration),
             "servers": [server_to_wire(record) for record in servers],
+            "evacuated": sorted(evacuated),
         }
     )
 
@@ -42,9 +45,10 @@
             raise ValueError(f"a snapshot of format {item['format']}")
         configuration = configuration_from_wire(item)
         records = tuple(server_from_wire(each) for each in item["servers"])
+        evacuated = frozenset(str(zone) for zone in item["evacuated"])
     except (KeyError, TypeError, AttributeError, cbor2.CBORDecodeError) as error:
         raise ValueError(f"a malformed snapshot: {error!r}") from error
-    return (ConfigurationLearnt(configuration), ServersReplaced(records))
+    return (ConfigurationLearnt(configuration), ServersReplaced(records), EvacuationsReplaced(evacuated))
 
 
 def configuration_to_wire(configuration: Configuration) -> dict[str, Any]:
@@ -53,7 +57,10 @@
     return {
         "version": configuration.version,
         "routes": [_route_to_wire(route) for route in configuration.routes],
-        "services": {name: each.connections for name, each in configuration.services.items()},
+        "services": {
+            name: [each.connections, each.cold_requests_per_s]
+            for name, each in configuration.services.items()
+        },
         "limits": [limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout],
     }
 
@@ -63,7 +70,7 @@
     return Configuration(
         version=item["version"],
         routes=tuple(_route_from_wire(each) for each in item["routes"]),
-        services={name: ServiceLimits(count) for name, count in item["services"].items()},
+        services={name: ServiceLimits(*bounds) for name, bounds in item["services"].items()},
         limits=RequestLimits(*item["limits"]),
     )
 
@@ -75,17 +82,18 @@
     else:
         where = ["split", [[part.service, part.weight] for part in destination.parts]]
     fields = [route.name, route.host, route.prefix, route.repeatable, route.timeout, route.target]
-    return [*fields, route.attempts, route.priority, where]
+    return [*fields, route.attempts, route.priority, where, list(route.regions)]
 
 
 def _route_from_wire(item: list[Any]) -> Route:
-    name, host, prefix, repeatable, timeout, target, attempts, priority, where = item
+    name, host, prefix, repeatable, timeout, target, attempts, priority, where, regions = item
     destination: Gather | Split
     if where[0] == "gather":
         destination = Gather(tuple(where[1]), where[2], where[3])
     else:
         destination = Split(tuple(WeightedService(*part) for part in where[1]))
-    return Route(name, host, prefix, repeatable, timeout, target, attempts, priority, destination)
+    times = (timeout, target)
+    return Route(name, host, prefix, repeatable, *times, attempts, priority, destination, tuple(regions))
 
 
 def server_to_wire(record: ServerRecord) -> list[Any]:
--- a/src/yokesill/serving/zone_watch.py
+++ b/src/yokesill/serving/zone_watch.py
@@ -11,9 +11,14 @@
 
 import anyio
 
-from yokesill.gateway.events import ConfigurationLearnt, ServersReplaced
 from yokesill.logs import get_logger
-from yokesill.serving.feed_states import changes_from_wire, changes_to_wire, decode_state, encode_state
+from yokesill.serving.feed_states import (
+    WholeFeed,
+    changes_from_wire,
+    changes_to_wire,
+    decode_state,
+    encode_state,
+)
 from yokesill.serving.follower import FeedFollower
 from yokesill.serving.registry import Batch, NodeContact
 from yokesill.verdict import Failure
@@ -24,7 +29,6 @@
 TICKS_PER_REPORT = 2
 FETCH_SPREAD_S = 0.04
 
-WholeFeed = ConfigurationLearnt | ServersReplaced
 Send = Callable[[str, bytes], Awaitable[None]]
 Fetch = Callable[[str, str], Awaitable[bytes | Failure]]
 
@@ -164,7 +168,7 @@
             whole = self._whole(name)
             if whole is None:
                 return None
-            known = self._states[name] = (follower.position, encode_state(follower.position, whole))
+            known = self._states[name] = (follower.position, encode_state(whole, follower.position))
         return known[1]
 
     # --- being told ---
--- a/tests/platform/test_reading.py
+++ b/tests/platform/test_reading.py
@@ -6,9 +6,11 @@
 import pytest
 from test_following_the_store import CONFIG
 
-from yokesill.gateway.documents import Gather, Split
-from yokesill.platform.documents import ObjectError, read_configuration, read_server
+from yokesill.gateway.cold_starts import ColdStartTerms
+from yokesill.gateway.documents import Gather, ServiceLimits, Split
+from yokesill.platform.documents import read_configuration, read_server
 from yokesill.platform.settings import parse_settings
+from yokesill.serving.object_fields import ObjectError
 from yokesill.serving.settings import Address, GatewaySettings
 
 SETTINGS = """
@@ -107,3 +109,38 @@
     problems = parse_settings(SETTINGS.replace("[7380, 7395]", ports))
     assert isinstance(problems, list)
     assert [each.place for each in problems] == ["portRange"]
+
+
+def test_regions_of_a_route_and_what_cold_servers_bear() -> None:
+    spec = changed(allowedRegions=["r1", "r2"])
+    spec["services"][0] |= {"warmupS": 3.0, "warmupPerS": 4.0}
+    read = read_configuration(spec)
+    assert read.routes[0].regions == ("r1", "r2")
+    assert read.services["s1"] == ServiceLimits(26, 4.0)
+    plain = read_configuration(CONFIG)
+    assert plain.routes[0].regions == ()
+    assert plain.services["s1"].cold_requests_per_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("added", "bound_s"),
+    [
+        ("", None),
+        ('contracts = ["base", "drain"]', None),
+        ('contracts = ["base", "places"]', 5.0),
+    ],
+)
+def test_evacuations_are_followed_where_the_contract_names_places(added: str, bound_s: float | None) -> None:
+    settings = parse_settings(added + SETTINGS)
+    assert isinstance(settings, GatewaySettings)
+    assert settings.evacuation_bound_s == bound_s
+
+
+def test_bounds_of_evacuations_and_cold_servers_and_the_share_of_a_processor() -> None:
+    bounds = "[bounds]\nevacuateMs = 2000\nwarmupOvershoot = 1.5\nwarmupSlack = 5\n"
+    limits = "[limits]\ncpuShare = 0.5\ncpuCores = 3\n"
+    settings = parse_settings(SETTINGS.replace("[bounds]\n", bounds) + limits)
+    assert isinstance(settings, GatewaySettings)
+    assert settings.evacuation_bound_s == settings.change_bound_s == 2.0
+    assert settings.cold_starts == ColdStartTerms(1.5, 5.0)
+    assert settings.cores == 1.5
