A load report with a fourth figure is read: how long work takes there now

Cause: servers that share their machines add a fourth figure to their load report, and a report that had not exactly three was thrown away whole. So on such deployments no node knew any queue at a server.

--- a/src/yokesill/serving/attempt_bytes.py
+++ b/src/yokesill/serving/attempt_bytes.py
@@ -9,7 +9,7 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 MISDIRECTED, SERVER_ERROR = 421, 500
-LOAD_FIELDS = 3
+LOAD_FIELDS, LOAD_FIELDS_WITH_PACE = 3, 4
 
 
 def encode_attempt(attempt: Attempt, names: HeaderNames, left_s: float) -> bytes:
@@ -71,11 +71,11 @@
 
 
 def _read_load(value: bytes | None) -> Load | None:
-    """Read ``RUNNING,WAITING,SLOTS``; anything else is no report."""
+    """Read ``RUNNING,WAITING,SLOTS`` or that with the work time in percent; anything else is no report."""
     if value is None:
         return None
     fields: list[Any] = value.split(b",")
-    if len(fields) != LOAD_FIELDS or not all(field.strip().isdigit() for field in fields):
+    known = len(fields) in (LOAD_FIELDS, LOAD_FIELDS_WITH_PACE)
+    if not known or not all(field.strip().isdigit() for field in fields):
         return None
-    running, waiting, slots = (int(field) for field in fields)
-    return Load(running, waiting, slots)
+    return Load(*(int(field) for field in fields))
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -405,3 +405,13 @@
 
 def test_where_connections_are_many_every_node_may_use_every_server() -> None:
     assert nodes_of(servers=3, nodes=4, connections=54) == {"srv-0": 4, "srv-1": 4, "srv-2": 4}
+
+
+def test_a_server_where_work_takes_longer_at_this_moment_is_gone_around() -> None:
+    harness = RouterHarness(ONE_SHARD)
+    harness.warm_up()
+    key = harness.arrive()
+    harness.answer(harness.of(key)[0], ServerReply(200, (), b"", b"sig", Load(1, 0, 2, work_percent=400)))
+    assert harness.of(harness.arrive())[0].server.zone == "z2"
+    harness.advance(1.0)
+    assert harness.of(harness.arrive())[0].server.zone == "z1"
