Weak nodes hand wide requests to the strongest nodes of their zone

Cause: half of the wide requests ended 1 to 5 ms after their aim. A node of half a core takes 20 ms to ask 90 shards over open connections and 67 over new ones, and meets one such request each 2 to 3 s, so that nearly all are cold.

Ruled out before: handing over to the zone's watchers, themselves half a core (design/hand-over.md: the hop cost what was won).

Change: nodes announce their share of a processor; those with twice the middle of the zone rank first among its watchers and gather for the others, as long as their reports come. The hop is measured, not assumed.

--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -41,9 +41,9 @@
         self._live: dict[int, LiveAttempt] = {}
         self._tried: set[str] = set()
         self._deferred_at = 0.0
-        self._ran = 0
-        self._arrived = False
-        self._verdict = Verdict.NOT_RUN
+        self._ran = int(request.asked_before)
+        self._arrived = request.asked_before
+        self._verdict = Verdict.MAY_HAVE_RUN if request.asked_before else Verdict.NOT_RUN
 
     @property
     def open(self) -> bool:
@@ -82,6 +82,9 @@
         self, choice: Choice | None, deadline: float, hedge_delay: float, now: float, actions: list[Action]
     ) -> None:
         """Send the first attempt, or close the call when there is nobody to send it to."""
+        if not self._may_run_again():
+            self._close(Failure(Reason.CONNECTION_LOST, self._verdict, "another node asked, and was lost"))
+            return
         if choice is not None and self._send("first", choice, deadline, hedge_delay, now, actions):
             return
         if deadline - now < LEAST_TIME_TO_SEND:
--- /dev/null
+++ b/src/yokesill/gateway/coordination.py
@@ -0,0 +1,83 @@
+"""Whether a wide request is gathered here, or by a much stronger node of the zone.
+
+Asking a hundred servers takes a node's processor some ten milliseconds, and many times that where no
+connections are open: a weak node that meets a wide request now and then is late before it has asked
+everybody. So it hands the whole request to one of its zone's coordinators: nodes with at least twice
+the processor of most, which meet many and hold open connections.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from yokesill.gateway.documents import Gather, Route
+from yokesill.rendezvous import name_hash, weight
+
+# Asking so many services over open connections (0.1 ms each to send, as much to read) takes half a core
+# as long as the hop to a coordinator and back; asking fewer is quicker done here.
+LEAST_SERVICES = 16
+# A coordinator that refused a request is busy or stopping: it is left alone for so long.
+REFUSED_PAUSE_S = 0.5
+# What the hop takes until it was measured, in seconds.
+FIRST_HOP_S = 0.005
+# How quickly the measure of the hop follows, and how many mean deviations are kept beside its mean: a
+# coordinator that counts the hop too short answers everybody just too late.
+HOP_WEIGHT, HOP_DEVIATIONS = 0.15, 1.5
+
+
+class Coordinator(NamedTuple):
+    """Where a coordinator is reached (``HOST:PORT``), and when it was last heard of."""
+
+    address: str
+    heard_at_s: float
+
+
+class CoordinatorChoice:
+    """One node's choices; times in seconds of its clock.
+
+    Parameters
+    ----------
+    own
+        This node's name: nodes of a zone spread over its coordinators by it.
+    """
+
+    def __init__(self, own: str) -> None:
+        self._own = name_hash(own)
+        self._avoided_until: dict[str, float] = {}
+        self._lost_at: dict[str, float] = {}
+        self._hop_s = FIRST_HOP_S
+        self._hop_deviation_s = 0.0
+
+    @property
+    def hop_s(self) -> float:
+        """What handing a request over takes beside gathering it, there and back, in seconds."""
+        return self._hop_s + HOP_DEVIATIONS * self._hop_deviation_s
+
+    def choose(self, route: Route, coordinators: Mapping[str, Coordinator], now: float) -> str | None:
+        """Return the coordinator to hand a request of a route to; ``None`` to gather it here."""
+        if not coordinators or not _is_wide(route):
+            return None
+        able = [node for node, each in coordinators.items() if self._able(node, each, now)]
+        return min(able, key=lambda node: (weight(name_hash(node), self._own), node), default=None)
+
+    def _able(self, node: str, coordinator: Coordinator, now: float) -> bool:
+        lost_at = self._lost_at.get(node, float("-inf"))
+        return coordinator.heard_at_s > lost_at and self._avoided_until.get(node, 0.0) <= now
+
+    def refused(self, node: str, now: float) -> None:
+        """Leave a coordinator alone for a while: it did not take a request."""
+        self._avoided_until[node] = now + REFUSED_PAUSE_S
+
+    def lost(self, node: str, now: float) -> None:
+        """Leave a coordinator alone until it is heard of again: it did not answer, or broke off."""
+        self._lost_at[node] = now
+
+    def took(self, hop_s: float) -> None:
+        """Take how long an answer's way took beside gathering."""
+        error = max(0.0, hop_s) - self._hop_s
+        self._hop_s += HOP_WEIGHT * error
+        self._hop_deviation_s += HOP_WEIGHT * (abs(error) - self._hop_deviation_s)
+
+
+def _is_wide(route: Route) -> bool:
+    gathers = isinstance(route.destination, Gather) and route.repeatable
+    return gathers and len(route.services) >= LEAST_SERVICES
--- a/src/yokesill/gateway/messages.py
+++ b/src/yokesill/gateway/messages.py
@@ -15,7 +15,8 @@
     ``key`` names it within this node; ``request_id`` is the caller's own name for it.
     ``arrived_at`` is in seconds of the node's clock; ``patience`` is how long the caller will wait
     from then on, in seconds (``None``: it did not say). ``fresh_connection``: it connected for this
-    request, so that its way here took longer.
+    request, so that its way here took longer. ``asked_before``: another node may have asked servers
+    for it, so that whatever is sent now may be a second time.
     """
 
     key: str
@@ -29,6 +30,7 @@
     arrived_at: float
     patience: float | None
     fresh_connection: bool = True
+    asked_before: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/yokesill/gateway/options.py
+++ b/src/yokesill/gateway/options.py
@@ -25,7 +25,8 @@
     at their pace (``paces``), refused connections bound the next ones (``heeds_refusals``), late
     attempts are hedged (``hedges``), what other nodes found of servers counts (``heeds_suspicions``),
     and a wave of hedges waits once (``postpones_hedges``). ``few_watchers`` is the node's, not the
-    router's: a few nodes of a zone follow the registry and tell the others.
+    router's: a few nodes of a zone follow the registry and tell the others. So is ``hands_over``: nodes
+    that meet few wide requests hand them to the zone's coordinators.
     """
 
     zone: str
@@ -50,6 +51,7 @@
     heeds_suspicions: bool = True
     postpones_hedges: bool = True
     few_watchers: bool = True
+    hands_over: bool = True
 
     def without(self, names: Collection[str]) -> "GatewayOptions":
         """Return these options with some mechanisms switched off.
--- a/src/yokesill/gateway/parts.py
+++ b/src/yokesill/gateway/parts.py
@@ -34,6 +34,8 @@
         self.calls = [ServiceCall(service, request, route, context) for service in services]
         self.by_number: dict[int, ServiceCall] = {}
         self.covered = 0
+        # A coordinator that was asked before counted it towards the nodes' common budget.
+        self._counted_before = request.asked_before
         self._route = route
         self._context = context
         self._by_service = {call.service: call for call in self.calls}
@@ -83,7 +85,8 @@
         """Ask every service that has a sound server, and of the others what is needed."""
         delay = self.hedge_delay(now)
         for call in self.calls:
-            self._context.budget(call.service).count_request(now)
+            if not self._counted_before:
+                self._context.budget(call.service).count_request(now)
             choice = call.look(now)
             if choice is None or choice.sound:
                 call.begin(choice, self._owner.hard, delay, now, actions)
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -49,6 +49,11 @@
         """How many nodes are taken to share the budgets."""
         return self._context.nodes
 
+    @property
+    def lateness(self) -> float:
+        """How late this node's own timers come lately, in seconds."""
+        return self._context.lateness
+
     def kept_estimates(self) -> int:
         """How many routes and services something learnt is kept of."""
         return self._context.kept_estimates()
--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -111,8 +111,13 @@
 
 def _node_entry(item: StoredItem) -> NodeEntry:
     spec = item.spec if isinstance(item.spec, dict) else {}
-    told = {name: str(spec.get(name, "")) for name in NodeContact._fields}
-    return NodeEntry(NodeContact(**{**told, "node": item.name}), item.revision)
+    zone, datagrams, reports, peers = (
+        str(spec.get(name, "")) for name in ("zone", "datagrams", "reports", "peers")
+    )
+    cores = spec.get("cores")
+    told_cores = float(cores) if isinstance(cores, int | float) else 1.0
+    contact = NodeContact(item.name, zone, datagrams, reports, peers, told_cores)
+    return NodeEntry(contact, item.revision)
 
 
 def _configuration_batch(view: StoreView) -> Batch:
--- a/src/yokesill/serving/application.py
+++ b/src/yokesill/serving/application.py
@@ -12,7 +12,6 @@
 import anyio
 
 from yokesill.gateway.documents import RequestLimits
-from yokesill.gateway.events import FinalAnswer
 from yokesill.gateway.messages import GatewayRequest, Headers
 from yokesill.serving.answers import HttpAnswer, to_http
 from yokesill.serving.driver import GatewayDriver
@@ -24,6 +23,8 @@
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+# Returns another node's final answer, or the request as this node must run it itself.
+RunElsewhere = Callable[[GatewayRequest], Awaitable[HttpAnswer | GatewayRequest]]
 
 BAD_REQUEST, TOO_LARGE, HEADERS_TOO_LARGE = 400, 413, 431
 MAXIMUM_REQUEST_ID = 128
@@ -46,9 +47,17 @@
     """Answers callers; ``stopping`` makes every answer close its connection.
 
     ``known`` is set once there is a configuration: what comes just before waits for it a moment.
+    ``hand_over`` runs a caller's request at another node where that is better.
     """
 
-    def __init__(self, driver: GatewayDriver, names: HeaderNames, observer: Observer, prefix: str) -> None:
+    def __init__(
+        self,
+        driver: GatewayDriver,
+        names: HeaderNames,
+        observer: Observer,
+        prefix: str,
+        hand_over: RunElsewhere | None = None,
+    ) -> None:
         self.stopping = False
         self.known = anyio.Event()
         self.in_flight = 0
@@ -56,6 +65,7 @@
         self._names = names
         self._observer = observer
         self._prefix = prefix
+        self._hand_over = hand_over
         self._numbers = itertools.count(1)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -82,13 +92,9 @@
             body = f"{read.detail}\n".encode()
             await self._send(send, HttpAnswer(read.status, (), body, "rejected"), close=True)
             return
-        final = await self._run(read, receive)
-        if final is None:
-            self._observer.caller_left(read)
-            return
-        answer = to_http(final, read.request_id, self._names)
-        self._observer.answered(read, final, answer)
-        await self._send(send, answer, close=self.stopping)
+        answer = await self.run(read, receive, self._hand_over)
+        if answer is not None:
+            await self._send(send, answer, close=self.stopping)
 
     # --- reading ---
 
@@ -98,7 +104,7 @@
         limits = configuration.limits if configuration else None
         if limits and sum(len(name) + len(value) + 4 for name, value in headers) > limits.header_bytes:
             return BadRequest(HEADERS_TOO_LARGE, f"the headers are larger than {limits.header_bytes} bytes")
-        body = await _read_body(receive, (limits or RequestLimits()).body_bytes)
+        body = await read_body(receive, (limits or RequestLimits()).body_bytes)
         if body is None:
             return BadRequest(TOO_LARGE, "the body is too large")
         values = dict(headers)
@@ -107,7 +113,7 @@
             return BadRequest(BAD_REQUEST, f"a {self._names.request_id.decode()} header is needed")
         query = scope["query_string"]
         return GatewayRequest(
-            key=f"{self._prefix}-{next(self._numbers)}",
+            key=self.next_key(),
             request_id=request_id,
             method=scope["method"].encode("latin-1"),
             host=_host_name(values.get(b"host", b"")),
@@ -122,9 +128,21 @@
 
     # --- running ---
 
-    async def _run(self, request: GatewayRequest, receive: Receive) -> FinalAnswer | None:
-        """Run the request; ``None`` when the caller left, which breaks its attempts off."""
-        final: FinalAnswer | None = None
+    def next_key(self) -> str:
+        """Return a name for one more request."""
+        return f"{self._prefix}-{next(self._numbers)}"
+
+    async def run(
+        self, request: GatewayRequest, receive: Receive, hand_over: RunElsewhere | None = None
+    ) -> HttpAnswer | None:
+        """Run a request, elsewhere if that is better.
+
+        Returns
+        -------
+        HttpAnswer or None
+            ``None`` when the caller left, which breaks its attempts off.
+        """
+        answer: HttpAnswer | None = None
 
         async def watch_caller() -> None:
             while (await receive())["type"] != "http.disconnect":
@@ -133,9 +151,22 @@
 
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(watch_caller)
-            final = await self._driver.execute(request)
+            answer = await self._answer(request, hand_over)
             task_group.cancel_scope.cancel()
-        return final
+        if answer is None:
+            self._observer.caller_left(request)
+        return answer
+
+    async def _answer(self, request: GatewayRequest, hand_over: RunElsewhere | None) -> HttpAnswer:
+        if hand_over is not None:
+            handed = await hand_over(request)
+            if isinstance(handed, HttpAnswer):
+                return handed
+            request = handed
+        final = await self._driver.execute(request)
+        answer = to_http(final, request.request_id, self._names)
+        self._observer.answered(request, final, answer)
+        return answer
 
     # --- answering ---
 
@@ -147,7 +178,7 @@
         await send({"type": "http.response.body", "body": answer.body})
 
 
-async def _read_body(receive: Receive, limit: int) -> bytes | None:
+async def read_body(receive: Receive, limit: int) -> bytes | None:
     """Return the whole body, or ``None`` when it is larger than ``limit`` bytes."""
     chunks: list[bytes] = []
     size = 0
--- /dev/null
+++ b/src/yokesill/serving/coordinated_messages.py
@@ -0,0 +1,101 @@
+"""What a node and a coordinator say to each other of one wide request, in CBOR."""
+
+from typing import Any, NamedTuple
+
+import cbor2
+
+from yokesill.gateway.messages import GatewayRequest
+from yokesill.serving.answers import HttpAnswer
+
+FORMAT = 1
+
+
+class HandedRequest(NamedTuple):
+    """A caller's request as another node read it.
+
+    ``waited_s`` is how long ago it arrived there; ``version`` the configuration that node knows:
+    a coordinator must not answer by an older one.
+    """
+
+    version: int
+    waited_s: float
+    request: GatewayRequest
+
+
+class GatheredAnswer(NamedTuple):
+    """A coordinator's final answer, and how long it had the request, in seconds."""
+
+    answer: HttpAnswer
+    gathering_s: float
+
+
+def encode_handed(handed: HandedRequest) -> bytes:
+    """Return a request's message."""
+    request = handed.request
+    what = [request.method, request.host, request.path, request.target, request.headers, request.body]
+    times = [handed.waited_s, request.patience, request.fresh_connection]
+    return cbor2.dumps([FORMAT, handed.version, request.request_id, *what, *times])
+
+
+def decode_handed(data: bytes, key: str, now: float) -> HandedRequest:
+    """Read a request's message; it gets the name ``key`` here.
+
+    Raises
+    ------
+    ValueError
+        It is malformed.
+    """
+    try:
+        form, version, request_id, *what, waited_s, patience, fresh = cbor2.loads(data)
+        method, host, path, target, headers, body = what
+        if form != FORMAT or type(version) is not int or not 0 <= waited_s <= patience:
+            raise ValueError(f"format {form!r}, version {version!r}, waited {waited_s!r} of {patience!r}")
+        request = GatewayRequest(
+            key=key,
+            request_id=request_id,
+            method=method,
+            host=host,
+            path=path,
+            target=target,
+            headers=_pairs(headers),
+            body=body,
+            arrived_at=now - waited_s,
+            patience=patience,
+            fresh_connection=bool(fresh),
+        )
+    except (TypeError, ValueError, cbor2.CBORDecodeError) as error:
+        raise ValueError(f"a malformed request: {error!r}") from error
+    return HandedRequest(version, waited_s, request)
+
+
+def encode_answer(request_id: str, gathered: GatheredAnswer) -> bytes:
+    """Return the message of a final answer."""
+    answer = gathered.answer
+    parts = [answer.status, answer.headers, answer.body, answer.outcome]
+    return cbor2.dumps([FORMAT, request_id, gathered.gathering_s, *parts])
+
+
+def decode_answer(data: bytes, request_id: str) -> GatheredAnswer:
+    """Read the final answer to the request named.
+
+    Raises
+    ------
+    ValueError
+        It is malformed, or answers another request.
+    """
+    try:
+        form, of_request, gathering_s, status, headers, body, outcome = cbor2.loads(data)
+        if form != FORMAT or of_request != request_id:
+            raise ValueError(f"format {form!r} of request {of_request!r}")
+        if type(status) is not int or not isinstance(body, bytes) or not isinstance(outcome, str):
+            raise ValueError("a status, a body and an outcome are needed")
+        return GatheredAnswer(HttpAnswer(status, _pairs(headers), body, outcome), float(gathering_s))
+    except (TypeError, ValueError, cbor2.CBORDecodeError) as error:
+        raise ValueError(f"a malformed answer: {error!r}") from error
+
+
+def _pairs(headers: Any) -> tuple[tuple[bytes, bytes], ...]:
+    pairs = tuple((name, value) for name, value in headers)
+    if not all(isinstance(each, bytes) for pair in pairs for each in pair):
+        raise ValueError("headers are pairs of bytes")
+    return pairs
--- /dev/null
+++ b/src/yokesill/serving/coordinator.py
@@ -0,0 +1,112 @@
+"""A coordinator's side: gathers wide requests that other nodes of the zone hand over."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from yokesill.serving.application import (
+    CallerGoneError,
+    GatewayApplication,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+)
+from yokesill.serving.coordinated_messages import GatheredAnswer, decode_handed, encode_answer
+from yokesill.serving.coordinator_client import COORDINATE_PATH
+
+OK, BAD_REQUEST, FORBIDDEN, UNAVAILABLE = 200, 400, 403, 503
+LARGEST_MESSAGE_BYTES = 4 * 1024 * 1024
+# Beyond this a node's own processor makes everybody late; who is refused gathers for itself.
+MOST_AT_ONCE, MOST_LATENESS_S = 12, 0.02
+
+
+class CoordinatorApplication:
+    """Serves ``COORDINATE_PATH`` for nodes of the zone, and everything else by ``rest``.
+
+    Parameters
+    ----------
+    application
+        Runs requests; it counts those under way, so that a planned stop waits for them.
+    rest
+        What else is served on this address.
+    is_member
+        Whether a host is a node of this zone.
+    version
+        Which configuration is in force here; 0 while none is known.
+    lateness_s
+        How late this node's own timers come.
+    """
+
+    def __init__(
+        self,
+        application: GatewayApplication,
+        rest: Callable[[Scope, Receive, Send], Awaitable[None]],
+        is_member: Callable[[str], bool],
+        version: Callable[[], int],
+        lateness_s: Callable[[], float],
+    ) -> None:
+        self.under_way = 0
+        self.taken = 0
+        self._application = application
+        self._rest = rest
+        self._is_member = is_member
+        self._version = version
+        self._lateness_s = lateness_s
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http" or scope["path"] != COORDINATE_PATH:
+            await self._rest(scope, receive, send)
+            return
+        host = (scope.get("client") or ("",))[0]
+        if not self._is_member(host):
+            await _refuse(send, FORBIDDEN, "not a node of this zone")
+            return
+        self.under_way += 1
+        try:
+            await self._coordinate(receive, send)
+        except CallerGoneError:
+            pass
+        finally:
+            self.under_way -= 1
+
+    async def _coordinate(self, receive: Receive, send: Send) -> None:
+        taken_at = anyio.current_time()
+        data = await read_body(receive, LARGEST_MESSAGE_BYTES)
+        try:
+            handed = decode_handed(data or b"", self._application.next_key(), taken_at)
+        except ValueError as error:
+            await _refuse(send, BAD_REQUEST, str(error))
+            return
+        why_not = self._why_not(handed.version)
+        if why_not:
+            await _refuse(send, UNAVAILABLE, why_not)
+            return
+        self.taken += 1
+        # The head is the acknowledgement; the answer follows.
+        await send({"type": "http.response.start", "status": OK, "headers": []})
+        answer = await self._application.run(handed.request, receive)
+        if answer is not None:
+            gathered = GatheredAnswer(answer, anyio.current_time() - taken_at)
+            body = encode_answer(handed.request.request_id, gathered)
+            await send({"type": "http.response.body", "body": body})
+
+    def _why_not(self, version: int) -> str:
+        """Return why a request can't be taken; empty if it can."""
+        if self._application.stopping:
+            return "stopping"
+        if self._version() < version:
+            return f"knows version {self._version()} only"
+        if self.under_way > MOST_AT_ONCE:
+            return f"{self.under_way} under way"
+        if self._lateness_s() > MOST_LATENESS_S:
+            return f"{self._lateness_s() * 1000:.0f} ms late"
+        return ""
+
+
+async def _refuse(send: Send, status: int, why: str) -> None:
+    body = f"{why}\n".encode()
+    headers = [(b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- a/src/yokesill/serving/following.py
+++ b/src/yokesill/serving/following.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from yokesill.gateway.coordination import Coordinator
 from yokesill.gateway.events import Event
 from yokesill.serving.feed_states import SERVERS, WholeFeed
 from yokesill.serving.follower import FeedFollower
@@ -94,6 +95,14 @@
         if self._watch is not None:
             self._watch.set_members(contacts)
 
+    def is_member(self, host: str) -> bool:
+        """Whether a host is another node of this zone."""
+        return self._watch is not None and self._watch.is_member(host)
+
+    def coordinators(self) -> dict[str, Coordinator]:
+        """Return the nodes that gather wide requests for this one."""
+        return {} if self._watch is None else self._watch.coordinators()
+
     def state(self, feed: str) -> bytes | None:
         """Return a whole feed for another node; ``None`` if this one has none to tell."""
         return None if self._watch is None else self._watch.state(feed)
@@ -105,4 +114,5 @@
 
 def _contact(settings: GatewaySettings) -> NodeContact:
     addresses = (settings.datagrams, settings.reports, settings.peers)
-    return NodeContact(settings.node, settings.zone, *(str(each or "") for each in addresses))
+    datagrams, reports, peers = (str(each or "") for each in addresses)
+    return NodeContact(settings.node, settings.zone, datagrams, reports, peers, settings.cores)
--- /dev/null
+++ b/src/yokesill/serving/handing.py
@@ -0,0 +1,102 @@
+"""Hands wide requests over to the zone's coordinators, or back to this node when none takes them."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+import anyio
+
+from yokesill.gateway.coordination import Coordinator, CoordinatorChoice
+from yokesill.gateway.documents import Configuration, Route
+from yokesill.gateway.events import Note
+from yokesill.gateway.messages import GatewayRequest
+from yokesill.serving.answers import HttpAnswer
+from yokesill.serving.coordinated_messages import GatheredAnswer, HandedRequest, encode_handed
+from yokesill.serving.coordinator_client import CoordinatorClient
+from yokesill.serving.observer import Observer
+from yokesill.verdict import Failure, Reason, Verdict
+
+# So long before its time is over a caller gets an answer, whatever the coordinator does.
+LAST_MOMENT_S = 0.012
+# How much of the aim may pass until a coordinator says that it has a request: what is left must be
+# enough to gather here.
+ACKNOWLEDGE_SHARE = 0.35
+
+
+class HandOver:
+    """Runs a request at a coordinator if one should and does take it.
+
+    Parameters
+    ----------
+    choice
+        Decides which coordinator, if any.
+    client
+        Calls it.
+    coordinators
+        Return the zone's coordinators that live.
+    configuration
+        Return the configuration in force here.
+    observer
+        Is told how it ended.
+    """
+
+    def __init__(
+        self,
+        choice: CoordinatorChoice,
+        client: CoordinatorClient,
+        coordinators: Callable[[], Mapping[str, Coordinator]],
+        configuration: Callable[[], Configuration | None],
+        observer: Observer,
+    ) -> None:
+        self._choice = choice
+        self._client = client
+        self._coordinators = coordinators
+        self._configuration = configuration
+        self._observer = observer
+
+    async def __call__(self, request: GatewayRequest) -> HttpAnswer | GatewayRequest:
+        """Return a coordinator's final answer, or the request as this node must run it itself."""
+        now = anyio.current_time()
+        configuration = self._configuration()
+        route = configuration.find(request.host, request.path) if configuration else None
+        if configuration is None or route is None:
+            return request
+        coordinators = self._coordinators()
+        node = self._choice.choose(route, coordinators, now)
+        if node is None:
+            return request
+        address = coordinators[node].address
+        outcome = await self._ask(address, request, route, configuration.version, now)
+        if isinstance(outcome, Failure):
+            return self._go_around(node, request, outcome)
+        answered_at = anyio.current_time()
+        self._choice.took(answered_at - now - outcome.gathering_s)
+        self._observer.coordinated(request, route.name, node, outcome, answered_at)
+        return outcome.answer
+
+    async def _ask(
+        self, address: str, request: GatewayRequest, route: Route, version: int, now: float
+    ) -> GatheredAnswer | Failure:
+        patience = request.patience if request.patience is not None else route.timeout
+        waited_s = now - request.arrived_at + self._choice.hop_s
+        until = request.arrived_at + min(route.timeout, patience) - LAST_MOMENT_S
+        if waited_s >= patience or now >= until:
+            return Failure(Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN, "no time is left")
+        message = encode_handed(HandedRequest(version, waited_s, replace(request, patience=patience)))
+        acknowledge_s = ACKNOWLEDGE_SHARE * route.target
+        return await self._client.ask(address, request.request_id, message, acknowledge_s, until)
+
+    def _go_around(self, node: str, request: GatewayRequest, failure: Failure) -> GatewayRequest:
+        now = anyio.current_time()
+        if failure.reason is Reason.OVERLOADED:
+            self._choice.refused(node, now)
+        else:
+            self._choice.lost(node, now)
+        details: dict[str, object] = {
+            "request": request.request_id,
+            "coordinator": node,
+            "reason": failure.reason.value,
+            "verdict": failure.verdict.label,
+            "detail": failure.detail,
+        }
+        self._observer.note(Note("coordinator_missed", details))
+        return request if failure.verdict is Verdict.NOT_RUN else replace(request, asked_before=True)
--- a/src/yokesill/serving/observer.py
+++ b/src/yokesill/serving/observer.py
@@ -4,6 +4,7 @@
 from yokesill.gateway.messages import GatewayRequest
 from yokesill.logs import Logger
 from yokesill.serving.answers import HttpAnswer
+from yokesill.serving.coordinated_messages import GatheredAnswer
 from yokesill.serving.figures import GatewayFigures
 
 
@@ -53,6 +54,23 @@
             **details,
         )
 
+    def coordinated(
+        self, request: GatewayRequest, route: str, node: str, gathered: GatheredAnswer, now: float
+    ) -> None:
+        """Tell how a request ended that another node gathered; that one tells the rest."""
+        answer = gathered.answer
+        self._figures.count_request(route, answer.outcome, None)
+        self._log.info(
+            "request_ended",
+            request=request.request_id,
+            route=route,
+            status=answer.status,
+            outcome=answer.outcome,
+            ms=round((now - request.arrived_at) * 1000, 1),
+            coordinator=node,
+            gathering_ms=round(gathered.gathering_s * 1000, 1),
+        )
+
     def caller_left(self, request: GatewayRequest) -> None:
         """Tell that a caller went away before its answer."""
         self._figures.count_request("unknown", "caller_left", None)
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -9,6 +9,7 @@
 import anyio
 
 from yokesill.charts.flat import transition_table
+from yokesill.gateway.coordination import CoordinatorChoice
 from yokesill.gateway.events import (
     ConfigurationLearnt,
     EvacuationsReplaced,
@@ -25,10 +26,13 @@
 from yokesill.outliers.messages import Suspicion
 from yokesill.serving.application import GatewayApplication
 from yokesill.serving.awaited import connect_tcp
+from yokesill.serving.coordinator import CoordinatorApplication
+from yokesill.serving.coordinator_client import CoordinatorClient
 from yokesill.serving.driver import GatewayDriver
 from yokesill.serving.feed_states import CONFIGURATION, EVACUATIONS, SERVERS, WholeFeed
 from yokesill.serving.figures import GatewayFigures
 from yokesill.serving.following import FollowedFeed, RegistryFollowing
+from yokesill.serving.handing import HandOver
 from yokesill.serving.listener import Listener, create_listener
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.node_count import NodeCounter
@@ -129,7 +133,6 @@
         observer = Observer(get_logger("requests"), self.figures)
         self.driver = GatewayDriver(self.router, self._client, observer.note)
         prefix = f"{settings.node}-{self._random.getrandbits(32):08x}"
-        self._application = GatewayApplication(self.driver, around.names, observer, prefix)
         self._following = RegistryFollowing(
             settings,
             self._feeds(),
@@ -137,6 +140,16 @@
             options.few_watchers,
             self._random,
         )
+        hand_over = HandOver(
+            CoordinatorChoice(settings.node),
+            CoordinatorClient(),
+            self._following.coordinators,
+            lambda: self.router.configuration,
+            observer,
+        )
+        self._application = GatewayApplication(
+            self.driver, around.names, observer, prefix, hand_over if options.hands_over else None
+        )
         contact = self._following.contact
         self._counter = NodeCounter(around.nodes, contact, self._count_nodes, self._random, self._meet)
         own = Peer(contact.node, contact.datagrams, contact.zone)
@@ -150,6 +163,13 @@
         self._probes = ProbeApplication(
             around.ready_path, lambda: self.ready, self._render_figures, self._snapshot, self._following.state
         )
+        self._coordinator = CoordinatorApplication(
+            self._application,
+            self._probes,
+            self._following.is_member,
+            self._version,
+            lambda: self.router.lateness,
+        )
         self._front = create_listener(self._application)
         self._side: list[Listener] = []
 
@@ -165,9 +185,12 @@
 
     async def _listen(self) -> None:
         await self._front.start(self.settings.callers, self._surroundings.callers_socket)
-        for address in (self.settings.probes, self.settings.metrics, self.settings.peers):
+        settings = self.settings
+        addresses = (settings.probes, settings.metrics, settings.peers)
+        served = (self._probes, self._probes, self._coordinator)
+        for address, app in zip(addresses, served, strict=True):
             if address is not None:
-                listener = create_listener(self._probes)
+                listener = create_listener(app)
                 await listener.start(address)
                 self._side.append(listener)
         self._log.info("started", node=self.settings.node, callers=str(self.settings.callers))
@@ -187,11 +210,20 @@
         await self._front.close_listener()
         with anyio.move_on_after(self.settings.drain_time) as bound:
             self._front.close_idle_connections()
-            while self._application.in_flight or self._front.server_state.connections:
+            while self._in_flight or self._front.server_state.connections:
                 await anyio.sleep(POLL)
-        cut = self._application.in_flight
+        cut = self._in_flight
         self._enter("time_over" if bound.cancelled_caught else "idle", cut=cut)
 
+    @property
+    def _in_flight(self) -> int:
+        """How many requests have no answer yet: callers', and other nodes'."""
+        return self._application.in_flight + self._coordinator.under_way
+
+    def _version(self) -> int:
+        configuration = self.router.configuration
+        return configuration.version if configuration else 0
+
     def _enter(self, event: str, **details: object) -> str:
         before = self.state
         self.state = self._table.get((before, event), before)
@@ -243,11 +275,11 @@
 
     def _render_figures(self) -> bytes:
         gauge = self.figures.gauge
-        configuration = self.router.configuration
-        gauge("yokesill_version", "Configuration version", configuration.version if configuration else 0)
+        gauge("yokesill_version", "Configuration version", self._version())
         gauge("yokesill_servers", "Servers known", len(self.router.servers))
         gauge("yokesill_nodes", "Nodes that share the budgets", self.router.nodes)
         gauge("yokesill_in_flight", "Requests without a final answer", self.router.in_flight)
+        gauge("yokesill_coordinated", "Requests gathered here for other nodes", self._coordinator.taken)
         gauge("yokesill_connections_opened", "Connections to servers", self._client.connections_opened)
         gauge("yokesill_log_lines_dropped", "Log lines that did not fit", self._output.dropped)
         following = self._following
--- a/src/yokesill/serving/registry.py
+++ b/src/yokesill/serving/registry.py
@@ -62,7 +62,8 @@
     """A node and how others reach it.
 
     Its zone, and ``IP:PORT`` each for datagrams on servers (``datagrams``), datagrams of watchers
-    (``reports``) and HTTP calls (``peers``); empty where it can't be reached.
+    (``reports``) and HTTP calls (``peers``); empty where it can't be reached. ``cores`` is how much of
+    a processor it has.
     """
 
     node: str
@@ -70,6 +71,7 @@
     datagrams: str = ""
     reports: str = ""
     peers: str = ""
+    cores: float = 1.0
 
 
 class NodeEntry(NamedTuple):
--- a/src/yokesill/serving/upstream.py
+++ b/src/yokesill/serving/upstream.py
@@ -66,6 +66,11 @@
         """Whether neither side has ended it, as far as is known."""
         return self._wire is not None
 
+    @property
+    def reply_begun(self) -> bool:
+        """Whether any byte of the reply that is waited for has come."""
+        return self._pending is not None and self._pending.reader.begun
+
     def quiet(self) -> bool:
         """Whether nothing came in that was not told of yet."""
         return self._wire is not None and self._wire.quiet()
--- a/src/yokesill/serving/zone_watch.py
+++ b/src/yokesill/serving/zone_watch.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from yokesill.gateway.coordination import Coordinator
 from yokesill.logs import get_logger
 from yokesill.serving.feed_states import (
     WholeFeed,
@@ -24,6 +25,7 @@
 from yokesill.verdict import Failure
 from yokesill.watchers.group import Duty, WatcherGroup
 from yokesill.watchers.messages import FeedReport, Report, decode_report, encode_report
+from yokesill.watchers.strength import strong_nodes
 from yokesill.watchers.terms import WatchTerms
 
 TICKS_PER_REPORT = 2
@@ -74,6 +76,7 @@
         self._random = source
         self._group = WatcherGroup(own.node, terms, source, anyio.current_time())
         self._members: dict[str, NodeContact] = {}
+        self._strong: frozenset[str] = frozenset()
         self._unreported: dict[str, FeedReport] = {}
         self._report_wanted = anyio.Event()
         self._reported_at_s = float("-inf")
@@ -93,7 +96,28 @@
             for each in contacts
             if each.zone == self._own.zone and each.reports and each.node != self._own.node
         }
-        self._group.set_members(self._members)
+        cores = {each.node: each.cores for each in (self._own, *self._members.values())}
+        self._strong = strong_nodes(cores)
+        self._group.set_members(self._members, self._strong)
+
+    def is_member(self, host: str) -> bool:
+        """Whether a host is another node of this zone."""
+        return any(each.peers.rpartition(":")[0] == host for each in self._members.values())
+
+    def coordinators(self) -> dict[str, Coordinator]:
+        """Return the nodes that gather wide requests for this one: the strong ones that report.
+
+        Strong nodes rank first among the watchers, so that each report says that one lives and how
+        far it knows the registry. A strong node has none.
+        """
+        if self._own.node in self._strong:
+            return {}
+        reporting = self._group.reporting(anyio.current_time())
+        return {
+            node: Coordinator(self._members[node].peers, at_s)
+            for node, at_s in reporting.items()
+            if node in self._strong and node in self._members
+        }
 
     async def run(self) -> None:
         """Do what this node's duty is until cancelled."""
--- a/src/yokesill/watchers/group.py
+++ b/src/yokesill/watchers/group.py
@@ -8,7 +8,7 @@
 
 import enum
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from yokesill.rendezvous import name_hash, weight
 from yokesill.watchers.terms import WatchTerms
@@ -53,11 +53,13 @@
         self._relied_at_s = self._settled_at_s - terms.patience_s / 2
         self._patience_s = terms.patience_s + source.random() * SPREAD_SHARE * terms.patience_s
 
-    def set_members(self, nodes: Iterable[str]) -> None:
-        """Take which nodes are in the zone; this node counts in any case."""
+    def set_members(self, nodes: Iterable[str], strong: Collection[str] = ()) -> None:
+        """Take which nodes are in the zone, and which of them rank first; this node counts in any case."""
         subject = name_hash(RANK_SUBJECT)
         members = {*nodes, self._own}
-        self._ranked = sorted(members, key=lambda node: (weight(name_hash(node), subject), node))
+        self._ranked = sorted(
+            members, key=lambda node: (node not in strong, weight(name_hash(node), subject), node)
+        )
         self._heard_at_s = {node: at_s for node, at_s in self._heard_at_s.items() if node in members}
         self._seen_at_s = {node: at_s for node, at_s in self._seen_at_s.items() if node in members}
 
@@ -82,6 +84,10 @@
         if level:
             self._relied_at_s = now
 
+    def reporting(self, now: float) -> dict[str, float]:
+        """Return the nodes that reported lately, and when; they live, whether or not they are current."""
+        return {node: at_s for node, at_s in self._seen_at_s.items() if now - at_s < self._terms.takeover_s}
+
     def duty(self, now: float) -> Duty:
         """Return what this node has to do now."""
         if now >= self._settled_at_s and self._wanted(now):
--- /dev/null
+++ b/src/yokesill/watchers/strength.py
@@ -0,0 +1,27 @@
+"""Which nodes of a zone are much stronger than most of it."""
+
+from collections.abc import Mapping
+
+# A node gathers for others only if it needs less than half of their time for it: what is handed over
+# costs a hop, which must be won back.
+STRONG_FACTOR = 2.0
+
+
+def strong_nodes(cores: Mapping[str, float]) -> frozenset[str]:
+    """Return the nodes that have at least twice the processor of the middle one.
+
+    Parameters
+    ----------
+    cores
+        How much of a processor each node has, by its name.
+
+    Returns
+    -------
+    frozenset of str
+        Empty where all are alike.
+    """
+    if not cores:
+        return frozenset()
+    middle = sorted(cores.values())[len(cores) // 2]
+    least = STRONG_FACTOR * middle
+    return frozenset(node for node, each in cores.items() if each >= least)
--- a/tests/serving/test_zone_watch.py
+++ b/tests/serving/test_zone_watch.py
@@ -293,3 +293,26 @@
         assert zone.behind() == []
 
     in_a_zone(main, 1)
+
+
+def test_strong_nodes_watch_and_are_the_coordinators_that_weak_ones_hear_of() -> None:
+    async def main(zone: Zone) -> None:
+        assert {node.contact.node for node in zone.watchers()} == {"n4", "n9"}
+        weak, strong = zone.nodes[0], zone.nodes[4]
+        assert set(weak.watch.coordinators()) == {"n4", "n9"}
+        assert strong.watch.coordinators() == {}
+        zone.standin.mode = "busy"
+        await anyio.sleep(6.0)
+        assert set(weak.watch.coordinators()) == {"n4", "n9"}
+        strong.kill()
+        await anyio.sleep(1.0)
+        assert set(weak.watch.coordinators()) == {"n9"}
+
+    in_a_zone(main, strong=frozenset({4, 9}))
+
+
+def test_where_all_are_alike_nobody_gathers_for_others() -> None:
+    async def main(zone: Zone) -> None:
+        assert all(node.watch.coordinators() == {} for node in zone.nodes)
+
+    in_a_zone(main)
--- a/tests/serving/zone.py
+++ b/tests/serving/zone.py
@@ -45,9 +45,9 @@
     ``frozen``: nothing goes out or comes in until it thaws. ``fetches``: whether it can call other nodes.
     """
 
-    def __init__(self, zone: "Zone", number: int) -> None:
+    def __init__(self, zone: "Zone", number: int, cores: float = 0.5) -> None:
         host = f"10.0.0.{number + 1}"
-        self.contact = NodeContact(f"n{number}", "z1", f"{host}:1", f"{host}:2", f"{host}:3")
+        self.contact = NodeContact(f"n{number}", "z1", f"{host}:1", f"{host}:2", f"{host}:3", cores)
         self.zone = zone
         self.store_mode = "up"
         self.deaf = self.dead = self.frozen = False
@@ -152,7 +152,7 @@
 class Zone:
     """The nodes, their store, and the network between them."""
 
-    def __init__(self, tasks: anyio.abc.TaskGroup, count: int) -> None:
+    def __init__(self, tasks: anyio.abc.TaskGroup, count: int, strong: frozenset[int]) -> None:
         self.tasks = tasks
         self.standin = StoreStandin()
         self.loss = 0.0
@@ -164,7 +164,7 @@
         self.configure()
         for number in range(8):
             self.list_server(f"i-{number}")
-        self.join([ZoneNode(self, number) for number in range(count)])
+        self.join([ZoneNode(self, number, 2.0 if number in strong else 0.5) for number in range(count)])
 
     def join(self, nodes: list[ZoneNode]) -> None:
         """Start nodes; everybody learns of them."""
@@ -234,12 +234,14 @@
         return sum(node.full_calls for node in self.nodes)
 
 
-def in_a_zone(main: Callable[[Zone], Awaitable[None]], count: int = 20) -> None:
-    """Run ``main`` once a zone has settled."""
+def in_a_zone(
+    main: Callable[[Zone], Awaitable[None]], count: int = 20, strong: frozenset[int] = frozenset()
+) -> None:
+    """Run ``main`` once a zone has settled; the nodes numbered in ``strong`` have four times the cores."""
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
-            zone = Zone(tasks, count)
+            zone = Zone(tasks, count, strong)
             await anyio.sleep(6.0)
             assert zone.behind() == []
             assert len(zone.watchers()) == min(2, count)
