Half of what only wide requests reach is shared among the coordinators

Cause: connections, a slow server's pace and the allowance of extra attempts were divided by all 90 nodes, though 8 now gather nearly all wide requests: one connection to two of three servers of each shard, a slow server's work once a second.

Change: gateway/sharing. Half of such a service is dealt to the nodes that gather, half to everybody (for requests that no coordinator takes), so that the parts never sum up to more than the whole; a service that other requests reach too is shared alike.

--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -72,7 +72,7 @@
             removed_grace_s=context.options.removed_grace,
             connection_limit=context.connection_limit(self.service),
             last_resort=len(self._route.services) == 1,
-            nodes=context.nodes if context.options.paces else 0,
+            nodes=context.sharing.sharers(self.service) if context.options.paces else 0,
             heeds_refusals=context.options.heeds_refusals,
         )
         candidates = context.candidates(self.service, self._route, now)
@@ -138,7 +138,7 @@
         if deadline - now < LEAST_TIME_TO_SEND:
             return False
         extra = self._arrived or bool(self._live)
-        if extra and not context.budget(self.service).take(context.nodes, now):
+        if extra and not context.budget(self.service).take(context.sharing.sharers(self.service), now):
             actions.append(self._note("budget_spent", cause, server.record.instance, now))
             return False
         number = next(context.numbers)
@@ -160,13 +160,14 @@
         return True
 
     def _note(self, name: str, cause: str, instance: str, now: float) -> Note:
+        sharers = self._context.sharing.sharers(self.service)
         details: dict[str, object] = {
             "request": self._request.request_id,
             "service": self.service,
             "cause": cause,
             "instance": instance,
             "after_ms": round((now - self._request.arrived_at) * 1000, 1),
-            "budget_left": round(self._context.budget(self.service).left(self._context.nodes, now), 1),
+            "budget_left": round(self._context.budget(self.service).left(sharers, now), 1),
         }
         return Note(name, details)
 
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -14,6 +14,7 @@
 from yokesill.gateway.selection import Choice
 from yokesill.gateway.server_table import ServerTable
 from yokesill.gateway.servers import ServerState
+from yokesill.gateway.sharing import Sharing
 from yokesill.gateway.waiting import WaitingRoom
 from yokesill.rendezvous import name_hash, weight
 
@@ -50,13 +51,13 @@
     random_source: random.Random
     servers: ServerTable
     started_at: float
-    nodes: int
     configuration: Configuration | None = None
     lateness: float = 0.0
     live: dict[int, LiveAttempt] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
     waiting: WaitingRoom[Any] = field(default_factory=WaitingRoom)
     cold_starts: ColdStarts = field(init=False)
+    sharing: Sharing = field(init=False)
     _node_hash: int = field(init=False, default=0)
     _terms: BudgetTerms | None = None
     _budgets: dict[str, ExtraAttemptBudget] = field(default_factory=dict)
@@ -64,8 +65,9 @@
     _longest_patience: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Hash this node's name once, and count what cold servers get of it."""
+        """Hash this node's name once, and share nothing yet with nodes that aren't known."""
         self._node_hash = name_hash(self.options.node)
+        self.sharing = Sharing(self.options.node, self.options.assumed_nodes)
         self.cold_starts = ColdStarts(self.options.node, self.options.cold_starts)
 
     def budget(self, service: str) -> ExtraAttemptBudget:
@@ -160,7 +162,7 @@
         limits = self.limits(service)
         if limits is None:
             return 1
-        return max(1, int(self.options.connection_share * limits.connections / max(1, self.nodes)))
+        return max(1, int(self.options.connection_share * limits.connections / self.sharing.sharers(service)))
 
     def subset(self, service: str) -> Collection[str]:
         """Return the servers of a service that this node connects to as long as they are sound.
@@ -174,7 +176,7 @@
         if limits is None or not servers:
             return [each.record.instance for each in servers]
         bearable = self.options.connection_share * limits.connections * len(servers)
-        size = max(LEAST_SUBSET, int(bearable / max(1, self.nodes)))
+        size = max(LEAST_SUBSET, int(bearable / self.sharing.sharers(service)))
         if size < len(servers):
             servers = sorted(servers, key=self._preference)[:size]
         return [each.record.instance for each in servers]
--- a/src/yokesill/gateway/coordination.py
+++ b/src/yokesill/gateway/coordination.py
@@ -54,7 +54,7 @@
 
     def choose(self, route: Route, coordinators: Mapping[str, Coordinator], now: float) -> str | None:
         """Return the coordinator to hand a request of a route to; ``None`` to gather it here."""
-        if not coordinators or not _is_wide(route):
+        if not coordinators or not is_wide(route):
             return None
         able = [node for node, each in coordinators.items() if self._able(node, each, now)]
         return min(able, key=lambda node: (weight(name_hash(node), self._own), node), default=None)
@@ -78,6 +78,7 @@
         self._hop_deviation_s += HOP_WEIGHT * (abs(error) - self._hop_deviation_s)
 
 
-def _is_wide(route: Route) -> bool:
+def is_wide(route: Route) -> bool:
+    """Whether a route's requests are worth handing over."""
     gathers = isinstance(route.destination, Gather) and route.repeatable
     return gathers and len(route.services) >= LEAST_SERVICES
--- a/src/yokesill/gateway/events.py
+++ b/src/yokesill/gateway/events.py
@@ -134,9 +134,10 @@
 
 
 class NodesMet(NamedTuple):
-    """The names of all nodes that are there."""
+    """All nodes that are there, and those of them that gather wide requests for their zone."""
 
     names: frozenset[str]
+    coordinators: frozenset[str] = frozenset()
 
 
 Event = (
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -28,7 +28,7 @@
         self.options = options
         self.servers = ServerTable(options)
         self._random = random_source
-        self._context = GatewayContext(options, random_source, self.servers, now, options.assumed_nodes)
+        self._context = GatewayContext(options, random_source, self.servers, now)
         self._requests: dict[str, RequestMachine] = {}
         self._owners: dict[int, RequestMachine] = {}
         self._cursors: dict[str, tuple[Split, SplitCursor]] = {}
@@ -47,7 +47,7 @@
     @property
     def nodes(self) -> int:
         """How many nodes are taken to share the budgets."""
-        return self._context.nodes
+        return self._context.sharing.nodes
 
     @property
     def lateness(self) -> float:
@@ -218,6 +218,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._context.configuration = configuration
+        self._context.sharing.set_configuration(configuration)
         self._context.forget_unused(current)
         names = {route.name for route in configuration.routes}
         self._cursors = {name: kept for name, kept in self._cursors.items() if name in names}
@@ -276,12 +277,13 @@
 
 @_take.register
 def _(event: ev.NodesCounted, router: GatewayRouter, now: float, actions: Actions) -> None:
-    router._context.nodes = max(1, event.count)
+    router._context.sharing.nodes = max(1, event.count)
 
 
 @_take.register
 def _(event: ev.NodesMet, router: GatewayRouter, now: float, actions: Actions) -> None:
     router._context.cold_starts.set_nodes(event.names)
+    router._context.sharing.set_coordinators(event.coordinators)
 
 
 @_take.register
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -45,6 +45,7 @@
 from yokesill.serving.settings import Address, GatewaySettings
 from yokesill.serving.snapshots import encode_snapshot
 from yokesill.watchers.group import Duty
+from yokesill.watchers.strength import gathering_nodes
 
 POLL = 0.01
 LOG_FLUSH_INTERVAL = 0.5
@@ -263,7 +264,8 @@
         """Exchange what is seen of servers with the nodes that can be reached."""
         contacts = tuple(contacts)
         self._following.set_nodes(contacts)
-        self.driver.feed(NodesMet(frozenset(each.node for each in contacts)))
+        coordinators = gathering_nodes((each.node, each.zone, each.cores) for each in contacts)
+        self.driver.feed(NodesMet(frozenset(each.node for each in contacts), coordinators))
         reachable = (each for each in contacts if each.datagrams)
         self._outliers.set_peers(Peer(each.node, each.datagrams, each.zone) for each in reachable)
 
--- a/src/yokesill/watchers/strength.py
+++ b/src/yokesill/watchers/strength.py
@@ -1,6 +1,6 @@
 """Which nodes of a zone are much stronger than most of it."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 # A node gathers for others only if it needs less than half of their time for it: what is handed over
 # costs a hop, which must be won back.
@@ -25,3 +25,25 @@
     middle = sorted(cores.values())[len(cores) // 2]
     least = STRONG_FACTOR * middle
     return frozenset(node for node, each in cores.items() if each >= least)
+
+
+def gathering_nodes(nodes: Iterable[tuple[str, str, float]]) -> frozenset[str]:
+    """Return which nodes of all zones gather wide requests: the strong ones, or a zone's all if it has none.
+
+    Parameters
+    ----------
+    nodes
+        Of each node its name, its zone and its processor.
+
+    Returns
+    -------
+    frozenset of str
+        Empty where no zone has strong nodes.
+    """
+    by_zone: dict[str, dict[str, float]] = {}
+    for node, zone, cores in nodes:
+        by_zone.setdefault(zone, {})[node] = cores
+    strong = {zone: strong_nodes(each) for zone, each in by_zone.items()}
+    if not any(strong.values()):
+        return frozenset()
+    return frozenset().union(*(strong[zone] or each for zone, each in by_zone.items()))
--- a/tests/gateway/test_coordination.py
+++ b/tests/gateway/test_coordination.py
@@ -16,7 +16,7 @@
 from yokesill.gateway.documents import Route
 from yokesill.gateway.messages import GatewayRequest
 from yokesill.verdict import Verdict
-from yokesill.watchers.strength import strong_nodes
+from yokesill.watchers.strength import gathering_nodes, strong_nodes
 
 WIDE = gather_route(services=tuple(f"s{number}" for number in range(LEAST_SERVICES)))
 NOW = 1000.0
@@ -141,3 +141,9 @@
     final = harness.finals[key]
     assert isinstance(final, ev.Refuse)
     assert final.failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_zone_without_strong_nodes_gathers_by_itself() -> None:
+    nodes = [("a1", "a", 0.5), ("a2", "a", 0.5), ("a3", "a", 2.0), ("b1", "b", 0.5), ("b2", "b", 0.5)]
+    assert gathering_nodes(nodes) == {"a3", "b1", "b2"}
+    assert gathering_nodes([each for each in nodes if each[0] != "a3"]) == frozenset()
