Connections that go silent without a reset cost one request its time, not one each; strong nodes report 0.3 s after their start

Cause, silent connections: open connections may go silent for good while new ones work. Each idle connection that was kept cost the next request that used it its whole time. After one that brought not a byte for half a second (a coordinator: no acknowledgement; the registry: no answer) the idle ones to the same place that are as old are closed. Cause, strong nodes: after all nodes were killed nobody knew a coordinator for 2.5 s, since a starting node leaves watching to others for so long. A node that ranks first watches in any case, so it reports as soon as it knows its zone.

Ruled out: closing them after any late answer (a pause of a server would cost a new connection each). Tests fail without each (two guards, test_a_strong_node_watches_soon_after_its_start_and_ranks_first).

--- a/src/yokesill/serving/api_client.py
+++ b/src/yokesill/serving/api_client.py
@@ -90,6 +90,7 @@
                 reader = await connection.exchange(self._encode(method, path, body), bodiless=False)
         except TimeoutError:
             await self._drop(connection)
+            await self._drop_idle()
             return Failure(Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN, f"no answer in {timeout:.1f} s")
         except BROKEN as error:
             await self._drop(connection)
@@ -113,6 +114,12 @@
         with anyio.fail_after(CONNECT_TIMEOUT):
             return AwaitedConnection(await self._connect(self._address.host, self._address.port))
 
+    async def _drop_idle(self) -> None:
+        """Let go of the idle connections: they may have gone silent like the one just used."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            await self._drop(connection)
+
     async def _drop(self, connection: AwaitedConnection) -> None:
         with anyio.CancelScope(shield=True):
             await connection.aclose()
--- a/src/yokesill/serving/coordinator_client.py
+++ b/src/yokesill/serving/coordinator_client.py
@@ -64,6 +64,7 @@
             with anyio.move_on_after(acknowledge_s):
                 await ended.wait()
             if not connection.reply_begun and not outcome:
+                self._forget(address)
                 return Failure(Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN, "no acknowledgement")
             with anyio.move_on_after(until - anyio.current_time()):
                 await ended.wait()
@@ -99,6 +100,11 @@
         connection.reusable_until = anyio.current_time() + REST_S
         self._idle.setdefault(address, []).append(connection)
 
+    def _forget(self, address: str) -> None:
+        """Close the idle connections to a coordinator: they may have gone silent like the one just used."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
     def _lost(self, connection: ServerConnection) -> None:
         for idle in self._idle.values():
             if connection in idle:
--- a/src/yokesill/serving/server_client.py
+++ b/src/yokesill/serving/server_client.py
@@ -28,6 +28,8 @@
 SETTLING_S, SETTLING_ROUND_TRIPS = 0.004, 1.0
 # A connection that rested for so long and is reset when used was forgotten by its server.
 RESTED_S = 0.5
+# A connection that brought nothing for so long may be silent for good; pauses of servers are shorter.
+SILENT_S = 0.5
 VERDICT_OF_STATE = {
     "never_sent": Verdict.NOT_RUN,
     "declined": Verdict.NOT_RUN,
@@ -278,8 +280,17 @@
             elif call.connection is None:
                 self._fail(call, Reason.CONNECT_FAILED, "not connected by the deadline")
             else:
+                self._distrust_silent(call)
                 self._fail(call, Reason.TIMED_OUT, "no whole answer by the deadline")
 
+    def _distrust_silent(self, call: AttemptCall) -> None:
+        """Let go of a server's old connections after one that was used again brought not a byte."""
+        connection, reused = call.connection, call.connected_in_s is None
+        if connection is None or call.sent_at is None or not reused or connection.reply_begun:
+            return
+        if self._clock() - call.sent_at >= SILENT_S:
+            call.connections.distrust(call.sent_at)
+
     def _fail(self, call: AttemptCall, reason: Reason, detail: str) -> None:
         if self._calls.pop(call.attempt.number, None) is None:
             return
--- a/src/yokesill/serving/upstream.py
+++ b/src/yokesill/serving/upstream.py
@@ -209,6 +209,18 @@
         self._open += change
         self._changed(self._open)
 
+    def distrust(self, since: float) -> None:
+        """Close connections that have been idle since before ``since`` (seconds of the node's clock).
+
+        One that was used then stayed silent without a reset: whatever silenced it may have silenced
+        these too, and each would cost a request its time.
+        """
+        silent = [each for each in self._idle if each.rested_at is not None and each.rested_at <= since]
+        for connection in silent:
+            self._idle.remove(connection)
+            connection.close()
+            self._count(-1)
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/src/yokesill/watchers/group.py
+++ b/src/yokesill/watchers/group.py
@@ -49,6 +49,7 @@
         self._ranked: list[str] = [own]
         self._heard_at_s: dict[str, float] = {}
         self._seen_at_s: dict[str, float] = {}
+        self._started_at_s = now
         self._settled_at_s = now + terms.settle_s
         self._relied_at_s = self._settled_at_s - terms.patience_s / 2
         self._patience_s = terms.patience_s + source.random() * SPREAD_SHARE * terms.patience_s
@@ -57,6 +58,8 @@
         """Take which nodes are in the zone, and which of them rank first; this node counts in any case."""
         subject = name_hash(RANK_SUBJECT)
         members = {*nodes, self._own}
+        if self._own in strong:
+            self._settled_at_s = min(self._settled_at_s, self._started_at_s + self._terms.strong_settle_s)
         self._ranked = sorted(
             members, key=lambda node: (node not in strong, weight(name_hash(node), subject), node)
         )
--- a/src/yokesill/watchers/terms.py
+++ b/src/yokesill/watchers/terms.py
@@ -4,6 +4,8 @@
 
 WATCHERS_PER_ZONE = 2
 SETTLE_S = 2.5
+# A strong node watches in any case, and its zone's wide requests wait for its first report.
+STRONG_SETTLE_S = 0.3
 REPORT_SHARE, TAKEOVER_SHARE, STEP_SHARE = 0.1, 0.25, 0.03
 PATIENCE_SHARE, AGE_SHARE, CHECK_SHARE = 0.3, 0.45, 0.35
 
@@ -25,7 +27,8 @@
     check_interval_s
         How often a watcher looks whether its wait for changes was swallowed.
     settle_s
-        How long a starting node leaves watching to others, so that it learns first who is there.
+        How long a starting node leaves watching to others, so that it learns first who is there, and
+        ``strong_settle_s`` the same for one that ranks first by its processor.
     """
 
     report_interval_s: float
@@ -35,6 +38,7 @@
     age_limit_s: float
     check_interval_s: float
     settle_s: float = SETTLE_S
+    strong_settle_s: float = STRONG_SETTLE_S
     watchers: int = WATCHERS_PER_ZONE
 
     @classmethod
--- a/tests/serving/test_coordinator.py
+++ b/tests/serving/test_coordinator.py
@@ -174,6 +174,37 @@
     await anyio.sleep_forever()
 
 
+def test_after_one_silent_connection_to_a_coordinator_no_other_old_one_is_used() -> None:
+    async def script(_server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        await anyio.sleep(0.01)
+        if heard.connection > silent_up_to[0]:
+            body = encode_answer("id-1", GATHERED)
+            await stream.send(HEAD % len(body) + body)
+
+    silent_up_to = [0]
+
+    async def run() -> list[GatheredAnswer | Failure]:
+        async with anyio.create_task_group() as tasks:
+            server = MemoryServer(script, tasks)
+            client = CoordinatorClient(dial_streams(server.connect, tasks))
+
+            async def ask_once() -> GatheredAnswer | Failure:
+                until = anyio.current_time() + 1.0
+                return await client.ask(ADDRESS, "id-1", b"x", ACKNOWLEDGE_S, until)
+
+            async with anyio.create_task_group() as two:
+                for _ in range(2):
+                    two.start_soon(ask_once)
+            silent_up_to[0] = server.opened
+            outcomes = [await ask_once(), await ask_once()]
+            tasks.cancel_scope.cancel()
+        return outcomes
+
+    first, second = run_virtual(run)
+    assert isinstance(first, Failure)
+    assert second == GATHERED
+
+
 def test_an_acknowledged_request_is_given_up_in_time() -> None:
     outcomes, _, took = ask(endless)
     assert isinstance(outcomes[0], Failure)
--- a/tests/serving/test_server_client.py
+++ b/tests/serving/test_server_client.py
@@ -205,6 +205,47 @@
     with_server(script, main)
 
 
+class Silenced:
+    """A server whose open connections go silent without a reset, while new ones are answered."""
+
+    def __init__(self) -> None:
+        self.silent_up_to = 0
+
+    async def __call__(self, _server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        await anyio.sleep(0.01)
+        if heard.connection > self.silent_up_to:
+            await stream.send(answer_bytes(heard.header("request-id")))
+
+
+def test_after_one_silent_connection_no_other_old_one_is_used() -> None:
+    script = Silenced()
+
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        async with anyio.create_task_group() as tasks:
+            for number in (1, 2):
+                tasks.start_soon(call, client, attempt(number))
+        assert server.opened == 2
+        script.silent_up_to = 2
+        failed(await call(client, attempt(3, seconds=0.6)), Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN)
+        assert isinstance(await call(client, attempt(4, seconds=0.3)), AttemptAnswered)
+        assert (server.opened, server.closed) == (3, 2)
+
+    with_server(script, main)
+
+
+def test_a_late_answer_on_a_new_connection_speaks_against_no_other_one() -> None:
+    script = Silenced()
+
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        script.silent_up_to = 1
+        failed(await call(client, attempt(1, seconds=0.3)), Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN)
+        for number in (2, 3):
+            assert isinstance(await call(client, attempt(number)), AttemptAnswered)
+        assert server.opened == 2
+
+    with_server(script, main)
+
+
 def test_a_refused_connection_has_not_run() -> None:
     async def main(server: MemoryServer, client: ServerClient) -> None:
         server.refuse = True
--- a/tests/watchers/test_group.py
+++ b/tests/watchers/test_group.py
@@ -37,6 +37,17 @@
     assert {group(name).duty(0.5 * SETTLED) for name in NAMES} == {Duty.FOLLOWING}
 
 
+def test_a_strong_node_watches_soon_after_its_start_and_ranks_first() -> None:
+    strong = frozenset(NAMES[3:5])
+    early = {}
+    for name in NAMES:
+        member = WatcherGroup(name, TERMS, random.Random(1), 0.0)
+        member.set_members(NAMES, strong)
+        early[name] = member.duty(TERMS.strong_settle_s)
+        assert (member.duty(SETTLED) is Duty.WATCHING) == (name in strong)
+    assert {name for name, duty in early.items() if duty is Duty.WATCHING} == strong
+
+
 def test_a_node_without_others_watches_for_itself() -> None:
     assert group("n1", []).duty(SETTLED) is Duty.WATCHING
 
