The rooms of a gateway node: callers, upstreams, registry, coordinators, telemetry

Moves, with names that the package makes needless dropped (registry/feeds, upstreams/connections, coordinators/client and messages). No change of behaviour.

--- a/bench/gateway_subrequest.py
+++ b/bench/gateway_subrequest.py
@@ -25,7 +25,7 @@
 from yokesill.gateway.router import GatewayRouter
 from yokesill.serving.driver import GatewayDriver
 from yokesill.serving.names import HeaderNames
-from yokesill.serving.server_client import ServerClient
+from yokesill.upstreams.server_client import ServerClient
 
 FAN_OUTS = (8, 16, 64, 130)
 SUB_REQUESTS = 8000
--- a/src/yokesill/serving/answers.py
+++ b/src/yokesill/callers/answers.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
+from yokesill.callers.headers import end_to_end_headers
 from yokesill.gateway.events import FinalAnswer, Gathered, PassOn, Refuse
 from yokesill.gateway.messages import Headers
-from yokesill.serving.headers import end_to_end_headers
 from yokesill.serving.names import HeaderNames
 from yokesill.verdict import Reason, Verdict
 
--- a/src/yokesill/serving/application.py
+++ b/src/yokesill/callers/application.py
@@ -11,13 +11,13 @@
 
 import anyio
 
+from yokesill.callers.answers import HttpAnswer, to_http
+from yokesill.callers.headers import end_to_end_headers
 from yokesill.gateway.documents import RequestLimits
 from yokesill.gateway.messages import GatewayRequest, Headers
-from yokesill.serving.answers import HttpAnswer, to_http
 from yokesill.serving.driver import GatewayDriver
-from yokesill.serving.headers import end_to_end_headers
 from yokesill.serving.names import HeaderNames
-from yokesill.serving.observer import Observer
+from yokesill.telemetry.observer import Observer
 
 FRESH_CONNECTION = "yokesill.fresh_connection"
 Scope = MutableMapping[str, Any]
@@ -165,7 +165,7 @@
             request = handed
         final = await self._driver.execute(request)
         answer = to_http(final, request.request_id, self._names)
-        self._observer.answered(request, final, answer)
+        self._observer.answered(request, final, answer.status, answer.outcome)
         return answer
 
     # --- answering ---
--- a/src/yokesill/serving/listener.py
+++ b/src/yokesill/callers/listener.py
@@ -7,10 +7,10 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from yokesill.callers.application import FRESH_CONNECTION
+from yokesill.callers.sockets import BACKLOG, listen
 from yokesill.frontend.server import EmbeddedServer
-from yokesill.serving.application import FRESH_CONNECTION
 from yokesill.serving.settings import Address
-from yokesill.serving.sockets import BACKLOG, listen
 
 DEFAULT_HEADER_TIMEOUT, DEFAULT_IDLE_TIMEOUT = 3.0, 15.0
 HEAD_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
--- a/src/yokesill/cli/gateway.py
+++ b/src/yokesill/cli/gateway.py
@@ -11,9 +11,9 @@
 from yokesill.cli.base import BaseCommand, ExitCode
 from yokesill.cli.gateway_file import GatewayFile, read_gateway_file
 from yokesill.gateway.events import ConfigurationLearnt, Event, ServersReplaced
+from yokesill.registry.feeds import Batch, Feed, NodeContact, NodeDirectory, NodeEntry
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.process import GatewayProcess, Surroundings
-from yokesill.serving.registry import Batch, Feed, NodeContact, NodeDirectory, NodeEntry
 from yokesill.verdict import Failure
 
 READY_PATH = "/ready"
--- a/src/yokesill/serving/coordinator_client.py
+++ b/src/yokesill/coordinators/client.py
@@ -7,9 +7,9 @@
 import anyio
 
 from yokesill.comm.http_reply import HttpReplyReader
-from yokesill.serving.coordinated_messages import GatheredAnswer, decode_answer
-from yokesill.serving.upstream import ServerConnection
-from yokesill.serving.wires import Dial, dial_tcp
+from yokesill.coordinators.messages import GatheredAnswer, decode_answer
+from yokesill.upstreams.connections import ServerConnection
+from yokesill.upstreams.wires import Dial, dial_tcp
 from yokesill.verdict import Failure, Reason, Verdict
 
 COORDINATE_PATH = "/coordinate"
--- a/src/yokesill/serving/coordinator.py
+++ b/src/yokesill/coordinators/coordinator.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from yokesill.serving.application import (
+from yokesill.callers.application import (
     CallerGoneError,
     GatewayApplication,
     Receive,
@@ -12,8 +12,8 @@
     Send,
     read_body,
 )
-from yokesill.serving.coordinated_messages import GatheredAnswer, decode_handed, encode_answer
-from yokesill.serving.coordinator_client import COORDINATE_PATH
+from yokesill.coordinators.client import COORDINATE_PATH
+from yokesill.coordinators.messages import GatheredAnswer, decode_handed, encode_answer
 
 OK, BAD_REQUEST, FORBIDDEN, UNAVAILABLE = 200, 400, 403, 503
 LARGEST_MESSAGE_BYTES = 4 * 1024 * 1024
--- a/src/yokesill/serving/handing.py
+++ b/src/yokesill/coordinators/handing.py
@@ -5,14 +5,14 @@
 
 import anyio
 
+from yokesill.callers.answers import HttpAnswer
+from yokesill.coordinators.client import CoordinatorClient
+from yokesill.coordinators.messages import GatheredAnswer, HandedRequest, encode_handed
 from yokesill.gateway.coordination import Coordinator, CoordinatorChoice
 from yokesill.gateway.documents import Configuration, Route
 from yokesill.gateway.events import Note
 from yokesill.gateway.messages import GatewayRequest
-from yokesill.serving.answers import HttpAnswer
-from yokesill.serving.coordinated_messages import GatheredAnswer, HandedRequest, encode_handed
-from yokesill.serving.coordinator_client import CoordinatorClient
-from yokesill.serving.observer import Observer
+from yokesill.telemetry.observer import CoordinatedEnding, Observer
 from yokesill.verdict import Failure, Reason, Verdict
 
 # So long before its time is over a caller gets an answer, whatever the coordinator does.
@@ -70,7 +70,7 @@
             return self._go_around(node, request, outcome)
         answered_at = anyio.current_time()
         self._choice.took(answered_at - now - outcome.gathering_s)
-        self._observer.coordinated(request, route.name, node, outcome, answered_at)
+        self._tell(request, route, node, outcome, answered_at)
         return outcome.answer
 
     async def _ask(
@@ -85,6 +85,20 @@
         acknowledge_s = ACKNOWLEDGE_SHARE * route.target
         return await self._client.ask(address, request.request_id, message, acknowledge_s, until)
 
+    def _tell(
+        self, request: GatewayRequest, route: Route, node: str, gathered: GatheredAnswer, now: float
+    ) -> None:
+        answer = gathered.answer
+        ending = CoordinatedEnding(
+            route=route.name,
+            status=answer.status,
+            outcome=answer.outcome,
+            coordinator=node,
+            elapsed_s=now - request.arrived_at,
+            gathering_s=gathered.gathering_s,
+        )
+        self._observer.coordinated(request, ending)
+
     def _go_around(self, node: str, request: GatewayRequest, failure: Failure) -> GatewayRequest:
         now = anyio.current_time()
         if failure.reason is Reason.OVERLOADED:
--- a/src/yokesill/serving/coordinated_messages.py
+++ b/src/yokesill/coordinators/messages.py
@@ -4,8 +4,8 @@
 
 import cbor2
 
+from yokesill.callers.answers import HttpAnswer
 from yokesill.gateway.messages import GatewayRequest
-from yokesill.serving.answers import HttpAnswer
 
 FORMAT = 1
 
--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -21,8 +21,7 @@
     SERVERS_KIND,
 )
 from yokesill.platform.store import MetadataStore, StoredItem, StoreView
-from yokesill.serving.object_fields import ObjectError
-from yokesill.serving.registry import (
+from yokesill.registry.feeds import (
     Batch,
     Feed,
     HistoryLost,
@@ -31,6 +30,7 @@
     NodeEntry,
     Problem,
 )
+from yokesill.serving.object_fields import ObjectError
 from yokesill.verdict import Failure
 
 
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -16,7 +16,7 @@
 from yokesill.platform.names import HEADER_NAMES, READY_PATH, SETTINGS_VARIABLE, SWITCHED_OFF_VARIABLE
 from yokesill.platform.settings import load_settings
 from yokesill.platform.store import MetadataStore
-from yokesill.serving.api_client import ApiClient
+from yokesill.registry.api_client import ApiClient
 from yokesill.serving.process import GatewayProcess, Surroundings
 from yokesill.serving.reload import SettingsFollower
 from yokesill.serving.settings import GatewaySettings
--- a/src/yokesill/platform/start.py
+++ b/src/yokesill/platform/start.py
@@ -10,7 +10,7 @@
 import socket
 import sys
 
-from yokesill.serving.sockets import listen
+from yokesill.callers.sockets import listen
 
 
 def main(arguments: list[str]) -> int:
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -4,8 +4,8 @@
 from typing import Any
 from urllib.parse import quote
 
-from yokesill.serving.api_client import ApiClient, ApiReply
-from yokesill.serving.registry import HistoryLost
+from yokesill.registry.api_client import ApiClient, ApiReply
+from yokesill.registry.feeds import HistoryLost
 from yokesill.verdict import Failure, Reason, Verdict
 
 OK, CREATED, NOT_FOUND, CONFLICT, GONE = 200, 201, 404, 409, 410
--- a/src/yokesill/serving/api_client.py
+++ b/src/yokesill/registry/api_client.py
@@ -9,9 +9,9 @@
 import anyio.abc
 
 from yokesill.comm.http_reply import ReplyError
-from yokesill.serving.awaited import AwaitedConnection, connect_tcp
+from yokesill.registry.awaited import AwaitedConnection, connect_tcp
 from yokesill.serving.settings import Address
-from yokesill.serving.wires import StreamConnector
+from yokesill.upstreams.wires import StreamConnector
 from yokesill.verdict import Failure, Reason, Verdict
 
 CONNECT_TIMEOUT = 1.0
--- a/src/yokesill/serving/awaited.py
+++ b/src/yokesill/registry/awaited.py
@@ -10,7 +10,7 @@
 import anyio.abc
 
 from yokesill.comm.http_reply import HttpReplyReader, ReplyError
-from yokesill.serving.wires import POLLED_EVENTS, READ_BYTES
+from yokesill.upstreams.wires import POLLED_EVENTS, READ_BYTES
 
 SENT_AT_ONCE_BYTES = 16 * 1024
 
--- a/src/yokesill/serving/feed_states.py
+++ b/src/yokesill/registry/feed_states.py
@@ -16,8 +16,8 @@
     ZoneEvacuated,
     ZoneReopened,
 )
-from yokesill.serving.registry import Batch
-from yokesill.serving.snapshots import (
+from yokesill.registry.feeds import Batch
+from yokesill.registry.snapshots import (
     configuration_from_wire,
     configuration_to_wire,
     server_from_wire,
--- a/src/yokesill/serving/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -7,7 +7,7 @@
 
 from yokesill.gateway.events import Event
 from yokesill.logs import get_logger
-from yokesill.serving.registry import Batch, Feed, HistoryLost
+from yokesill.registry.feeds import Batch, Feed, HistoryLost
 from yokesill.verdict import Failure
 
 FIRST_PAUSE, PAUSE_GROWTH, LONGEST_PAUSE = 0.2, 1.7, 1.2
--- a/src/yokesill/serving/following.py
+++ b/src/yokesill/registry/following.py
@@ -8,12 +8,12 @@
 
 from yokesill.gateway.coordination import Coordinator
 from yokesill.gateway.events import Event
-from yokesill.serving.feed_states import SERVERS, WholeFeed
-from yokesill.serving.follower import FeedFollower
-from yokesill.serving.registry import Feed, NodeContact
+from yokesill.registry.feed_states import SERVERS, WholeFeed
+from yokesill.registry.feeds import Feed, NodeContact
+from yokesill.registry.follower import FeedFollower
+from yokesill.registry.watch_link import WatchLink
+from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.serving.settings import GatewaySettings
-from yokesill.serving.watch_link import WatchLink
-from yokesill.serving.zone_watch import ZoneWatch
 from yokesill.watchers.terms import WatchTerms
 
 # Changes that operators make are few, and their bound counts from the registry's answer.
--- a/src/yokesill/serving/node_count.py
+++ b/src/yokesill/registry/node_count.py
@@ -10,7 +10,7 @@
 import anyio
 
 from yokesill.logs import get_logger
-from yokesill.serving.registry import NodeContact, NodeDirectory, NodeEntry
+from yokesill.registry.feeds import NodeContact, NodeDirectory, NodeEntry
 from yokesill.verdict import Failure
 
 RENEWAL = 120.0
--- a/src/yokesill/serving/peers.py
+++ b/src/yokesill/registry/peers.py
@@ -7,10 +7,10 @@
 
 from yokesill.gateway.events import Event
 from yokesill.logs import get_logger
-from yokesill.serving.api_client import ApiClient
+from yokesill.registry.api_client import ApiClient
+from yokesill.registry.snapshots import decode_snapshot
 from yokesill.serving.settings import Address
-from yokesill.serving.snapshots import decode_snapshot
-from yokesill.serving.wires import StreamConnector
+from yokesill.upstreams.wires import StreamConnector
 from yokesill.verdict import Failure
 
 SNAPSHOT_PATH = "/snapshot"
--- a/src/yokesill/serving/watch_link.py
+++ b/src/yokesill/registry/watch_link.py
@@ -6,11 +6,11 @@
 import anyio.abc
 
 from yokesill.clock import running_clock
-from yokesill.serving.api_client import ApiClient
-from yokesill.serving.awaited import connect_tcp
+from yokesill.registry.api_client import ApiClient
+from yokesill.registry.awaited import connect_tcp
+from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.serving.datagrams import open_datagrams, send_datagram
 from yokesill.serving.settings import Address
-from yokesill.serving.zone_watch import ZoneWatch
 from yokesill.verdict import Failure, Reason, Verdict
 
 STATE_PATH = "/state/"
--- a/src/yokesill/serving/zone_watch.py
+++ b/src/yokesill/registry/zone_watch.py
@@ -13,15 +13,15 @@
 
 from yokesill.gateway.coordination import Coordinator
 from yokesill.logs import get_logger
-from yokesill.serving.feed_states import (
+from yokesill.registry.feed_states import (
     WholeFeed,
     changes_from_wire,
     changes_to_wire,
     decode_state,
     encode_state,
 )
-from yokesill.serving.follower import FeedFollower
-from yokesill.serving.registry import Batch, NodeContact
+from yokesill.registry.feeds import Batch, NodeContact
+from yokesill.registry.follower import FeedFollower
 from yokesill.verdict import Failure
 from yokesill.watchers.group import Duty, WatcherGroup
 from yokesill.watchers.messages import FeedReport, Report, decode_report, encode_report
--- a/src/yokesill/serving/__init__.py
+++ b/src/yokesill/serving/__init__.py
@@ -1,4 +1,4 @@
-"""Drives the gateway's decisions over real I/O: callers in, servers out, the registry followed.
+"""One gateway node over real I/O: its settings, what drives the router, its life cycle.
 
-Nothing here decides where a request goes; ``gateway`` does.
+Callers, servers, the registry and coordinators each have a package of their own.
 """
--- a/src/yokesill/serving/probes.py
+++ b/src/yokesill/serving/probes.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from yokesill.serving.application import Receive, Scope, Send
-from yokesill.serving.peers import SNAPSHOT_PATH
-from yokesill.serving.watch_link import STATE_PATH
+from yokesill.callers.application import Receive, Scope, Send
+from yokesill.registry.peers import SNAPSHOT_PATH
+from yokesill.registry.watch_link import STATE_PATH
 
 OK, NOT_FOUND, UNAVAILABLE = 200, 404, 503
 METRICS_PATH = "/metrics"
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -8,7 +8,12 @@
 
 import anyio
 
+from yokesill.callers.application import GatewayApplication
+from yokesill.callers.listener import Listener, create_listener
 from yokesill.charts.flat import transition_table
+from yokesill.coordinators.client import CoordinatorClient
+from yokesill.coordinators.coordinator import CoordinatorApplication
+from yokesill.coordinators.handing import HandOver
 from yokesill.gateway.coordination import CoordinatorChoice
 from yokesill.gateway.events import (
     ConfigurationLearnt,
@@ -24,26 +29,21 @@
 from yokesill.logs import LogOutput, get_logger
 from yokesill.outliers.exchange import OutlierExchange, Peer
 from yokesill.outliers.messages import Suspicion
-from yokesill.serving.application import GatewayApplication
-from yokesill.serving.awaited import connect_tcp
-from yokesill.serving.coordinator import CoordinatorApplication
-from yokesill.serving.coordinator_client import CoordinatorClient
+from yokesill.registry.awaited import connect_tcp
+from yokesill.registry.feed_states import CONFIGURATION, EVACUATIONS, SERVERS, WholeFeed
+from yokesill.registry.feeds import Feed, NodeContact, NodeDirectory
+from yokesill.registry.following import FollowedFeed, RegistryFollowing
+from yokesill.registry.node_count import NodeCounter
+from yokesill.registry.peers import PeerLearner
+from yokesill.registry.snapshots import encode_snapshot
 from yokesill.serving.driver import GatewayDriver
-from yokesill.serving.feed_states import CONFIGURATION, EVACUATIONS, SERVERS, WholeFeed
-from yokesill.serving.figures import GatewayFigures
-from yokesill.serving.following import FollowedFeed, RegistryFollowing
-from yokesill.serving.handing import HandOver
-from yokesill.serving.listener import Listener, create_listener
 from yokesill.serving.names import HeaderNames
-from yokesill.serving.node_count import NodeCounter
-from yokesill.serving.observer import Observer
 from yokesill.serving.outlier_link import OutlierLink
-from yokesill.serving.peers import PeerLearner
 from yokesill.serving.probes import ProbeApplication
-from yokesill.serving.registry import Feed, NodeContact, NodeDirectory
-from yokesill.serving.server_client import ServerClient
 from yokesill.serving.settings import Address, GatewaySettings
-from yokesill.serving.snapshots import encode_snapshot
+from yokesill.telemetry.figures import GatewayFigures
+from yokesill.telemetry.observer import Observer
+from yokesill.upstreams.server_client import ServerClient
 from yokesill.watchers.group import Duty
 from yokesill.watchers.strength import gathering_nodes
 
@@ -290,7 +290,7 @@
         for feed, position in following.positions().items():
             gauge(f"yokesill_registry_{feed}_position", "Known up to here", position)
         # Loaded when somebody asks for the figures, not before: the library is priced in memory.
-        exposition = importlib.import_module("yokesill.serving.exposition")
+        exposition = importlib.import_module("yokesill.telemetry.exposition")
         text: bytes = exposition.render(self.figures)
         return text
 
--- a/src/yokesill/serving/exposition.py
+++ b/src/yokesill/telemetry/exposition.py
@@ -11,7 +11,7 @@
 )
 from prometheus_client.registry import Collector
 
-from yokesill.serving.figures import Distribution, GatewayFigures
+from yokesill.telemetry.figures import Distribution, GatewayFigures
 
 
 class FiguresCollector(Collector):
--- a/src/yokesill/serving/observer.py
+++ b/src/yokesill/telemetry/observer.py
@@ -1,11 +1,25 @@
 """What a serving node tells of its decisions: log lines and figures."""
 
+from typing import NamedTuple
+
 from yokesill.gateway.events import FinalAnswer, Note, Refuse
 from yokesill.gateway.messages import GatewayRequest
 from yokesill.logs import Logger
-from yokesill.serving.answers import HttpAnswer
-from yokesill.serving.coordinated_messages import GatheredAnswer
-from yokesill.serving.figures import GatewayFigures
+from yokesill.telemetry.figures import GatewayFigures
+
+
+class CoordinatedEnding(NamedTuple):
+    """How a request ended that a coordinator gathered.
+
+    ``elapsed_s`` passed at the node that took it from its caller, ``gathering_s`` of them at the coordinator.
+    """
+
+    route: str
+    status: int
+    outcome: str
+    coordinator: str
+    elapsed_s: float
+    gathering_s: float
 
 
 class Observer:
@@ -20,11 +34,11 @@
         self._figures.count_note(note)
         self._log.info(note.name, **note.details)
 
-    def answered(self, request: GatewayRequest, final: FinalAnswer, answer: HttpAnswer) -> None:
-        """Tell how a request ended."""
+    def answered(self, request: GatewayRequest, final: FinalAnswer, status: int, outcome: str) -> None:
+        """Tell how a request ended, by its HTTP status and the outcome's name."""
         summary = final.summary
         route = summary.route if summary else "none"
-        self._figures.count_request(route, answer.outcome, summary)
+        self._figures.count_request(route, outcome, summary)
         details: dict[str, object] = {}
         if summary is not None:
             details = {
@@ -49,26 +63,23 @@
             "request_ended",
             request=request.request_id,
             route=route,
-            status=answer.status,
-            outcome=answer.outcome,
+            status=status,
+            outcome=outcome,
             **details,
         )
 
-    def coordinated(
-        self, request: GatewayRequest, route: str, node: str, gathered: GatheredAnswer, now: float
-    ) -> None:
+    def coordinated(self, request: GatewayRequest, ending: CoordinatedEnding) -> None:
         """Tell how a request ended that another node gathered; that one tells the rest."""
-        answer = gathered.answer
-        self._figures.count_request(route, answer.outcome, None)
+        self._figures.count_request(ending.route, ending.outcome, None)
         self._log.info(
             "request_ended",
             request=request.request_id,
-            route=route,
-            status=answer.status,
-            outcome=answer.outcome,
-            ms=round((now - request.arrived_at) * 1000, 1),
-            coordinator=node,
-            gathering_ms=round(gathered.gathering_s * 1000, 1),
+            route=ending.route,
+            status=ending.status,
+            outcome=ending.outcome,
+            ms=round(ending.elapsed_s * 1000, 1),
+            coordinator=ending.coordinator,
+            gathering_ms=round(ending.gathering_s * 1000, 1),
         )
 
     def caller_left(self, request: GatewayRequest) -> None:
--- a/src/yokesill/serving/upstream.py
+++ b/src/yokesill/upstreams/connections.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from yokesill.comm.http_reply import HttpReplyReader, ReplyError
-from yokesill.serving.wires import Dial, Wire
+from yokesill.upstreams.wires import Dial, Wire
 
 IDLE_SHARE = 0.8
 IDLE_DEFAULT_S = 60.0
--- a/src/yokesill/serving/server_client.py
+++ b/src/yokesill/upstreams/server_client.py
@@ -13,19 +13,16 @@
 from yokesill.comm.http_reply import HttpReplyReader, ReplyError
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.gateway.messages import Attempt
-from yokesill.serving.attempt_bytes import MISDIRECTED, encode_attempt, read_reply
 from yokesill.serving.names import HeaderNames
-from yokesill.serving.upstream import ConnectionSet, ResetBeforeReplyError, ServerConnection, idle_time_s
-from yokesill.serving.wires import Dial, dial_tcp
 from yokesill.timers import Timers
+from yokesill.upstreams.attempt_bytes import MISDIRECTED, encode_attempt, read_reply
+from yokesill.upstreams.connections import ConnectionSet, ResetBeforeReplyError, ServerConnection, idle_time_s
+from yokesill.upstreams.opening import OpeningFailure, open_connection
+from yokesill.upstreams.wires import Dial, dial_tcp
 from yokesill.verdict import Failure, Reason, Verdict
 
-CONNECT_TIMEOUT_S = 1.0
 # Bounded: the server may begin to leave while somebody waits, and must get no new work then.
 LONGEST_TURN_S = 0.5
-# After a server refused a new connection, the next ones are watched for so long before they are used.
-REFUSALS_LAST_S = 3.0
-SETTLING_S, SETTLING_ROUND_TRIPS = 0.004, 1.0
 # A connection that rested for so long and is reset when used was forgotten by its server.
 RESTED_S = 0.5
 # A connection that brought nothing for so long may be silent for good; pauses of servers are shorter.
@@ -152,49 +149,20 @@
 
     async def _open(self, call: AttemptCall) -> None:
         """Open a connection for a call; if that has ended meanwhile, whoever is next gets it."""
-        connections = call.connections
-        connection = ServerConnection(connections.lost)
-        started = self._clock()
-        bound = min(CONNECT_TIMEOUT_S, call.attempt.deadline - started)
-        why: str | None = None
-        reason = Reason.CONNECT_FAILED
-        try:
-            with anyio.fail_after(bound):
-                await connection.open(self._dial, connections.host, connections.port)
-                await self._settle(connections, connection, started)
-        except TimeoutError:
-            why = f"no answer in {bound:.2f} s"
-        except ConnectionResetError as error:
-            why, reason = repr(error), Reason.CONNECTION_REFUSED
-            connections.refused_at = self._clock()
-        except (OSError, anyio.BrokenResourceError) as error:
-            why = repr(error)
-        if why is not None:
-            connection.close()
+        connections, started = call.connections, self._clock()
+        opened = await open_connection(connections, self._dial, call.attempt.deadline, self._clock)
+        if isinstance(opened, OpeningFailure):
             connections.drop(None)
             if self._is_live(call):
-                self._fail(call, reason, why)
+                self._fail(call, opened.reason, opened.detail)
             return
         self.connections_opened += 1
         connections.opened()
         if not self._is_live(call):
-            connections.give_back(connection, self._clock() + idle_time_s(None))
+            connections.give_back(opened, self._clock() + idle_time_s(None))
             return
         call.connected_in_s = self._clock() - started
-        self._start(call, connection)
-
-    async def _settle(self, connections: ConnectionSet, connection: ServerConnection, started: float) -> None:
-        """Watch a new connection for a moment if the server refused one lately.
-
-        A server that holds as many connections as it bears accepts a new one and resets it at once.
-        A request that had been sent on it would count as one that may have run.
-        """
-        now = self._clock()
-        if now - connections.refused_at > REFUSALS_LAST_S:
-            return
-        await anyio.sleep(SETTLING_S + SETTLING_ROUND_TRIPS * (now - started))
-        if not connection.is_open:
-            raise ConnectionResetError("reset before its first use")
+        self._start(call, opened)
 
     def _is_live(self, call: AttemptCall) -> bool:
         return self._calls.get(call.attempt.number) is call
--- a/tests/platform/test_following_the_store.py
+++ b/tests/platform/test_following_the_store.py
@@ -13,10 +13,10 @@
 from yokesill.gateway import events as ev
 from yokesill.platform.feeds import ConfigurationFeed, ServerFeed, StoredNodes
 from yokesill.platform.store import MetadataStore
-from yokesill.serving.api_client import ApiClient
-from yokesill.serving.follower import FeedFollower
-from yokesill.serving.node_count import NodeCounter
-from yokesill.serving.registry import NodeContact
+from yokesill.registry.api_client import ApiClient
+from yokesill.registry.feeds import NodeContact
+from yokesill.registry.follower import FeedFollower
+from yokesill.registry.node_count import NodeCounter
 from yokesill.serving.settings import Address
 
 CONFIG: dict[str, Any] = {
--- a/tests/serving/memory_servers.py
+++ b/tests/serving/memory_servers.py
@@ -10,7 +10,7 @@
 from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.gateway.messages import Attempt, GatewayRequest
-from yokesill.serving.server_client import ServerClient
+from yokesill.upstreams.server_client import ServerClient
 
 RECORD = ServerRecord("i-1", "desk", "10.0.0.1", 80, "z1", 2)
 
--- a/tests/serving/test_application.py
+++ b/tests/serving/test_application.py
@@ -12,17 +12,17 @@
 from memory_servers import Heard, MemoryServer, MemoryStream, Script, well
 
 from yokesill import logs
+from yokesill.callers.application import GatewayApplication
 from yokesill.gateway import events as ev
 from yokesill.gateway.documents import Configuration
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.router import GatewayRouter
-from yokesill.serving.application import GatewayApplication
 from yokesill.serving.driver import GatewayDriver
-from yokesill.serving.figures import GatewayFigures
 from yokesill.serving.names import HeaderNames
-from yokesill.serving.observer import Observer
-from yokesill.serving.server_client import ServerClient
-from yokesill.serving.wires import dial_streams
+from yokesill.telemetry.figures import GatewayFigures
+from yokesill.telemetry.observer import Observer
+from yokesill.upstreams.server_client import ServerClient
+from yokesill.upstreams.wires import dial_streams
 
 CONFIGURATION = configuration(3, single_route())
 Headers = list[tuple[bytes, bytes]]
--- a/tests/serving/test_attempt_bytes.py
+++ b/tests/serving/test_attempt_bytes.py
@@ -5,8 +5,8 @@
 from yokesill.comm.http_reply import HttpReplyReader
 from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.messages import Attempt, GatewayRequest, Load, ServerReply
-from yokesill.serving.attempt_bytes import read_reply
 from yokesill.serving.names import HeaderNames
+from yokesill.upstreams.attempt_bytes import read_reply
 
 NAMES = HeaderNames()
 REQUEST = GatewayRequest("k", "r1", b"GET", "shop.example", "/x", b"/x", (), b"", 0.0, 1.0)
--- a/tests/serving/test_coordinator.py
+++ b/tests/serving/test_coordinator.py
@@ -11,11 +11,11 @@
 from harness import configuration, gather_route
 from memory_servers import Heard, MemoryServer, MemoryStream
 
-from yokesill.gateway.coordination import LEAST_SERVICES, Coordinator, CoordinatorChoice
-from yokesill.gateway.events import Note
-from yokesill.gateway.messages import GatewayRequest
-from yokesill.serving.answers import HttpAnswer
-from yokesill.serving.coordinated_messages import (
+from yokesill.callers.answers import HttpAnswer
+from yokesill.coordinators.client import COORDINATE_PATH, CoordinatorClient
+from yokesill.coordinators.coordinator import CoordinatorApplication
+from yokesill.coordinators.handing import HandOver
+from yokesill.coordinators.messages import (
     GatheredAnswer,
     HandedRequest,
     decode_answer,
@@ -23,10 +23,11 @@
     encode_answer,
     encode_handed,
 )
-from yokesill.serving.coordinator import CoordinatorApplication
-from yokesill.serving.coordinator_client import COORDINATE_PATH, CoordinatorClient
-from yokesill.serving.handing import HandOver
-from yokesill.serving.wires import dial_streams
+from yokesill.gateway.coordination import LEAST_SERVICES, Coordinator, CoordinatorChoice
+from yokesill.gateway.events import Note
+from yokesill.gateway.messages import GatewayRequest
+from yokesill.telemetry.observer import CoordinatedEnding
+from yokesill.upstreams.wires import dial_streams
 from yokesill.verdict import Failure, Verdict
 
 ADDRESS = "10.0.0.7:80"
@@ -239,10 +240,8 @@
     def note(self, note: Note) -> None:
         self.notes.append(note)
 
-    def coordinated(
-        self, _request: GatewayRequest, _route: str, node: str, _gathered: GatheredAnswer, _now: float
-    ) -> None:
-        self.coordinated_by.append(node)
+    def coordinated(self, _request: GatewayRequest, ending: CoordinatedEnding) -> None:
+        self.coordinated_by.append(ending.coordinator)
 
 
 def hand_over(script: Script, **faults: bool) -> tuple[HttpAnswer | GatewayRequest, Notes]:
--- a/tests/serving/test_figures.py
+++ b/tests/serving/test_figures.py
@@ -2,8 +2,8 @@
 
 from yokesill.gateway.events import Note
 from yokesill.gateway.messages import RequestSummary
-from yokesill.serving.exposition import render
-from yokesill.serving.figures import GatewayFigures
+from yokesill.telemetry.exposition import render
+from yokesill.telemetry.figures import GatewayFigures
 from yokesill.verdict import Verdict
 
 
--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -14,9 +14,9 @@
 from yokesill.gateway.documents import RequestLimits, ServerRecord
 from yokesill.gateway.events import ConfigurationLearnt, Event, ServersReplaced
 from yokesill.logs import LogOutput
+from yokesill.registry.feeds import Batch, Feed, NodeContact, NodeDirectory, NodeEntry
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.process import GatewayProcess, Surroundings
-from yokesill.serving.registry import Batch, Feed, NodeContact, NodeDirectory, NodeEntry
 from yokesill.serving.settings import Address, GatewaySettings
 from yokesill.verdict import Failure, Reason, Verdict
 
--- a/tests/serving/test_server_client.py
+++ b/tests/serving/test_server_client.py
@@ -9,8 +9,8 @@
 
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.serving.names import HeaderNames
-from yokesill.serving.server_client import ServerClient
-from yokesill.serving.wires import dial_streams
+from yokesill.upstreams.server_client import ServerClient
+from yokesill.upstreams.wires import dial_streams
 from yokesill.verdict import Reason, Verdict
 
 Outcome = AttemptAnswered | AttemptFailed
--- a/tests/serving/test_snapshots.py
+++ b/tests/serving/test_snapshots.py
@@ -12,9 +12,9 @@
 
 from yokesill.gateway import events as ev
 from yokesill.gateway.documents import Configuration, ServiceLimits
-from yokesill.serving.peers import PeerLearner
+from yokesill.registry.peers import PeerLearner
+from yokesill.registry.snapshots import decode_snapshot, encode_snapshot
 from yokesill.serving.settings import Address
-from yokesill.serving.snapshots import decode_snapshot, encode_snapshot
 
 STATE = Configuration(
     9,
--- a/tests/serving/test_zone_watch.py
+++ b/tests/serving/test_zone_watch.py
@@ -7,8 +7,8 @@
 from zone import BOUND_S, Zone, ZoneNode, in_a_zone
 
 from yokesill.gateway.events import ServerRemoved, ServersReplaced
-from yokesill.serving.feed_states import SERVERS
-from yokesill.serving.registry import Batch
+from yokesill.registry.feed_states import SERVERS
+from yokesill.registry.feeds import Batch
 from yokesill.watchers.group import Duty
 from yokesill.watchers.messages import FeedReport, Report, encode_report
 
--- a/tests/serving/zone.py
+++ b/tests/serving/zone.py
@@ -13,12 +13,12 @@
 from yokesill.gateway.documents import Configuration, ServerRecord
 from yokesill.platform.feeds import ConfigurationFeed, EvacuationFeed, ServerFeed
 from yokesill.platform.store import MetadataStore
-from yokesill.serving.api_client import ApiClient
-from yokesill.serving.feed_states import CONFIGURATION, EVACUATIONS, SERVERS, WholeFeed
-from yokesill.serving.follower import FeedFollower
-from yokesill.serving.registry import NodeContact
+from yokesill.registry.api_client import ApiClient
+from yokesill.registry.feed_states import CONFIGURATION, EVACUATIONS, SERVERS, WholeFeed
+from yokesill.registry.feeds import NodeContact
+from yokesill.registry.follower import FeedFollower
+from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.serving.settings import Address
-from yokesill.serving.zone_watch import ZoneWatch
 from yokesill.verdict import Failure, Reason, Verdict
 from yokesill.watchers.group import Duty
 from yokesill.watchers.terms import WatchTerms
