The router is split at what a node learns; a request without time left speaks against no coordinator

Found by reading the change: a request that came with no time left marked its coordinator as lost until its next report; test and guard.

--- a/src/yokesill/coordinators/handing.py
+++ b/src/yokesill/coordinators/handing.py
@@ -103,7 +103,7 @@
         now = anyio.current_time()
         if failure.reason is Reason.OVERLOADED:
             self._choice.refused(node, now)
-        else:
+        elif failure.reason is not Reason.DEADLINE_EXCEEDED:
             self._choice.lost(node, now)
         details: dict[str, object] = {
             "request": request.request_id,
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -10,12 +10,13 @@
 from yokesill.gateway.context import GatewayContext, LiveAttempt
 from yokesill.gateway.documents import Configuration, Route, Split
 from yokesill.gateway.evidence import Evidence
+from yokesill.gateway.learning import Learning
 from yokesill.gateway.messages import GatewayRequest
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.request import RequestMachine
 from yokesill.gateway.server_table import ServerTable
 from yokesill.gateway.servers import ACTIVE
-from yokesill.gateway.splits import SplitCursor
+from yokesill.gateway.splits import SplitCursors
 from yokesill.verdict import Failure, Reason, Verdict
 
 NOT_READY_RETRY_AFTER_MS = 300
@@ -31,7 +32,8 @@
         self._context = GatewayContext(options, random_source, self.servers, now)
         self._requests: dict[str, RequestMachine] = {}
         self._owners: dict[int, RequestMachine] = {}
-        self._cursors: dict[str, tuple[Split, SplitCursor]] = {}
+        self._cursors = SplitCursors(random_source)
+        self._learning = Learning(self._context, self._cursors)
         self._evidence = Evidence(self._context, now)
 
     @property
@@ -69,11 +71,6 @@
         self._evidence.tell_of_silent_servers(self._route_of, now, actions)
         return actions
 
-    def _forget_removed(self, now: float, actions: list[ev.Action]) -> None:
-        for instance in self.servers.forget_removed(now):
-            self._context.cold_starts.forget(instance)
-            actions.append(ev.ForgetServer(instance))
-
     # --- requests ---
 
     def _timer(self, event: ev.TimerFired, now: float, actions: list[ev.Action]) -> None:
@@ -122,11 +119,7 @@
     def _services_of(self, route: Route) -> tuple[str, ...]:
         if not isinstance(route.destination, Split):
             return route.destination.services
-        kept = self._cursors.get(route.name)
-        if kept is None or kept[0] != route.destination:
-            kept = (route.destination, SplitCursor(route.destination, self._random.random()))
-            self._cursors[route.name] = kept
-        return (kept[1].next(),)
+        return (self._cursors.next(route.name, route.destination),)
 
     def _settle(self, machine: RequestMachine, actions: list[ev.Action]) -> None:
         """Keep track of a machine's new attempts, and drop it once it has its final answer."""
@@ -203,32 +196,6 @@
             return
         actions.append(notes.server_state(attempt, state, why, now))
 
-    # --- evacuations ---
-
-    def _evacuate(self, zones: frozenset[str], actions: list[ev.Action]) -> None:
-        """Take which zones are evacuated; what is under way there ends by itself."""
-        for zone in sorted(self.servers.evacuate(zones)):
-            actions.append(ev.Note("zone_evacuated", {"zone": zone, "evacuated": zone in zones}))
-
-    # --- configuration ---
-
-    def _learn(self, configuration: Configuration, actions: list[ev.Action]) -> None:
-        """Swap a newer version in, whole; an older one is ignored, from whatever source it comes."""
-        current = self._context.configuration
-        if current is not None and configuration.version <= current.version:
-            return
-        self._context.configuration = configuration
-        self._context.sharing.set_configuration(configuration)
-        self._context.forget_unused(current)
-        names = {route.name for route in configuration.routes}
-        self._cursors = {name: kept for name, kept in self._cursors.items() if name in names}
-        details: dict[str, object] = {
-            "version": configuration.version,
-            "before": current.version if current else None,
-            "routes": len(configuration.routes),
-        }
-        actions.append(ev.Note("configuration_applied", details))
-
 
 Actions = list[ev.Action]
 
@@ -272,7 +239,7 @@
 
 @_take.register
 def _(event: ev.ConfigurationLearnt, router: GatewayRouter, now: float, actions: Actions) -> None:
-    router._learn(event.configuration, actions)
+    router._learning.configuration(event.configuration, actions)
 
 
 @_take.register
@@ -282,23 +249,22 @@
 
 @_take.register
 def _(event: ev.NodesMet, router: GatewayRouter, now: float, actions: Actions) -> None:
-    router._context.cold_starts.set_nodes(event.names)
-    router._context.sharing.set_coordinators(event.coordinators)
+    router._learning.nodes(event.names, event.coordinators)
 
 
 @_take.register
 def _(event: ev.ZoneEvacuated, router: GatewayRouter, now: float, actions: Actions) -> None:
-    router._evacuate(router.servers.evacuated | {event.zone}, actions)
+    router._learning.evacuations(router.servers.evacuated | {event.zone}, actions)
 
 
 @_take.register
 def _(event: ev.ZoneReopened, router: GatewayRouter, now: float, actions: Actions) -> None:
-    router._evacuate(router.servers.evacuated - {event.zone}, actions)
+    router._learning.evacuations(router.servers.evacuated - {event.zone}, actions)
 
 
 @_take.register
 def _(event: ev.EvacuationsReplaced, router: GatewayRouter, now: float, actions: Actions) -> None:
-    router._evacuate(event.zones, actions)
+    router._learning.evacuations(event.zones, actions)
 
 
 @_take.register
@@ -309,20 +275,14 @@
 
 @_take.register
 def _(event: ev.ServerListed, router: GatewayRouter, now: float, actions: Actions) -> None:
-    if router.servers.put(event.record, now) and event.record.leaving:
-        actions.append(notes.server_entry(event.record.instance, "leaving"))
-    router._forget_removed(now, actions)
+    router._learning.server(event.record, now, actions)
 
 
 @_take.register
 def _(event: ev.ServerRemoved, router: GatewayRouter, now: float, actions: Actions) -> None:
-    if router.servers.remove(event.instance, now):
-        actions.append(notes.server_entry(event.instance, "removed"))
-    router._forget_removed(now, actions)
+    router._learning.removal(event.instance, now, actions)
 
 
 @_take.register
 def _(event: ev.ServersReplaced, router: GatewayRouter, now: float, actions: Actions) -> None:
-    gone = router.servers.replace(event.records, now)
-    actions.extend(notes.server_entry(instance, "removed") for instance in gone)
-    router._forget_removed(now, actions)
+    router._learning.all_servers(event.records, now, actions)
--- a/src/yokesill/gateway/splits.py
+++ b/src/yokesill/gateway/splits.py
@@ -1,5 +1,8 @@
 """Keeps the shares of a split exact: at each node over any run of requests, and over all nodes together."""
 
+import random
+from collections.abc import Collection
+
 from yokesill.gateway.documents import Split
 
 # A run of choices that is long against the weights of any split: nodes begin anywhere in it.
@@ -33,3 +36,22 @@
         chosen = max(range(len(parts)), key=self._credit.__getitem__)
         self._credit[chosen] -= sum(part.weight for part in parts)
         return parts[chosen].service
+
+
+class SplitCursors:
+    """The cursors of a node's routes; a route whose parts changed begins anew."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
+        self._cursors: dict[str, tuple[Split, SplitCursor]] = {}
+
+    def next(self, route: str, split: Split) -> str:
+        """Return the service of a route's next request."""
+        kept = self._cursors.get(route)
+        if kept is None or kept[0] != split:
+            kept = self._cursors[route] = (split, SplitCursor(split, self._random.random()))
+        return kept[1].next()
+
+    def keep(self, routes: Collection[str]) -> None:
+        """Drop the cursors of all other routes."""
+        self._cursors = {name: kept for name, kept in self._cursors.items() if name in routes}
--- a/tests/serving/test_coordinator.py
+++ b/tests/serving/test_coordinator.py
@@ -266,6 +266,25 @@
     assert notes.coordinated_by == ["n7"]
 
 
+def test_a_request_without_time_left_speaks_against_no_coordinator() -> None:
+    async def run() -> list[str | None]:
+        chosen: list[str | None] = []
+        async with anyio.create_task_group() as tasks:
+            server = MemoryServer(answering, tasks)
+            choice = CoordinatorChoice("n3")
+            reached = {"n7": Coordinator(ADDRESS, anyio.current_time())}
+            client = CoordinatorClient(dial_streams(server.connect, tasks))
+            known = configuration(7, ROUTE)
+            hand = HandOver(choice, client, lambda: reached, lambda: known, Notes())  # type: ignore[arg-type]
+            result = await hand(replace(a_request(anyio.current_time()), patience=0.001))
+            assert isinstance(result, GatewayRequest) and not result.asked_before
+            chosen.append(choice.choose(ROUTE, reached, anyio.current_time()))
+            tasks.cancel_scope.cancel()
+        return chosen
+
+    assert run_virtual(run) == ["n7"]
+
+
 def test_a_request_that_no_coordinator_took_is_run_here_as_if_new() -> None:
     result, notes = hand_over(refusing)
     assert isinstance(result, GatewayRequest)
