A dead attribute, a stale comment and a condition written twice, from reading the change once more

The router kept its random source though only the splits' cursors use it since the router was split; the test seeds the same source where it now lies. CoordinatorApplication's comment said that the application counts what is under way; it does so itself. Whether cold servers of a service are bounded was asked in two places in two forms: one now. No change of behaviour.

--- a/src/yokesill/coordinators/coordinator.py
+++ b/src/yokesill/coordinators/coordinator.py
@@ -27,7 +27,7 @@
     Parameters
     ----------
     application
-        Runs requests; it counts those under way, so that a planned stop waits for them.
+        Runs requests. Those under way are counted here, for a planned stop to wait for them.
     rest
         What else is served on this address.
     is_member
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -145,18 +145,21 @@
         if route.regions:
             regions = self.options.regions
             servers = [each for each in servers if regions.get(each.record.zone) in route.regions]
-        limits = self.limits(service)
-        if limits is None or limits.cold_requests_per_s <= 0.0:
+        bears, cold_starts = self._cold_bound(service), self.cold_starts
+        if bears is None:
             return servers
-        bears, cold_starts = limits.cold_requests_per_s, self.cold_starts
         return [each for each in servers if not each.cold(now) or cold_starts.allows(each.record, bears, now)]
 
     def sent(self, server: ServerState, now: float) -> None:
         """Count a request that is sent to a server which may be cold."""
-        limits = self.limits(server.record.service)
-        if limits is not None and limits.cold_requests_per_s > 0.0 and server.cold(now):
+        if self._cold_bound(server.record.service) is not None and server.cold(now):
             self.cold_starts.sent(server.record, now)
 
+    def _cold_bound(self, service: str) -> float | None:
+        """Return how many requests a second a cold server of the service bears; ``None`` if unbounded."""
+        limits = self.limits(service)
+        return limits.cold_requests_per_s if limits is not None and limits.cold_requests_per_s > 0.0 else None
+
     def connection_limit(self, service: str) -> int:
         """Return how many connections this node may hold to each of the service's servers."""
         limits = self.limits(service)
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -28,7 +28,6 @@
     def __init__(self, options: GatewayOptions, random_source: random.Random, now: float) -> None:
         self.options = options
         self.servers = ServerTable(options)
-        self._random = random_source
         self._context = GatewayContext(options, random_source, self.servers, now)
         self._requests: dict[str, RequestMachine] = {}
         self._owners: dict[int, RequestMachine] = {}
--- a/tests/gateway/test_splits.py
+++ b/tests/gateway/test_splits.py
@@ -47,7 +47,7 @@
 def test_shares_hold_after_each_change_of_the_weights() -> None:
     harnesses = [RouterHarness() for _ in range(NODES)]
     for number, harness in enumerate(harnesses):
-        harness.router._random.seed(number)
+        harness.router._context.random_source.seed(number)
         for service in ("s0", "s1"):
             harness.feed(ev.ServerListed(server(service, service)))
     for version, weights in enumerate([(3.0, 1.0), (1.0, 3.0), (1.0, 1.0)], start=1):
