Sight: logs tell a request that comes again, and a server that ended

Cause: an attempt under which a server ended said malformed_reply, as a broken-off reply does, and named its request by the caller's id, new with each try; so the logs could not tell one request that comes again from many that were there. Change: a connection closed before any byte of a reply is connection_lost; such lines carry the request's fingerprint (method, host, path, query, body).

--- a/src/yokesill/gateway/notes.py
+++ b/src/yokesill/gateway/notes.py
@@ -2,12 +2,14 @@
 
 from yokesill.gateway.context import LiveAttempt
 from yokesill.gateway.events import Note
+from yokesill.gateway.fingerprints import fingerprint
+from yokesill.gateway.messages import GatewayRequest
 from yokesill.rollouts.node_orders import OrderChange
-from yokesill.verdict import Failure
+from yokesill.verdict import Failure, Reason
 
 
-def attempt_failed(attempt: LiveAttempt, failure: Failure, now: float) -> Note:
-    """Return the note of an attempt that brought no usable answer."""
+def attempt_failed(attempt: LiveAttempt, request: GatewayRequest, failure: Failure, now: float) -> Note:
+    """Return the note of an attempt without a usable answer; a lost one tells its request apart."""
     details: dict[str, object] = {
         "request": attempt.request_id,
         "instance": attempt.server.record.instance,
@@ -16,6 +18,8 @@
         "detail": failure.detail,
         "after_ms": round((now - attempt.sent_at) * 1000, 1),
     }
+    if failure.reason is Reason.CONNECTION_LOST:
+        details["fingerprint"] = fingerprint(request)
     return Note("attempt_failed", details)
 
 
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -189,7 +189,7 @@
         attempt, machine = self._end(number)
         if attempt is None or machine is None:
             return
-        actions.append(notes.attempt_failed(attempt, failure, now))
+        actions.append(notes.attempt_failed(attempt, machine.request, failure, now))
         if failure.reason is Reason.SHED:
             attempt.server.shed(now)
         elif failure.reason is Reason.BACKEND_LEAVING:
--- a/src/yokesill/unloaded.py
+++ b/src/yokesill/unloaded.py
@@ -52,6 +52,7 @@
             _tell_package(placeholder)
     if "ssl" not in sys.modules:
         sys.modules["ssl"] = _tls_placeholder()
+    _load_hashes_alone()
 
 
 def _tell_package(placeholder: Placeholder) -> None:
@@ -74,6 +75,16 @@
     return importlib.import_module(name)
 
 
+def _load_hashes_alone() -> None:
+    """Load ``hashlib`` with the interpreter's own hashes, not those of the TLS library."""
+    if "hashlib" in sys.modules or "_hashlib" in sys.modules:
+        return
+    # An entry of None makes the import of that name fail, for which hashlib is prepared.
+    sys.modules["_hashlib"] = None  # type: ignore[assignment]
+    importlib.import_module("hashlib")
+    del sys.modules["_hashlib"]
+
+
 def _tls_placeholder() -> Placeholder:
     module = Placeholder("ssl")
     names: dict[str, Any] = {each: type(each, (OSError,), {}) for each in TLS_ERRORS}
--- a/src/yokesill/upstreams/connections.py
+++ b/src/yokesill/upstreams/connections.py
@@ -20,6 +20,10 @@
     """A connection was reset before any byte of the reply came."""
 
 
+class ClosedBeforeReplyError(Exception):
+    """A server closed a connection before any byte of the reply came: it ended, or gave the request up."""
+
+
 class PendingReply(NamedTuple):
     """What a connection waits for; ``ended`` gets the whole reply, or the error that ended it."""
 
@@ -110,6 +114,9 @@
             begun = pending.reader.begun
             self._end(pending, error if begun else ResetBeforeReplyError(repr(error)))
             return
+        if not pending.reader.begun:
+            self._end(pending, ClosedBeforeReplyError("closed before a reply"))
+            return
         try:
             pending.reader.end_of_stream()
         except ReplyError as broken:
