--- /dev/null
+++ b/tests/serving/crash_fleet.py
@@ -0,0 +1,250 @@
+"""Many gateway nodes over servers that a request can end, in virtual time.
+
+Each node has a real router and driver; servers, the registry, datagrams and callers are models.
+"""
+
+import itertools
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import anyio
+from conftest import run_virtual
+from harness import HOST, configuration, gather_route
+
+from yokesill.gateway import events as ev
+from yokesill.gateway.budget import BudgetTerms
+from yokesill.gateway.documents import Route, ServerRecord
+from yokesill.gateway.messages import Attempt, GatewayRequest, ServerReply
+from yokesill.gateway.options import GatewayOptions
+from yokesill.gateway.router import GatewayRouter
+from yokesill.serving.driver import GatewayDriver
+from yokesill.verdict import Failure, Reason, Verdict
+
+SHARDS = tuple(f"shard-{number}" for number in range(10))
+REPLICAS = 3
+ROUTE = gather_route(0.89, SHARDS, attempts=3)
+DEADLY = "/wide/deadly"
+WORK_S, RESTART_S, NOTICED_S, FEED_DELAY_S, DATAGRAM_S = 0.04, 1.0, 3.6, 0.35, 0.002
+CONTACT_S = 5.0
+TERMS = BudgetTerms(ratio=0.2, allowance=58.0, window=10.0)
+LOST = Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "closed before a reply")
+DOWN = Failure(Reason.CONNECT_FAILED, Verdict.NOT_RUN, "nobody listens")
+
+
+class Arrival(NamedTuple):
+    """A request that reached a server: when (s), which one, from which node."""
+
+    at_s: float
+    path: str
+    node: str
+
+
+class ModelServers:
+    """Servers by place; ``deadly`` says which paths end a server that has worked on them for a moment."""
+
+    def __init__(self, fleet: "CrashFleet") -> None:
+        self.fleet = fleet
+        self.arrivals: list[Arrival] = []
+        self.crashed_at_s: list[float] = []
+        self.deadly: Callable[[str], bool] = lambda path: path == DEADLY
+        self._numbers = itertools.count(1)
+        self._up: dict[str, ServerRecord] = {}
+        self._under_way: dict[str, dict[tuple[str, int], anyio.Event]] = {}
+        for service in fleet.services:
+            for replica in range(REPLICAS):
+                self._start(service, f"z{replica % 3 + 1}")
+
+    def records(self) -> tuple[ServerRecord, ...]:
+        return tuple(self._up.values())
+
+    def _start(self, service: str, zone: str) -> ServerRecord:
+        record = ServerRecord(f"{service}-{next(self._numbers)}", service, "10.1.0.1", 80, zone, 5)
+        self._up[record.instance] = record
+        self._under_way[record.instance] = {}
+        return record
+
+    async def run_attempt(self, attempt: Attempt, node: str) -> ServerReply | Failure:
+        """Run an attempt as its server would."""
+        instance = attempt.server.instance
+        await anyio.sleep(0.001)
+        if instance not in self._up:
+            return DOWN
+        path = attempt.request.path
+        self.arrivals.append(Arrival(anyio.current_time(), path, node))
+        number = (node, attempt.number)
+        over = self._under_way[instance][number] = anyio.Event()
+        work_s = WORK_S * self.fleet.source.uniform(0.5, 1.5)
+        with anyio.move_on_after(work_s * (0.7 if self.deadly(path) else 1.0)):
+            await over.wait()
+        if over.is_set():
+            return LOST
+        if self.deadly(path):
+            self.crash(instance)
+            return LOST
+        del self._under_way[instance][number]
+        return ServerReply(200, (), b"", f"{instance}.{attempt.number}".encode())
+
+    def crash(self, instance: str) -> None:
+        """End a server: whatever is under way there is lost; another one starts in its place."""
+        record = self._up.pop(instance)
+        self.crashed_at_s.append(anyio.current_time())
+        for over in self._under_way.pop(instance).values():
+            over.set()
+        self.fleet.tasks.start_soon(self._replace, record)
+
+    async def _replace(self, record: ServerRecord) -> None:
+        await anyio.sleep(RESTART_S)
+        started = self._start(record.service, record.zone)
+        await anyio.sleep(FEED_DELAY_S)
+        self.fleet.tell(ev.ServerListed(started))
+        await anyio.sleep(NOTICED_S - RESTART_S - FEED_DELAY_S)
+        self.fleet.tell(ev.ServerRemoved(record.instance))
+
+
+class ModelClient:
+    """One node's way to the model servers."""
+
+    def __init__(self, fleet: "CrashFleet", node: str) -> None:
+        self.connections_changed: Callable[[str, int], None] = lambda _instance, _count: None
+        self._fleet = fleet
+        self._node = node
+        self._cancelled: set[int] = set()
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        task_status.started()
+
+    def send(self, attempt: Attempt, done: Callable[[ev.AttemptAnswered | ev.AttemptFailed], None]) -> None:
+        self._fleet.tasks.start_soon(self._run, attempt, done)
+
+    def cancel(self, number: int) -> None:
+        self._cancelled.add(number)
+
+    def forget(self, instance: str) -> None:
+        pass
+
+    async def _run(
+        self, attempt: Attempt, done: Callable[[ev.AttemptAnswered | ev.AttemptFailed], None]
+    ) -> None:
+        sent_at = anyio.current_time()
+        outcome = await self._fleet.servers.run_attempt(attempt, self._node)
+        if attempt.number in self._cancelled:
+            return
+        if isinstance(outcome, Failure):
+            done(ev.AttemptFailed(attempt.number, outcome))
+        else:
+            done(ev.AttemptAnswered(attempt.number, outcome, sent_at=sent_at))
+
+
+class CrashNode:
+    """One node; ``dead``: it is gone."""
+
+    def __init__(self, fleet: "CrashFleet", name: str) -> None:
+        self.name = name
+        self.fleet = fleet
+        self.dead = False
+        number = int(name.removeprefix("n"))
+        self.zone = f"z{number % 3 + 1}"
+        options = GatewayOptions(self.zone, name, budget=TERMS)
+        source = random.Random(1000 + number)
+        self.router = GatewayRouter(options, source, anyio.current_time() - 100.0)
+        self.driver = GatewayDriver(self.router, ModelClient(fleet, name), lambda _note: None)
+        self.scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        with self.scope:
+            await self.driver.run()
+
+    def learn(self, event: ev.Event) -> None:
+        if not self.dead:
+            self.driver.feed(event)
+
+    def kill(self) -> None:
+        self.dead = True
+        self.scope.cancel()
+
+
+class CrashFleet:
+    """Nodes, servers and callers; ``finals`` counts how requests ended, by path's first word and outcome."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, nodes: int, seed: int, routes: tuple[Route, ...]) -> None:
+        self.tasks = tasks
+        self.source = random.Random(seed)
+        self.routes = routes
+        self.services = tuple(dict.fromkeys(name for route in routes for name in route.services))
+        self.servers = ModelServers(self)
+        self.finals: Counter[tuple[str, str]] = Counter()
+        self.nodes: list[CrashNode] = []
+        self._numbers = itertools.count(1)
+        for number in range(nodes):
+            self.start_node(f"n{number}")
+
+    def start_node(self, name: str) -> CrashNode:
+        """Start a node that knows only what the registry and its peers tell."""
+        node = CrashNode(self, name)
+        self.nodes = [each for each in self.nodes if each.name != name] + [node]
+        self.tasks.start_soon(node.run)
+        self.tell(ev.NodesCounted(len(self.nodes)))
+        node.learn(ev.ConfigurationLearnt(configuration(1, *self.routes)))
+        node.learn(ev.ServersReplaced(self.servers.records()))
+        return node
+
+    def node(self, name: str) -> CrashNode:
+        return next(each for each in self.nodes if each.name == name)
+
+    def tell(self, event: ev.Event) -> None:
+        """Tell every node what the registry told."""
+        for node in self.nodes:
+            node.learn(event)
+
+    async def ask(self, name: str, path: str = DEADLY, patience_s: float = 4.0) -> ev.FinalAnswer:
+        """Send a request to a node; return its final answer."""
+        number = next(self._numbers)
+        now = anyio.current_time()
+        request = GatewayRequest(
+            f"k{number}", f"id-{number}", b"GET", HOST, path, path.encode(), (), b"", now, patience_s
+        )
+        final = await self.node(name).driver.execute(request)
+        outcome = final.failure.reason.value if isinstance(final, ev.Refuse) else "answered"
+        self.finals[("deadly" if path == DEADLY else "other", outcome)] += 1
+        return final
+
+    async def _one_of_others(self, number: int) -> None:
+        node = self.source.choice(self.nodes)
+        await self.ask(node.name, f"/wide/other-{number}", patience_s=4.0)
+
+    async def others(self, per_s: float, for_s: float) -> None:
+        """Let other callers come at random nodes, each with a request of its own."""
+        end = anyio.current_time() + for_s
+        for number in itertools.count(1):
+            await anyio.sleep(self.source.expovariate(per_s))
+            if anyio.current_time() > end:
+                return
+            self.tasks.start_soon(self._one_of_others, number)
+
+    def sent(self, path: str = DEADLY, since_s: float = 0.0) -> int:
+        """How often a path reached servers since a moment."""
+        return sum(each.path == path and each.at_s >= since_s for each in self.servers.arrivals)
+
+    def sent_in_spite(self, path: str = DEADLY) -> int:
+        """How often it reached servers later than the bound after it had ended the third one."""
+        return self.sent(path, sorted(self.servers.crashed_at_s)[2] + CONTACT_S)
+
+
+def run_crash_fleet(
+    body: Callable[[CrashFleet], Awaitable[None]],
+    nodes: int = 9,
+    seed: int = 1,
+    routes: tuple[Route, ...] = (ROUTE,),
+) -> None:
+    """Run ``body`` beside a fleet that serves."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            fleet = CrashFleet(tasks, nodes, seed, routes)
+            await anyio.sleep(0.1)
+            await body(fleet)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(main)
