--- a/src/yokesill/callers/sockets.py
+++ b/src/yokesill/callers/sockets.py
@@ -1,6 +1,7 @@
 """Opens listening sockets; imports next to nothing, since a starting node does this first of all."""
 
 import socket
+import sys
 
 BACKLOG = 512
 
@@ -21,3 +22,16 @@
         listening.close()
         raise
     return listening
+
+
+def listen_early(address: str) -> socket.socket | None:
+    """Return a socket that listens on ``HOST:PORT``.
+
+    ``None`` when it can't be had: the settings' reader and the listener then say what is wrong.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return listen(host, int(port))
+    except (OSError, ValueError, OverflowError) as error:
+        print(f"error: callers' address {address!r}: {error}", file=sys.stderr)
+        return None
--- a/src/yokesill/cli/base.py
+++ b/src/yokesill/cli/base.py
@@ -7,11 +7,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-import anyio
 from cleo.commands.command import Command
 from cleo.helpers import option
 from cleo.ui.table import Table
 
+from yokesill.clock import run_steadily
 from yokesill.comm.http_client import HttpClient
 from yokesill.resources.validation import DocumentError
 from yokesill.verdict import Failure
@@ -142,4 +142,4 @@
     @staticmethod
     def run_async(main: Callable[[], Awaitable[int]]) -> int:
         """Run ``main`` on asyncio's loop."""
-        return anyio.run(main)
+        return run_steadily(main)
--- a/src/yokesill/coordinators/handing.py
+++ b/src/yokesill/coordinators/handing.py
@@ -52,6 +52,9 @@
         Is told how it ended.
     near_servers
         Knows the coordinators of zones that have a request's servers, if this node's has none.
+    runs_here
+        Whether a request is not to be handed on: one that is suspected of ending servers would be sent by
+        two nodes where the coordinator is lost.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         configuration: Callable[[], Configuration | None],
         observer: Observer,
         near_servers: NearServers | None = None,
+        runs_here: Callable[[GatewayRequest], bool] = lambda _request: False,
     ) -> None:
         self._choice = choice
         self._client = client
@@ -69,12 +73,13 @@
         self._configuration = configuration
         self._observer = observer
         self._near_servers = near_servers
+        self._runs_here = runs_here
 
     async def __call__(self, request: GatewayRequest) -> HttpAnswer | GatewayRequest:
         """Return a coordinator's final answer, or the request as this node must run it itself."""
         configuration = self._configuration()
         route = configuration.find(request.host, request.path) if configuration else None
-        if configuration is None or route is None:
+        if configuration is None or route is None or self._runs_here(request):
             return request
         for number in range(MOST_COORDINATORS):
             now = anyio.current_time()
--- a/src/yokesill/gateway/calls.py
+++ b/src/yokesill/gateway/calls.py
@@ -141,6 +141,19 @@
             return
         self._close(self._nobody(now))
 
+    def ask_alone(
+        self, deadline: float, hedge_delay: float, now: float, actions: list[Action]
+    ) -> LiveAttempt | None:
+        """Send a trial, whatever room its server has; close the call when there is nobody to send it to."""
+        choice = self._next_choice(now)
+        if choice is None or not self._send("trial", choice, deadline, hedge_delay, now, actions):
+            self._close(self.failure or self._nobody(now))
+            return None
+        attempt = self._live[max(self._live)]
+        attempt.trial = True
+        self.hedge_at = NEVER
+        return attempt
+
     def defer(self, cause: str, now: float) -> None:
         """Let an attempt wait for room at the service's servers."""
         self.deferred = cause
@@ -252,12 +265,19 @@
             self._ran += 1
             self._verdict = max(self._verdict, failure.verdict)
 
+    def repeatable(self, now: float) -> bool:
+        """Whether an attempt that brought no success may and can be followed by another one."""
+        return self._next_choice(now) is not None
+
+    def _next_choice(self, now: float) -> Choice | None:
+        may_repeat = self._route.repeatable or self._verdict is Verdict.NOT_RUN
+        return self.look(now) if may_repeat and self._may_run_again() else None
+
     def retry(self, deadline: float, delay: float, now: float, actions: list[Action]) -> None:
         """After an attempt that brought no success: send another where that is allowed, or close."""
         if not self.open or self._live:
             return
-        may_repeat = self._route.repeatable or self._verdict is Verdict.NOT_RUN
-        choice = self.look(now) if may_repeat and self._may_run_again() else None
+        choice = self._next_choice(now)
         if choice is not None and not self._context.has_room(choice, now):
             self.defer("retry", now)
             return
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -8,6 +8,7 @@
 
 from yokesill.gateway.budget import BudgetTerms, ExtraAttemptBudget
 from yokesill.gateway.cold_starts import ColdStarts
+from yokesill.gateway.crashes import RequestCrashes
 from yokesill.gateway.documents import Configuration, Route, ServiceLimits
 from yokesill.gateway.estimates import TypicalLatency
 from yokesill.gateway.options import GatewayOptions
@@ -29,7 +30,8 @@
 class LiveAttempt:
     """An attempt without an end yet; ``extra`` when it was paid for by the budget.
 
-    ``told`` when the other nodes were told that its server is silent.
+    ``told`` when the other nodes were told that its server is silent. ``trial`` when its request is suspected
+    of ending servers and was sent to this one alone.
     """
 
     number: int
@@ -38,6 +40,7 @@
     sent_at: float
     extra: bool
     told: bool = False
+    trial: bool = False
 
 
 @dataclass(slots=True)
@@ -57,6 +60,7 @@
     live: dict[int, LiveAttempt] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
     waiting: WaitingRoom[Any] = field(default_factory=WaitingRoom)
+    crashes: RequestCrashes = field(default_factory=RequestCrashes)
     cold_starts: ColdStarts = field(init=False)
     sharing: Sharing = field(init=False)
     rollouts: Rollouts = field(init=False)
--- a/src/yokesill/gateway/learning.py
+++ b/src/yokesill/gateway/learning.py
@@ -166,3 +166,35 @@
 @learn.register
 def _(event: ev.ServersReplaced, learning: Learning, now: float, actions: Actions) -> None:
     learning.all_servers(event.records, now, actions)
+
+
+@learn.register
+def _(event: ev.LossReported, learning: Learning, now: float, actions: Actions) -> None:
+    learning.context.crashes.loss_reported(event, now, actions)
+
+
+@learn.register
+def _(event: ev.AnswerReported, learning: Learning, now: float, actions: Actions) -> None:
+    learning.context.crashes.judge.answered(event.fingerprint, event.service, event.trial)
+
+
+@learn.register
+def _(event: ev.StandingHeard, learning: Learning, now: float, actions: Actions) -> None:
+    learning.context.crashes.standing_heard(event, now, actions)
+
+
+@learn.register
+def _(event: ev.RequestQuarantined, learning: Learning, now: float, actions: Actions) -> None:
+    crashes = learning.context.crashes
+    crashes.record(crashes.judge.recorded | {event.fingerprint}, actions)
+
+
+@learn.register
+def _(event: ev.QuarantineLifted, learning: Learning, now: float, actions: Actions) -> None:
+    crashes = learning.context.crashes
+    crashes.record(crashes.judge.recorded - {event.fingerprint}, actions)
+
+
+@learn.register
+def _(event: ev.QuarantineReplaced, learning: Learning, now: float, actions: Actions) -> None:
+    learning.context.crashes.record(event.fingerprints, actions)
--- a/src/yokesill/gateway/parts.py
+++ b/src/yokesill/gateway/parts.py
@@ -4,13 +4,13 @@
 import weakref
 
 from yokesill.gateway.calls import NEVER, ServiceCall
+from yokesill.gateway.caution import Caution, SuspectRequest
 from yokesill.gateway.come_back import come_back_ms
 from yokesill.gateway.context import GatewayContext
 from yokesill.gateway.documents import Gather, Route
 from yokesill.gateway.events import Action, SetTimer, TimerKind
 from yokesill.gateway.messages import GatewayRequest
 from yokesill.gateway.selection import Choice
-from yokesill.gateway.waiting import Waiting
 
 # So many usual latencies before an answer would be late another server is asked, even if the attempt is not
 # late by its usual time yet: without it searches lose 0.003 of their credit and checks 0.002, most where two
@@ -29,7 +29,7 @@
 
     def __init__(
         self,
-        owner: Waiting,
+        owner: SuspectRequest,
         request: GatewayRequest,
         route: Route,
         services: tuple[str, ...],
@@ -37,7 +37,7 @@
     ) -> None:
         # Weak: two that held each other would stay, with a whole request's answers, until the interpreter
         # looks for cycles; 780 objects for each request to 90 services.
-        self._owner: Waiting = weakref.proxy(owner)
+        self._owner: SuspectRequest = weakref.proxy(owner)
         self._waits = weakref.ref(owner)
         self._request = request
         self.calls = [ServiceCall(service, request, route, context) for service in services]
@@ -48,6 +48,7 @@
         self._route = route
         self._context = context
         self._by_service = {call.service: call for call in self.calls}
+        self.caution = Caution()
         self._unsettled = len(self.calls)
         self._deferred = 0
         self._gathers = isinstance(route.destination, Gather)
@@ -101,14 +102,55 @@
             # What is sent nowhere may still come to another node, which counts it.
             for call in self.calls:
                 self._context.budget(call.service).count_request(now)
+        if self._heed_suspicion(now):
+            self.caution.held = self._owner.likely_first(self.calls)
+            self._try_next(now, actions)
+            return
         for call, choice in looks:
-            if choice is None or choice.sound:
-                call.begin(choice, self._owner.hard, delay, now, actions)
-                self._took(call)
+            self._begin_call(call, choice, delay, now, actions)
+        self.fill(now, actions)
+
+    def _begin_call(
+        self, call: ServiceCall, choice: Choice | None, delay: float, now: float, actions: list[Action]
+    ) -> None:
+        if choice is None or choice.sound:
+            call.begin(choice, self._owner.hard, delay, now, actions)
+            self._took(call)
+        else:
+            self._defer(call, "first", now)
+
+    # --- while servers are feared to end by this request ---
+
+    def _heed_suspicion(self, now: float) -> bool:
+        """Whether calls are held at this moment; what waits for room is held with them."""
+        needed = self.caution.heed(self._owner.suspected(now))
+        if needed and self._deferred:
+            self.caution.hold_waiting(self.calls)
+            self._deferred = 0
+        return needed
+
+    def ended(self, number: int, now: float, actions: list[Action], answered: bool, lost: str) -> None:
+        """Take how an attempt ended (see ``Caution.ended``): a trial may begin, or what is held may go."""
+        was_needed = self.caution.needed
+        self.caution.ended(number, answered, lost)
+        if not was_needed:
+            return
+        if self._heed_suspicion(now):
+            self._try_next(now, actions)
+            return
+        for call in self.caution.let_go():
+            if call.sent:
+                self.retry(call, now, actions)
             else:
-                self._defer(call, "first", now)
+                self._begin_call(call, call.look(now), self.hedge_delay(now), now, actions)
         self.fill(now, actions)
 
+    def _try_next(self, now: float, actions: list[Action]) -> None:
+        while (call := self.caution.next(bool(self.by_number))) is not None:
+            attempt = call.ask_alone(self._owner.hard, NEVER, now, actions)
+            self.caution.trial = None if attempt is None else attempt.number
+            self._took(call)
+
     def _choose_canaries(self, now: float) -> None:
         """Let as many calls be canaries as the answer can do without: a bad version then spoils none."""
         most = max(1, len(self.calls) - self.required)
@@ -133,7 +175,7 @@
 
     def fill(self, now: float, actions: list[Action]) -> None:
         """Ask deferred services that are needed and have room; the owner waits for the rest."""
-        if not self._deferred:
+        if not self._deferred or self._heed_suspicion(now):
             return
         looks = [(call, call.look(now)) for call in self.calls if call.deferred]
         looks.sort(key=lambda each: NEVER if each[1] is None else each[1].expected_s)
@@ -216,6 +258,10 @@
 
     def hedge(self, late: list[ServiceCall], now: float, actions: list[Action]) -> None:
         """Ask other servers of the services whose attempts are late."""
+        if self._heed_suspicion(now):
+            for call in late:
+                call.hedge_at = NEVER
+            return
         delay = self.hedge_delay(now)
         for call in late:
             call.hedge(self._owner.hard, delay, now, actions)
@@ -224,6 +270,11 @@
 
     def retry(self, call: ServiceCall, now: float, actions: list[Action]) -> None:
         """Ask a service again after an attempt that brought no success."""
+        if self._heed_suspicion(now) and call.open and not call.live_numbers and call.repeatable(now):
+            call.hedge_at = NEVER
+            self.caution.held.append(call)
+            self._try_next(now, actions)
+            return
         was_deferred = bool(call.deferred)
         call.retry(self._owner.hard, self.hedge_delay(now), now, actions)
         self._deferred += bool(call.deferred) - was_deferred
--- a/src/yokesill/gateway/request.py
+++ b/src/yokesill/gateway/request.py
@@ -2,7 +2,8 @@
 
 from yokesill.gateway.calls import NEVER, ServiceCall
 from yokesill.gateway.come_back import FAILED_RETRY_AFTER_MS
-from yokesill.gateway.context import GatewayContext
+from yokesill.gateway.context import GatewayContext, LiveAttempt
+from yokesill.gateway.crashes import quarantined
 from yokesill.gateway.documents import Gather, Route
 from yokesill.gateway.events import (
     Action,
@@ -16,6 +17,9 @@
 from yokesill.gateway.merge import greatest_records
 from yokesill.gateway.messages import GatewayRequest, RequestSummary, ServerReply
 from yokesill.gateway.parts import RequestParts
+from yokesill.gateway.refusals import shared_reason
+from yokesill.gateway.request_evidence import RequestEvidence
+from yokesill.quarantine.judge import Loss
 from yokesill.verdict import Failure, Reason, Verdict, join
 
 # Where more than half of a request's attempts are late at once, this node's own delay is the likelier
@@ -58,6 +62,7 @@
             # Late whatever is done; or this caller is merely less patient than the most patient one.
             waited = 0.0
         self.soft = request.arrived_at + max(0.0, route.target - waited - margin)
+        self._evidence = RequestEvidence(request, context.crashes)
         self._parts = RequestParts(self, request, route, services, context)
 
     # --- events ---
@@ -75,6 +80,7 @@
         """Take an attempt's whole answer."""
         call = self._parts.by_number.pop(number)
         call.answered(number, reply)
+        self._parts.ended(number, now, actions, answered=True, lost="")
         if not reply.succeeded and self.route.repeatable and reply.status >= 500 and not self.done:
             self._retry(call, now, actions)
         elif not reply.succeeded and not call.live_numbers:
@@ -84,9 +90,13 @@
 
     def failed(self, number: int, failure: Failure, now: float, actions: list[Action]) -> None:
         """Take an attempt's end without an answer."""
-        call = self._parts.by_number.pop(number)
+        call = self._parts.by_number.pop(number, None)
+        if call is None:
+            return
         call.failed(number, failure)
         if not self.done:
+            lost = call.service if failure.reason is Reason.CONNECTION_LOST else ""
+            self._parts.ended(number, now, actions, answered=False, lost=lost)
             self._retry(call, now, actions)
             self._conclude(now, actions)
 
@@ -110,11 +120,56 @@
     def caller_left(self, actions: list[Action]) -> None:
         """Break everything off: nobody waits for it."""
         self.done = True
+        self._break_off(actions)
+        self._tell_losses(actions)
+
+    def _break_off(self, actions: list[Action]) -> None:
         for number in list(self._parts.by_number):
             del self._parts.by_number[number]
             self._context.release(number)
             actions.append(CancelAttempt(number))
 
+    # --- servers that end under it ---
+
+    @property
+    def fingerprint(self) -> str:
+        """What tells the request when it comes again."""
+        return self._evidence.fingerprint
+
+    def suspected(self, now: float) -> bool:
+        """Whether servers are suspected to end by it."""
+        return self._evidence.suspected(now)
+
+    def likely_first(self, calls: list[ServiceCall]) -> list[ServiceCall]:
+        """Return calls in the order in which to try them: services first whose servers ended."""
+        return self._evidence.likely_first(calls)
+
+    def lost(self, attempt: LiveAttempt, now: float, actions: list[Action]) -> None:
+        """Take that a server ended under an attempt.
+
+        A trial counts as one if nothing else of the request was left that a server might have answered.
+        """
+        record = attempt.server.record
+        alone = attempt.trial and self._parts.by_number.keys() <= {attempt.number}
+        loss = Loss(record.instance, record.service, alone)
+        self._evidence.add(self._parts.caution.evidence(loss), now, actions)
+        if self.done:
+            self._tell_losses(actions)
+
+    def _tell_losses(self, actions: list[Action]) -> None:
+        answered = {call.service for call in self._parts.calls if call.reply is not None}
+        self._evidence.tell(answered, actions)
+
+    def quarantine(self, now: float, actions: list[Action]) -> None:
+        """Give up at once: servers end by it. What is under way is broken off before it ends more."""
+        if self.done:
+            return
+        self.done = True
+        summary = self._summary(now)
+        self._break_off(actions)
+        self._tell_losses(actions)
+        actions.append(Refuse(self.request.key, quarantined(self.fingerprint, summary.verdict), summary))
+
     # --- room at slow servers ---
 
     @property
@@ -182,6 +237,7 @@
         if call.open:
             return
         self.done = True
+        self._tell_losses(actions)
         reply = call.reply or call.fallback
         if reply is not None:
             actions.append(PassOn(self.request.key, reply, self._summary(now)))
@@ -196,6 +252,7 @@
         elif not parts.hopeless:
             return
         self.done = True
+        self._tell_losses(actions)
         if not parts.enough:
             self._refuse(now, actions)
             return
@@ -218,7 +275,7 @@
     def _refuse(self, now: float, actions: list[Action]) -> None:
         failures = [call.failure for call in self._parts.calls if call.failure is not None]
         verdict = join(call.verdict for call in self._parts.calls)
-        reason, detail = _why(failures)
+        reason, detail = shared_reason(failures)
         refused = verdict is Verdict.NOT_RUN
         come_back = self._parts.come_back_ms(now) if refused else FAILED_RETRY_AFTER_MS
         failure = Failure(reason, verdict, detail, come_back)
@@ -240,13 +297,3 @@
             waited_s=max(call.waited_s for call in self._parts.calls),
             late=now > self.soft + self._margin,
         )
-
-
-def _why(failures: list[Failure]) -> tuple[Reason, str]:
-    """Return the reason that all parts share, or that some of their services aren't known here at all."""
-    reasons = {each.reason for each in failures}
-    if Reason.NO_REPLICA in reasons:
-        failures = [each for each in failures if each.reason is Reason.NO_REPLICA]
-        reasons = {Reason.NO_REPLICA}
-    detail = failures[0].detail if failures else "too few parts"
-    return (reasons.pop() if len(reasons) == 1 else Reason.COVERAGE_TOO_LOW), detail
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -9,8 +9,10 @@
 from yokesill.gateway import notes
 from yokesill.gateway.budget import BudgetTerms
 from yokesill.gateway.context import GatewayContext, LiveAttempt
+from yokesill.gateway.crashes import RequestCrashes, quarantined
 from yokesill.gateway.documents import Configuration, Route, Split
 from yokesill.gateway.evidence import Evidence
+from yokesill.gateway.fingerprints import fingerprint
 from yokesill.gateway.learning import Learning, learn
 from yokesill.gateway.messages import GatewayRequest
 from yokesill.gateway.options import GatewayOptions
@@ -18,6 +20,7 @@
 from yokesill.gateway.server_table import ServerTable
 from yokesill.gateway.servers import ACTIVE
 from yokesill.gateway.splits import SplitCursors
+from yokesill.quarantine.judge import Standing
 from yokesill.rollouts.messages import OrderReport
 from yokesill.rollouts.node_orders import NodeOrders
 from yokesill.rollouts.orders import RolloutOrder
@@ -88,6 +91,7 @@
         """Take one event; return what is to be done, in order."""
         actions: list[ev.Action] = []
         _take(event, self, now, actions)
+        self._stop_quarantined(now, actions)
         self._evidence.tell_of_silent_servers(self._route_of, now, actions)
         return actions
 
@@ -130,6 +134,10 @@
             failure = Failure(Reason.UNKNOWN_SERVICE, Verdict.NOT_RUN, detail)
             actions.append(ev.Refuse(request.key, failure))
             return
+        if self._context.crashes.standing(request, now) is Standing.QUARANTINED:
+            verdict = Verdict.MAY_HAVE_RUN if request.asked_before else Verdict.NOT_RUN
+            actions.append(ev.Refuse(request.key, quarantined(fingerprint(request), verdict)))
+            return
         services = self._services_of(route)
         machine = RequestMachine(request, route, services, configuration.version, self._context)
         self._requests[request.key] = machine
@@ -181,6 +189,9 @@
             self._context.rollouts.ended(server, machine.route, reply.succeeded, attempt.sent_at, late, now)
         self._note_state(attempt, state, reply.status, now, actions)
         self._evidence.tell(attempt, now, actions)
+        if len(self._context.crashes.judge):
+            service = server.record.service
+            self._context.crashes.answered(machine.fingerprint, service, attempt.trial, actions)
         machine.answered(event.number, reply, now, actions)
         self._settle(machine, actions)
         self._serve_waiting(server.record.service, now, actions)
@@ -190,6 +201,10 @@
         if attempt is None or machine is None:
             return
         actions.append(notes.attempt_failed(attempt, machine.request, failure, now))
+        if failure.reason is Reason.CONNECTION_LOST:
+            machine.lost(attempt, now, actions)
+            # Before the request itself hears of it, which would try the next server.
+            self._stop_quarantined(now, actions)
         if failure.reason is Reason.SHED:
             attempt.server.shed(now)
         elif failure.reason is Reason.BACKEND_LEAVING:
@@ -206,6 +221,24 @@
         self._settle(machine, actions)
         self._serve_waiting(attempt.server.record.service, now, actions)
 
+    # --- requests under which servers end ---
+
+    @property
+    def quarantine(self) -> RequestCrashes:
+        """What is known of requests under which servers ended."""
+        return self._context.crashes
+
+    def _stop_quarantined(self, now: float, actions: list[ev.Action]) -> None:
+        """Give up what is under way of requests that were quarantined just now."""
+        if not self._context.crashes.newly_quarantined:
+            return
+        fingerprints = self._context.crashes.take_new()
+        for machine in [each for each in self._requests.values() if each.fingerprint in fingerprints]:
+            stopped: list[ev.Action] = []
+            machine.quarantine(now, stopped)
+            self._settle(machine, stopped)
+            actions.extend(stopped)
+
     def _route_of(self, number: int) -> Route | None:
         """Return the route of an attempt under way."""
         machine = self._owners.get(number)
--- a/src/yokesill/outliers/messages.py
+++ b/src/yokesill/outliers/messages.py
@@ -11,6 +11,10 @@
 ENTRIES_PER_DATAGRAM = 30
 LONGEST_SUSPICION_S = 5.0
 _OBSERVED, _SUSPECTED = 1, 2
+# CBOR's first byte of an array of two or three items; a number up to 23 is one byte by itself.
+_ARRAYS, _LARGEST_KIND = (0x82, 0x83), 23
+# The kinds of messages that come over the same socket begin with these numbers.
+OUTLIER_KINDS = frozenset({_OBSERVED, _SUSPECTED})
 
 
 class Observation(NamedTuple):
@@ -83,6 +87,19 @@
     raise ValueError(f"a datagram of kind {kind!r}")
 
 
+def kind_of(data: bytes) -> int:
+    """Return the number by which a datagram's kind is told, without reading the rest.
+
+    Raises
+    ------
+    ValueError
+        It is no datagram of ours: an array that begins with a small number.
+    """
+    if len(data) < 2 or data[0] not in _ARRAYS or data[1] > _LARGEST_KIND:
+        raise ValueError("no array that begins with a kind")
+    return data[1]
+
+
 def _observation(item: Any) -> Observation:
     instance, good_answers = item
     if isinstance(good_answers, bool) or not isinstance(good_answers, int) or good_answers < 0:
@@ -104,8 +121,8 @@
     return value
 
 
-def in_datagrams(entries: Iterable[Any]) -> Iterator[tuple[Any, ...]]:
-    """Split entries into tuples that fit into one datagram each."""
+def in_datagrams(entries: Iterable[Any], most: int = ENTRIES_PER_DATAGRAM) -> Iterator[tuple[Any, ...]]:
+    """Split entries into tuples that fit into one datagram each: ``most`` of them."""
     rest = tuple(entries)
-    for start in range(0, len(rest), ENTRIES_PER_DATAGRAM):
-        yield rest[start : start + ENTRIES_PER_DATAGRAM]
+    for start in range(0, len(rest), most):
+        yield rest[start : start + most]
--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -2,22 +2,14 @@
 
 from collections.abc import Callable
 
-from yokesill.gateway.events import (
-    ConfigurationLearnt,
-    EvacuationsReplaced,
-    Event,
-    ServerListed,
-    ServerRemoved,
-    ServersReplaced,
-    ZoneEvacuated,
-    ZoneReopened,
-)
+from yokesill.gateway import events as ev
 from yokesill.platform.documents import read_configuration, read_server
 from yokesill.platform.names import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     EVACUATIONS_KIND,
     NODES_KIND,
+    QUARANTINE_KIND,
     SERVERS_KIND,
 )
 from yokesill.platform.store import MetadataStore, StoredItem, StoreView
@@ -29,6 +21,8 @@
     NodeDirectory,
     NodeEntry,
     Problem,
+    QuarantineRecords,
+    contact_of,
 )
 from yokesill.serving.object_fields import ObjectError
 from yokesill.verdict import Failure
@@ -83,11 +77,56 @@
         super().__init__("servers", SERVERS_KIND, store, _server_batch, _all_servers_batch)
 
 
-class EvacuationFeed(StoreFeed):
+class NamesFeed(StoreFeed):
+    """A kind of which the objects' names say everything; the events take a name, or all names."""
+
+    def __init__(
+        self,
+        name: str,
+        kind: str,
+        store: MetadataStore,
+        added: Callable[[str], ev.Event],
+        removed: Callable[[str], ev.Event],
+        replaced: Callable[[frozenset[str]], ev.Event],
+    ) -> None:
+        def changes(view: StoreView) -> Batch:
+            return Batch(view.at, tuple((removed if item.gone else added)(item.name) for item in view.items))
+
+        def whole(view: StoreView) -> Batch:
+            return Batch(view.at, (replaced(frozenset(item.name for item in view.items if not item.gone)),))
+
+        super().__init__(name, kind, store, changes, whole)
+
+
+class EvacuationFeed(NamesFeed):
     """The zones that operators evacuate, each under an object of its name."""
 
     def __init__(self, store: MetadataStore) -> None:
-        super().__init__("evacuations", EVACUATIONS_KIND, store, _evacuation_batch, _all_evacuations_batch)
+        events = (ev.ZoneEvacuated, ev.ZoneReopened, ev.EvacuationsReplaced)
+        super().__init__("evacuations", EVACUATIONS_KIND, store, *events)
+
+
+class QuarantineFeed(NamesFeed):
+    """The requests that are kept from servers, each under an object of its fingerprint."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        events = (ev.RequestQuarantined, ev.QuarantineLifted, ev.QuarantineReplaced)
+        super().__init__("quarantine", QUARANTINE_KIND, store, *events)
+
+
+class StoredQuarantine(QuarantineRecords):
+    """The record of those requests; an operator lifts one by deleting its object."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        self._store = store
+
+    async def record(self, fingerprint: str) -> Failure | None:
+        """See ``QuarantineRecords.record``."""
+        return await self._store.put(QUARANTINE_KIND, fingerprint, {}, replace=False)
+
+    async def lift(self, fingerprint: str) -> Failure | None:
+        """See ``QuarantineRecords.lift``."""
+        return await self._store.delete(QUARANTINE_KIND, fingerprint)
 
 
 class StoredNodes(NodeDirectory):
@@ -106,18 +145,7 @@
         view = await self._store.list(NODES_KIND, stale=True)
         if isinstance(view, Failure):
             return view
-        return tuple(_node_entry(item) for item in view.items)
-
-
-def _node_entry(item: StoredItem) -> NodeEntry:
-    spec = item.spec if isinstance(item.spec, dict) else {}
-    zone, datagrams, reports, peers, rollouts = (
-        str(spec.get(name, "")) for name in ("zone", "datagrams", "reports", "peers", "rollouts")
-    )
-    cores = spec.get("cores")
-    told_cores = float(cores) if isinstance(cores, int | float) else 1.0
-    contact = NodeContact(item.name, zone, datagrams, reports, peers, told_cores, rollouts)
-    return NodeEntry(contact, item.revision)
+        return tuple(NodeEntry(contact_of(item.name, item.spec), item.revision) for item in view.items)
 
 
 def _configuration_batch(view: StoreView) -> Batch:
@@ -125,7 +153,7 @@
     if not newest:
         return Batch(view.at, ())
     try:
-        return Batch(view.at, (ConfigurationLearnt(read_configuration(newest[-1].spec)),))
+        return Batch(view.at, (ev.ConfigurationLearnt(read_configuration(newest[-1].spec)),))
     except ObjectError as error:
         return Batch(view.at, (), (Problem(f"{CONFIGURATION_KIND}/{CONFIGURATION_NAME}", str(error)),))
 
@@ -137,22 +165,12 @@
 
 def _all_servers_batch(view: StoreView) -> Batch:
     events, problems = _server_events(view)
-    records = tuple(event.record for event in events if isinstance(event, ServerListed))
-    return Batch(view.at, (ServersReplaced(records),), problems)
-
-
-def _evacuation_batch(view: StoreView) -> Batch:
-    events = tuple(ZoneReopened(item.name) if item.gone else ZoneEvacuated(item.name) for item in view.items)
-    return Batch(view.at, events)
-
-
-def _all_evacuations_batch(view: StoreView) -> Batch:
-    zones = frozenset(item.name for item in view.items if not item.gone)
-    return Batch(view.at, (EvacuationsReplaced(zones),))
+    records = tuple(event.record for event in events if isinstance(event, ev.ServerListed))
+    return Batch(view.at, (ev.ServersReplaced(records),), problems)
 
 
-def _server_events(view: StoreView) -> tuple[tuple[Event, ...], tuple[Problem, ...]]:
-    events: list[Event] = []
+def _server_events(view: StoreView) -> tuple[tuple[ev.Event, ...], tuple[Problem, ...]]:
+    events: list[ev.Event] = []
     problems: list[Problem] = []
     # The last word on each server: what was overtaken within the batch must not come back to life.
     for item in {item.name: item for item in view.items}.values():
@@ -163,7 +181,7 @@
     return tuple(events), tuple(problems)
 
 
-def _server_event(item: StoredItem) -> Event:
+def _server_event(item: StoredItem) -> ev.Event:
     if item.gone:
-        return ServerRemoved(item.name)
-    return ServerListed(read_server(item.name, item.spec))
+        return ev.ServerRemoved(item.name)
+    return ev.ServerListed(read_server(item.name, item.spec))
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -2,17 +2,15 @@
 
 import os
 import random
-import signal
 import socket
 import sys
 from dataclasses import replace
 from pathlib import Path
 
-import anyio
-
 from yokesill import logs
+from yokesill.clock import run_steadily
 from yokesill.gateway.options import GatewayOptions
-from yokesill.platform.feeds import ConfigurationFeed, EvacuationFeed, ServerFeed, StoredNodes
+from yokesill.platform import feeds
 from yokesill.platform.names import HEADER_NAMES, READY_PATH, SETTINGS_VARIABLE, SWITCHED_OFF_VARIABLE
 from yokesill.platform.rollouts import RolloutFeed, StoredRollouts
 from yokesill.platform.settings import load_settings
@@ -20,6 +18,7 @@
 from yokesill.registry.api_client import ApiClient
 from yokesill.serving.process import GatewayProcess
 from yokesill.serving.reload import SettingsFollower
+from yokesill.serving.running import run_until_stopped
 from yokesill.serving.settings import GatewaySettings
 from yokesill.serving.surroundings import Surroundings
 
@@ -47,7 +46,7 @@
     output = logs.configure(settings.log_level)
     process = GatewayProcess(settings, _surroundings(settings, listening), random.Random(), output)
     follower = SettingsFollower(path, settings, load_settings, process.take_settings)
-    anyio.run(_serve, process, follower)
+    run_steadily(run_until_stopped, process, follower)
     return OK
 
 
@@ -55,31 +54,16 @@
     client = ApiClient(settings.registry)
     store = MetadataStore(client)
     return Surroundings(
-        configuration=ConfigurationFeed(store),
-        servers=ServerFeed(store),
-        evacuations=EvacuationFeed(store) if settings.evacuation_bound_s is not None else None,
+        configuration=feeds.ConfigurationFeed(store),
+        servers=feeds.ServerFeed(store),
+        quarantine=feeds.QuarantineFeed(store),
+        quarantine_records=feeds.StoredQuarantine(store),
+        evacuations=feeds.EvacuationFeed(store) if settings.evacuation_bound_s is not None else None,
         rollouts=RolloutFeed(store) if settings.rollouts is not None else None,
         rollout_records=StoredRollouts(store) if settings.rollouts is not None else None,
-        nodes=StoredNodes(store),
+        nodes=feeds.StoredNodes(store),
         names=HEADER_NAMES,
         ready_path=READY_PATH,
         move_registry=client.move,
         callers_socket=listening,
     )
-
-
-async def _serve(process: GatewayProcess, follower: SettingsFollower) -> None:
-    async with anyio.create_task_group() as task_group:
-        task_group.start_soon(follower.run)
-        task_group.start_soon(_follow_signals, process, follower)
-        await process.run()
-        task_group.cancel_scope.cancel()
-
-
-async def _follow_signals(process: GatewayProcess, follower: SettingsFollower) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                follower.reload("signal")
-            else:
-                process.stop()
--- a/src/yokesill/platform/start.py
+++ b/src/yokesill/platform/start.py
@@ -7,10 +7,7 @@
 Only what this module needs is imported at its head: each import is time without a socket.
 """
 
-import socket
-import sys
-
-from yokesill.callers.sockets import listen
+from yokesill.callers.sockets import listen_early
 
 
 def main(arguments: list[str]) -> int:
@@ -29,16 +26,3 @@
     from yokesill.platform.main import run  # noqa: PLC0415 (after the socket is open)
 
     return run(listening)
-
-
-def listen_early(address: str) -> socket.socket | None:
-    """Return a socket that listens on ``HOST:PORT``.
-
-    ``None`` when it can't be had: the settings' reader and the listener then say what is wrong.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        return listen(host, int(port))
-    except (OSError, ValueError, OverflowError) as error:
-        print(f"error: callers' address {address!r}: {error}", file=sys.stderr)
-        return None
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -78,16 +78,25 @@
         except (KeyError, TypeError) as error:
             return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, f"changes of {kind}: {error!r}")
 
-    async def put(self, kind: str, name: str, spec: dict[str, Any]) -> Failure | None:
-        """Create an object, or replace what it says."""
+    async def put(self, kind: str, name: str, spec: dict[str, Any], replace: bool = True) -> Failure | None:
+        """Create an object; ``replace`` what it says if there is one, or leave that as it is."""
         body = {"meta": {"name": name}, "spec": spec}
         reply = await self._client.call("POST", f"/objects/{kind}", CALL_TIMEOUT, body)
         if isinstance(reply, ApiReply) and reply.status == CONFLICT:
+            if not replace:
+                return None
             reply = await self._client.call("PUT", f"/objects/{kind}/{quote(name)}", CALL_TIMEOUT, body)
         if isinstance(reply, ApiReply) and reply.status in (OK, CREATED):
             return None
         return _failure(reply)
 
+    async def delete(self, kind: str, name: str) -> Failure | None:
+        """Remove an object; one that isn't there is no failure."""
+        path = f"/objects/{kind}/{quote(name, safe='')}"
+        reply = await self._client.call("DELETE", path, CALL_TIMEOUT)
+        gone = isinstance(reply, ApiReply) and reply.status in (OK, NOT_FOUND)
+        return None if gone else _failure(reply)
+
     async def put_status(
         self, kind: str, name: str, revision: int, status: dict[str, Any]
     ) -> ApiReply | Failure:
--- /dev/null
+++ b/src/yokesill/quarantine/judge.py
@@ -0,0 +1,191 @@
+"""Judges requests by the servers that ended under them.
+
+A server's end takes with it all requests that it was working on, so that one end says little of any of
+them. A request under which several servers ended is suspected: it is tried at one server at a time. Does a
+server answer it, it is cleared. Do the servers end under which it was tried alone, it is quarantined.
+"""
+
+import enum
+import heapq
+from typing import NamedTuple
+
+# Three servers may end under a request before anybody can tell it from a server's own fault; a request
+# beside it at a server is on fewer of them, or answered by others.
+LOST_TO_SUSPECT = 3
+# One trial may share its server with the very request that ends servers; two in a row hardly do, nor does one
+# after so many servers that none has answered.
+TRIALS_TO_QUARANTINE, LOST_BESIDE_ONE_TRIAL = 2, 2 * LOST_TO_SUSPECT
+# Evidence is kept for so long: a request that ends a server once in ten minutes costs less than the memory.
+EVIDENCE_S = 600.0
+# What nobody has recorded for good is let go after so long, in seconds.
+UNRECORDED_S = 3600.0
+# 0.4 KB each. Whoever sends more kinds of requests that end servers than this is refused by other means.
+MOST_RECORDS, FORGOTTEN_AT_ONCE = 4096, 512
+
+
+class Standing(enum.IntEnum):
+    """What holds for a request: it runs as any other, at one server at a time, or not at all."""
+
+    CLEAR = 0
+    SUSPECTED = 1
+    QUARANTINED = 2
+
+
+class Loss(NamedTuple):
+    """A server that ended under a request; ``trial`` if the request was tried there alone."""
+
+    instance: str
+    service: str
+    trial: bool = False
+
+
+class _Record:
+    """What is known of one request: servers that ended under it, by service, and those of trials.
+
+    ``shared`` if other nodes know something of it, too.
+    """
+
+    __slots__ = ("at_s", "lost", "shared", "standing", "trials")
+
+    def __init__(self, now: float) -> None:
+        self.at_s = now
+        self.standing = Standing.CLEAR
+        self.lost: dict[str, set[str]] = {}
+        self.trials: set[str] = set()
+        self.shared = False
+
+    def judge(self) -> None:
+        """Raise the standing by the evidence."""
+        lost = sum(map(len, self.lost.values()))
+        if self.standing is Standing.CLEAR and lost >= LOST_TO_SUSPECT:
+            self.standing = Standing.SUSPECTED
+        needed = 1 if lost >= LOST_BESIDE_ONE_TRIAL else TRIALS_TO_QUARANTINE
+        if self.standing is Standing.SUSPECTED and len(self.trials) >= needed:
+            self.standing = Standing.QUARANTINED
+
+
+class CrashJudge:
+    """What one node knows of requests under which servers ended; by their fingerprints.
+
+    Times are in seconds of the node's clock.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+        self._recorded: frozenset[str] = frozenset()
+
+    def __len__(self) -> int:
+        """Of how many requests something is known."""
+        return len(self._records) + len(self._recorded)
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """All requests that are kept from servers."""
+        unrecorded = (each for each, of in self._records.items() if of.standing is Standing.QUARANTINED)
+        return self._recorded.union(unrecorded)
+
+    @property
+    def recorded(self) -> frozenset[str]:
+        """Those of them that are recorded for good."""
+        return self._recorded
+
+    def standing(self, fingerprint: str, now: float) -> Standing:
+        """Return what holds for a request now."""
+        if fingerprint in self._recorded:
+            return Standing.QUARANTINED
+        record = self._current(fingerprint, now)
+        return Standing.CLEAR if record is None else record.standing
+
+    def suspected_services(self, fingerprint: str) -> frozenset[str]:
+        """Return the services of which servers ended under a request and none answered it since."""
+        record = self._records.get(fingerprint)
+        return frozenset(record.lost) if record is not None else frozenset()
+
+    # --- evidence ---
+
+    def lost(self, fingerprint: str, loss: Loss, now: float) -> Standing | None:
+        """Take that a server ended under a request; return its standing if that has changed."""
+        if fingerprint in self._recorded:
+            return None
+        record = self._current(fingerprint, now)
+        if record is None:
+            record = self._records[fingerprint] = _Record(now)
+            self._forget_old()
+        record.at_s = now
+        record.lost.setdefault(loss.service, set()).add(loss.instance)
+        before = record.standing
+        if loss.trial and before is Standing.SUSPECTED:
+            record.trials.add(loss.instance)
+        record.judge()
+        return record.standing if record.standing is not before else None
+
+    def share(self, fingerprint: str) -> None:
+        """Take that other nodes know of a request."""
+        record = self._records.get(fingerprint)
+        if record is not None:
+            record.shared = True
+
+    def shared(self, fingerprint: str) -> bool:
+        """Whether other nodes know of a request."""
+        record = self._records.get(fingerprint)
+        return record is not None and record.shared
+
+    def answered(self, fingerprint: str, service: str, trial: bool) -> bool:
+        """Take that a server answered a request; return whether that clears it of something.
+
+        An answer in a trial clears it of all. Any other one clears it of its own service and of those of
+        which one server ended, by its own fault then. Of which several ended it does not: a request may end
+        the servers of one shard and be answered by those of all others.
+        """
+        record = self._records.get(fingerprint)
+        if record is None or record.standing is Standing.QUARANTINED:
+            return False
+        if trial:
+            del self._records[fingerprint]
+            return True
+        before = len(record.lost)
+        record.lost = {name: of for name, of in record.lost.items() if name != service and len(of) > 1}
+        if not record.lost:
+            del self._records[fingerprint]
+        return len(record.lost) < before
+
+    # --- what others found ---
+
+    def told(self, fingerprint: str, standing: Standing, now: float) -> bool:
+        """Take another node's finding; return whether it is news. Nothing is cleared by being told."""
+        if standing <= self.standing(fingerprint, now):
+            return False
+        record = self._records.setdefault(fingerprint, _Record(now))
+        record.at_s = now
+        record.standing = standing
+        record.shared = True
+        self._forget_old()
+        return True
+
+    def record(self, fingerprints: frozenset[str]) -> None:
+        """Take which requests are recorded for good; one that was taken off the record is cleared."""
+        for fingerprint in self._recorded | fingerprints:
+            self._records.pop(fingerprint, None)
+        self._recorded = fingerprints
+
+    def _current(self, fingerprint: str, now: float) -> _Record | None:
+        record = self._records.get(fingerprint)
+        if record is None:
+            return None
+        kept_s = UNRECORDED_S if record.standing is Standing.QUARANTINED else EVIDENCE_S
+        if now - record.at_s <= kept_s:
+            return record
+        del self._records[fingerprint]
+        return None
+
+    def _forget_old(self) -> None:
+        """Keep the number of records bounded: the oldest go, quarantined ones last."""
+        if len(self._records) <= MOST_RECORDS:
+            return
+
+        def worth(fingerprint: str) -> tuple[Standing, float]:
+            record = self._records[fingerprint]
+            return record.standing, record.at_s
+
+        for fingerprint in heapq.nsmallest(FORGOTTEN_AT_ONCE, self._records, key=worth):
+            del self._records[fingerprint]
--- a/src/yokesill/registry/feed_states.py
+++ b/src/yokesill/registry/feed_states.py
@@ -10,6 +10,9 @@
     ConfigurationLearnt,
     EvacuationsReplaced,
     Event,
+    QuarantineLifted,
+    QuarantineReplaced,
+    RequestQuarantined,
     RolloutOrdered,
     RolloutsReplaced,
     RolloutWithdrawn,
@@ -30,13 +33,16 @@
 )
 
 CONFIGURATION, SERVERS, EVACUATIONS = "configuration", "servers", "evacuations"
-ROLLOUTS = "rollouts"
+ROLLOUTS, QUARANTINE = "rollouts", "quarantine"
 # A change of one zone is a pair of this word and the zone's name; one of an order a pair of its word and the
-# order, or its service's name.
+# order, or its service's name; one of the quarantine a pair of its word and a request's fingerprint.
 EVACUATED, REOPENED = "evacuated", "reopened"
 ORDERED, WITHDRAWN = "ordered", "withdrawn"
+QUARANTINED, LIFTED = "quarantined", "lifted"
 
-WholeFeed = ConfigurationLearnt | ServersReplaced | EvacuationsReplaced | RolloutsReplaced
+WholeFeed = (
+    ConfigurationLearnt | ServersReplaced | EvacuationsReplaced | RolloutsReplaced | QuarantineReplaced
+)
 
 
 def changes_to_wire(events: Iterable[Event]) -> list[Any] | None:
@@ -80,6 +86,16 @@
     return [WITHDRAWN, event.service]
 
 
+@_change_to_wire.register
+def _(event: RequestQuarantined) -> Any:
+    return [QUARANTINED, event.fingerprint]
+
+
+@_change_to_wire.register
+def _(event: QuarantineLifted) -> Any:
+    return [LIFTED, event.fingerprint]
+
+
 def changes_from_wire(items: Iterable[Any]) -> tuple[Event, ...]:
     """Read changes.
 
@@ -104,6 +120,8 @@
             return RolloutOrdered(order_from_wire(content))
         case [str() as word, str() as service] if word == WITHDRAWN:
             return RolloutWithdrawn(service)
+        case [str() as word, str() as name] if word in (QUARANTINED, LIFTED):
+            return RequestQuarantined(name) if word == QUARANTINED else QuarantineLifted(name)
     return ServerListed(server_from_wire(item))
 
 
@@ -133,6 +151,11 @@
     return cbor2.dumps([ROLLOUTS, position, [order_to_wire(order) for order in event.orders]])
 
 
+@encode_state.register
+def _(event: QuarantineReplaced, position: int) -> bytes:
+    return cbor2.dumps([QUARANTINE, position, sorted(event.fingerprints)])
+
+
 def decode_state(data: bytes) -> Batch:
     """Read a whole feed.
 
@@ -154,6 +177,8 @@
             event = EvacuationsReplaced(frozenset(str(zone) for zone in content))
         elif feed == ROLLOUTS:
             event = RolloutsReplaced(tuple(order_from_wire(each) for each in content))
+        elif feed == QUARANTINE:
+            event = QuarantineReplaced(frozenset(str(name) for name in content))
         else:
             raise ValueError(f"a feed {feed!r}")
     except (KeyError, TypeError, AttributeError, cbor2.CBORDecodeError) as error:
--- a/src/yokesill/registry/feeds.py
+++ b/src/yokesill/registry/feeds.py
@@ -5,7 +5,7 @@
 """
 
 import abc
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from yokesill.gateway.events import Event
 from yokesill.rollouts.orders import Overtaken, RolloutOrder
@@ -74,6 +74,17 @@
     rollouts: str = ""
 
 
+def contact_of(name: str, told: Any) -> NodeContact:
+    """Read what a node announced of itself under its name; what it doesn't say stays at its default."""
+    told = told if isinstance(told, dict) else {}
+    zone, datagrams, reports, peers, rollouts = (
+        str(told.get(field, "")) for field in ("zone", "datagrams", "reports", "peers", "rollouts")
+    )
+    cores = told.get("cores")
+    told_cores = float(cores) if isinstance(cores, int | float) else 1.0
+    return NodeContact(name, zone, datagrams, reports, peers, told_cores, rollouts)
+
+
 class NodeEntry(NamedTuple):
     """An announced node and the position of its last announcement."""
 
@@ -106,3 +117,15 @@
             The order as it stands now, at its new revision. A failure with verdict ``MAY_HAVE_RUN`` may
             still take effect later, as long as the revision stays.
         """
+
+
+class QuarantineRecords(abc.ABC):
+    """Where it is recorded for good which requests are kept from servers, by their fingerprints."""
+
+    @abc.abstractmethod
+    async def record(self, fingerprint: str) -> Failure | None:
+        """Record a request; one that is recorded already stays as it is."""
+
+    @abc.abstractmethod
+    async def lift(self, fingerprint: str) -> Failure | None:
+        """Take a request off the record; one that isn't on it is no failure."""
--- a/src/yokesill/registry/following.py
+++ b/src/yokesill/registry/following.py
@@ -7,8 +7,14 @@
 import anyio
 
 from yokesill.gateway.coordination import Coordinator
-from yokesill.gateway.events import EvacuationsReplaced, Event, RolloutsReplaced, ServersReplaced
-from yokesill.registry.feed_states import EVACUATIONS, ROLLOUTS, SERVERS, WholeFeed
+from yokesill.gateway.events import (
+    EvacuationsReplaced,
+    Event,
+    QuarantineReplaced,
+    RolloutsReplaced,
+    ServersReplaced,
+)
+from yokesill.registry.feed_states import EVACUATIONS, QUARANTINE, ROLLOUTS, SERVERS, WholeFeed
 from yokesill.registry.feeds import Feed, NodeContact
 from yokesill.registry.follower import FeedFollower
 from yokesill.registry.reach import RegistryReach
@@ -24,6 +30,7 @@
     ServersReplaced: SERVERS,
     EvacuationsReplaced: EVACUATIONS,
     RolloutsReplaced: ROLLOUTS,
+    QuarantineReplaced: QUARANTINE,
 }
 
 
--- a/src/yokesill/registry/snapshots.py
+++ b/src/yokesill/registry/snapshots.py
@@ -23,13 +23,14 @@
     ConfigurationLearnt,
     EvacuationsReplaced,
     Event,
+    QuarantineReplaced,
     RolloutsReplaced,
     ServersReplaced,
     VersionsEstablished,
 )
 from yokesill.rollouts.orders import RolloutOrder, RolloutState
 
-FORMAT = 3
+FORMAT = 4
 
 
 def encode_snapshot(
@@ -38,6 +39,7 @@
     evacuated: frozenset[str],
     orders: Iterable[RolloutOrder] = (),
     established: Mapping[str, tuple[str, ...]] | None = None,
+    quarantined: frozenset[str] = frozenset(),
 ) -> bytes:
     """Return a node's state as bytes."""
     return cbor2.dumps(
@@ -47,6 +49,7 @@
             "servers": [server_to_wire(record) for record in servers],
             "evacuated": sorted(evacuated),
             "rollouts": [order_to_wire(order) for order in orders],
+            "quarantined": sorted(quarantined),
             "established": {name: list(versions) for name, versions in (established or {}).items()},
         }
     )
@@ -62,11 +65,12 @@
         records = tuple(server_from_wire(each) for each in item["servers"])
         evacuated = frozenset(str(zone) for zone in item["evacuated"])
         orders = tuple(order_from_wire(each) for each in item["rollouts"])
+        quarantined = frozenset(str(name) for name in item["quarantined"])
         established = {str(name): tuple(map(str, each)) for name, each in item["established"].items()}
     except (KeyError, TypeError, AttributeError, cbor2.CBORDecodeError) as error:
         raise ValueError(f"a malformed snapshot: {error!r}") from error
     # What may be reached comes before whom there is to reach.
-    rollouts = (VersionsEstablished(established), RolloutsReplaced(orders))
+    rollouts = (VersionsEstablished(established), RolloutsReplaced(orders), QuarantineReplaced(quarantined))
     whole = (ServersReplaced(records), EvacuationsReplaced(evacuated))
     return (ConfigurationLearnt(configuration), *rollouts, *whole)
 
--- a/src/yokesill/registry/view_check.py
+++ b/src/yokesill/registry/view_check.py
@@ -9,7 +9,12 @@
 from functools import singledispatch
 from typing import Any
 
-from yokesill.gateway.events import ConfigurationLearnt, EvacuationsReplaced, ServersReplaced
+from yokesill.gateway.events import (
+    ConfigurationLearnt,
+    EvacuationsReplaced,
+    QuarantineReplaced,
+    ServersReplaced,
+)
 from yokesill.registry.feed_states import CONFIGURATION, SERVERS, WholeFeed
 from yokesill.registry.follower import FeedFollower
 from yokesill.watchers.digests import NOT_COMPARED, Repairs, digest_of
@@ -101,3 +106,8 @@
 @_digest.register
 def _(whole: EvacuationsReplaced) -> int:
     return digest_of(whole.zones)
+
+
+@_digest.register
+def _(whole: QuarantineReplaced) -> int:
+    return digest_of(whole.fingerprints)
--- a/src/yokesill/serving/driver.py
+++ b/src/yokesill/serving/driver.py
@@ -12,6 +12,8 @@
 from yokesill.gateway.router import GatewayRouter
 from yokesill.timers import Timers
 
+CrashFinding = ev.LossObserved | ev.AnswerObserved | ev.RequestJudged
+
 
 class Client(Protocol):
     """The way to servers; ``connections_changed`` is told how many are open to which instance."""
@@ -48,6 +50,7 @@
         self._waiting: dict[str, anyio.Event] = {}
         self._finals: dict[str, ev.FinalAnswer] = {}
         self.observed: Callable[[ev.ServerObserved], None] = lambda _seen: None
+        self.crashed: Callable[[CrashFinding], None] = lambda _finding: None
         self.forgotten: Callable[[str], None] = lambda _instance: None
         self._clock: Clock = anyio.current_time
         self.answered_at_s = float("-inf")
@@ -101,6 +104,8 @@
                 self.forgotten(instance)
             case ev.ServerObserved():
                 self.observed(action)
+            case ev.LossObserved() | ev.AnswerObserved() | ev.RequestJudged():
+                self.crashed(action)
             case ev.PassOn(key) | ev.Gathered(key) | ev.Refuse(key):
                 self._finish(key, action)
 
--- a/src/yokesill/serving/known_state.py
+++ b/src/yokesill/serving/known_state.py
@@ -3,11 +3,12 @@
 from yokesill.gateway.events import (
     ConfigurationLearnt,
     EvacuationsReplaced,
+    QuarantineReplaced,
     RolloutsReplaced,
     ServersReplaced,
 )
 from yokesill.gateway.router import GatewayRouter
-from yokesill.registry.feed_states import EVACUATIONS, ROLLOUTS, SERVERS, WholeFeed
+from yokesill.registry.feed_states import EVACUATIONS, QUARANTINE, ROLLOUTS, SERVERS, WholeFeed
 from yokesill.registry.snapshots import encode_snapshot
 
 
@@ -21,7 +22,8 @@
     if configuration is None or (follows and not router.rollouts.told):
         return None
     rollouts = (router.rollouts.recorded(), servers.versions.established())
-    return encode_snapshot(configuration, servers.records(), servers.evacuated, *rollouts)
+    quarantined = router.quarantine.judge.quarantined
+    return encode_snapshot(configuration, servers.records(), servers.evacuated, *rollouts, quarantined)
 
 
 def whole_feed(router: GatewayRouter, feed: str) -> WholeFeed | None:
@@ -32,5 +34,7 @@
         return EvacuationsReplaced(router.servers.evacuated)
     if feed == ROLLOUTS:
         return RolloutsReplaced(router.rollouts.recorded())
+    if feed == QUARANTINE:
+        return QuarantineReplaced(router.quarantine.judge.recorded)
     configuration = router.configuration
     return ConfigurationLearnt(configuration) if configuration is not None else None
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -19,22 +19,20 @@
     Event,
     NodesCounted,
     NodesMet,
-    ServerSuspected,
 )
 from yokesill.gateway.router import GatewayRouter
 from yokesill.logs import LogOutput, get_logger
-from yokesill.outliers.exchange import OutlierExchange, Peer
-from yokesill.outliers.messages import Suspicion
+from yokesill.quarantine.judge import Standing
 from yokesill.registry.awaited import connect_tcp
-from yokesill.registry.feed_states import CONFIGURATION, EVACUATIONS, ROLLOUTS, SERVERS
+from yokesill.registry.feed_states import CONFIGURATION, EVACUATIONS, QUARANTINE, ROLLOUTS, SERVERS
 from yokesill.registry.feeds import NodeContact
 from yokesill.registry.following import FollowedFeed, RegistryFollowing
 from yokesill.registry.node_count import NodeCounter
 from yokesill.registry.peers import PeerLearner
 from yokesill.serving.driver import GatewayDriver
+from yokesill.serving.findings import Findings
 from yokesill.serving.gauges import render_figures
 from yokesill.serving.known_state import snapshot_of, whole_feed
-from yokesill.serving.outlier_link import OutlierLink
 from yokesill.serving.probes import ProbeApplication
 from yokesill.serving.reachability import Reachability
 from yokesill.serving.rollout_link import RolloutLink
@@ -72,7 +70,7 @@
         self._build(anyio.current_time())
         async with anyio.create_task_group() as task_group:
             await task_group.start(self.driver.run)
-            parts = (self._following, self._counter, self._link, self._learner, self._reachability)
+            parts = (self._following, self._counter, self._findings, self._learner, self._reachability)
             for run in (*(part.run for part in parts), self._flush_logs):
                 task_group.start_soon(run)
             if self._rollouts is not None:
@@ -124,6 +122,7 @@
             lambda: self.router.configuration,
             observer,
             self._near_servers,
+            lambda request: self.router.quarantine.standing(request, anyio.current_time()) > Standing.CLEAR,
         )
         self._application = GatewayApplication(
             self.driver, around.names, observer, prefix, hand_over if options.hands_over else None
@@ -136,11 +135,8 @@
             self._random,
             self._meet,
         )
-        own = Peer(contact.node, contact.datagrams, contact.zone)
-        self._outliers = OutlierExchange(own, self._random)
-        self._link = OutlierLink(self._outliers, settings.datagrams, self._suspect)
-        self.driver.observed = self._link.observe
-        self.driver.forgotten = self._outliers.forget
+        records = around.quarantine_records
+        self._findings = Findings(contact, settings.datagrams, self.driver, records, self._random)
         self._rollouts = self._create_rollout_link(contact)
         self._reachability = Reachability(
             settings.zone,
@@ -188,6 +184,8 @@
         }
         if around.evacuations is not None:
             feeds[EVACUATIONS] = FollowedFeed(around.evacuations, self.driver.feed)
+        if around.quarantine is not None:
+            feeds[QUARANTINE] = FollowedFeed(around.quarantine, self.driver.feed)
         if around.rollouts is not None:
             feeds[ROLLOUTS] = FollowedFeed(around.rollouts, self._learn)
         return feeds
@@ -251,11 +249,14 @@
     def _knows_enough(self) -> bool:
         """Whether requests can be served: a configuration and servers, from the registry or a peer.
 
-        Where there are roll-outs their orders too: in the midst of one, who serves can't be seen from
-        servers alone. They come from the same places.
+        And which requests are kept from servers: the first one that comes may be one of them. Where there
+        are roll-outs their orders too: in the midst of one, who serves can't be seen from servers alone.
+        They come from the same places.
         """
-        known = self.router.configuration is not None and len(self.router.servers) > 0
-        return known and (self._surroundings.rollouts is None or self.router.rollouts.told)
+        around, router = self._surroundings, self.router
+        known = router.configuration is not None and len(router.servers) > 0
+        known = known and (around.quarantine is None or router.quarantine.told)
+        return known and (around.rollouts is None or router.rollouts.told)
 
     def _learn(self, event: Event) -> None:
         self.driver.feed(event)
@@ -279,12 +280,7 @@
         self._near_servers.set_nodes(contacts)
         coordinators = self._near_servers.gathering(contacts)
         self.driver.feed(NodesMet(frozenset(each.node for each in contacts), coordinators))
-        reachable = (each for each in contacts if each.datagrams)
-        self._outliers.set_peers(Peer(each.node, each.datagrams, each.zone) for each in reachable)
-
-    def _suspect(self, suspicions: Iterable[Suspicion]) -> None:
-        for suspicion in suspicions:
-            self.driver.feed(ServerSuspected(suspicion.instance, suspicion.for_s))
+        self._findings.set_nodes(contacts)
 
     # --- figures and logs ---
 
--- /dev/null
+++ b/src/yokesill/serving/quarantine_link.py
@@ -0,0 +1,147 @@
+"""Carries what a node finds of requests that end servers to other nodes and to the registry's record."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from yokesill.gateway import events as ev
+from yokesill.gateway.crashes import RequestCrashes
+from yokesill.logs import get_logger
+from yokesill.outliers.spreading import Datagram
+from yokesill.quarantine.exchange import QuarantineExchange
+from yokesill.quarantine.judge import Standing
+from yokesill.quarantine.messages import Answers, Losses, Standings, ToldAnswer, ToldLoss, ToldStanding
+from yokesill.registry.feeds import QuarantineRecords
+from yokesill.serving.driver import CrashFinding
+from yokesill.verdict import Failure
+
+RECORD_RETRY_S = 0.5
+# A quarantined request is tried again after so long: its servers' software may have been mended meanwhile. If
+# not, it ends a server of each of its shards and two more each time.
+KEPT_S, LOOK_S = 3600.0, 60.0
+
+
+class QuarantineLink:
+    """Tells others what the router found, the router what others found, and keeps the record.
+
+    Parameters
+    ----------
+    exchange
+        Knows whom to tell.
+    crashes
+        What the router knows.
+    feed
+        Gives the router an event.
+    records
+        The registry's record; ``None`` where there is none.
+    source
+        Spreads calls over time.
+    """
+
+    def __init__(
+        self,
+        exchange: QuarantineExchange,
+        crashes: RequestCrashes,
+        feed: Callable[[ev.Event], None],
+        records: QuarantineRecords | None,
+        source: random.Random,
+    ) -> None:
+        self.wanted: Callable[[], None] = lambda: None
+        self._exchange = exchange
+        self._crashes = crashes
+        self._feed = feed
+        self._records = records
+        self._random = source
+        self._unrecorded: dict[str, None] = {}
+        self._recorded_at_s: dict[str, float] = {}
+        self._record_wanted = anyio.Event()
+        self._log = get_logger("quarantine")
+
+    # --- datagrams ---
+
+    @property
+    def pending(self) -> bool:
+        """Whether there is something to send."""
+        return self._exchange.pending
+
+    @property
+    def urgent(self) -> bool:
+        """Whether it can't wait for more to go with it."""
+        return self._exchange.urgent
+
+    def flush(self) -> list[Datagram]:
+        """Return what is to be sent now."""
+        return self._exchange.flush()
+
+    def take(self, finding: CrashFinding) -> None:
+        """Take what this node's router found."""
+        match finding:
+            case ev.LossObserved(fingerprint, loss):
+                self._exchange.lost(ToldLoss(fingerprint, loss))
+            case ev.AnswerObserved(fingerprint, service, trial):
+                self._exchange.answered(ToldAnswer(fingerprint, service, trial))
+            case ev.RequestJudged(fingerprint, standing):
+                self._exchange.found(ToldStanding(fingerprint, standing))
+                self._record_soon(fingerprint, standing)
+        self.wanted()
+
+    def receive(self, data: bytes, sender: str) -> None:
+        """Take a datagram; raises ``ValueError`` if it is no message or from no node."""
+        match self._exchange.receive(data, sender):
+            case Losses(losses):
+                for fingerprint, loss in losses:
+                    self._feed(ev.LossReported(fingerprint, loss))
+            case Answers(answers):
+                for answer in answers:
+                    self._feed(ev.AnswerReported(*answer))
+            case Standings(standings):
+                for fingerprint, standing in standings:
+                    self._feed(ev.StandingHeard(fingerprint, standing))
+                    if self._exchange.judges(fingerprint):
+                        self._record_soon(fingerprint, standing)
+
+    # --- the record ---
+
+    async def run(self) -> None:
+        """Keep the registry's record until cancelled."""
+        if self._records is None:
+            return
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._record, self._records)
+            task_group.start_soon(self._lift_old, self._records)
+
+    def _record_soon(self, fingerprint: str, standing: Standing) -> None:
+        if standing is Standing.QUARANTINED and fingerprint not in self._crashes.judge.recorded:
+            self._unrecorded[fingerprint] = None
+            self._record_wanted.set()
+
+    async def _record(self, records: QuarantineRecords) -> None:
+        """Record what was found, as often as that takes; what another node has recorded needs no call."""
+        while True:
+            await self._record_wanted.wait()
+            self._record_wanted = anyio.Event()
+            while self._unrecorded:
+                fingerprint = next(iter(self._unrecorded))
+                known = fingerprint in self._crashes.judge.recorded
+                failure = None if known else await records.record(fingerprint)
+                if failure is None:
+                    self._unrecorded.pop(fingerprint, None)
+                    continue
+                self._tell("quarantine_not_recorded", fingerprint, failure)
+                await anyio.sleep(RECORD_RETRY_S * (0.5 + self._random.random()))
+
+    async def _lift_old(self, records: QuarantineRecords) -> None:
+        """Take requests off the record that have been on it for long; each one's judges see to it."""
+        while True:
+            await anyio.sleep(LOOK_S * (0.5 + self._random.random()))
+            now, recorded = anyio.current_time(), self._crashes.judge.recorded
+            self._recorded_at_s = {each: self._recorded_at_s.get(each, now) for each in recorded}
+            for fingerprint, since_s in self._recorded_at_s.items():
+                if now - since_s >= KEPT_S and self._exchange.judges(fingerprint):
+                    failure = await records.lift(fingerprint)
+                    if failure is not None:
+                        self._tell("quarantine_not_lifted", fingerprint, failure)
+
+    def _tell(self, event: str, fingerprint: str, failure: Failure) -> None:
+        self._log.info(event, fingerprint=fingerprint, reason=failure.reason, detail=failure.detail)
--- /dev/null
+++ b/src/yokesill/serving/running.py
@@ -0,0 +1,26 @@
+"""Runs a node until it is asked to stop."""
+
+import signal
+
+import anyio
+
+from yokesill.serving.process import GatewayProcess
+from yokesill.serving.reload import SettingsFollower
+
+
+async def run_until_stopped(process: GatewayProcess, follower: SettingsFollower) -> None:
+    """Run a node: SIGTERM and SIGINT begin its planned stop, SIGHUP reads its settings anew."""
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(follower.run)
+        task_group.start_soon(_follow_signals, process, follower)
+        await process.run()
+        task_group.cancel_scope.cancel()
+
+
+async def _follow_signals(process: GatewayProcess, follower: SettingsFollower) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                follower.reload("signal")
+            else:
+                process.stop()
--- a/src/yokesill/serving/surroundings.py
+++ b/src/yokesill/serving/surroundings.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from yokesill.registry.feeds import Feed, NodeDirectory, RolloutRecords
+from yokesill.registry.feeds import Feed, NodeDirectory, QuarantineRecords, RolloutRecords
 from yokesill.serving.names import HeaderNames
 from yokesill.serving.settings import Address
 
@@ -15,7 +15,8 @@
 
     Without ``evacuations`` zones are never evacuated, without ``rollouts`` nothing is rolled out;
     ``rollout_records`` is where the state of roll-outs is kept. ``callers_socket`` listens for callers
-    already; without it the node opens one itself.
+    already; without it the node opens one itself. ``quarantine`` tells which requests are kept from servers,
+    ``quarantine_records`` keeps that for good; without them nodes tell only one another.
     """
 
     configuration: Feed
@@ -28,3 +29,5 @@
     evacuations: Feed | None = None
     rollouts: Feed | None = None
     rollout_records: RolloutRecords | None = None
+    quarantine: Feed | None = None
+    quarantine_records: QuarantineRecords | None = None
--- a/src/yokesill/upstreams/connections.py
+++ b/src/yokesill/upstreams/connections.py
@@ -35,13 +35,14 @@
     """One connection to a server.
 
     ``reusable_until`` is when the server may close it for idleness, ``rested_at`` since when it has
-    been idle, in seconds of the node's clock.
+    been idle, in seconds of the node's clock. ``opened_in_s`` is how long connecting took (a round trip).
     """
 
-    __slots__ = ("_lost", "_pending", "_wire", "rested_at", "reusable_until")
+    __slots__ = ("_lost", "_pending", "_wire", "opened_in_s", "rested_at", "reusable_until")
 
     def __init__(self, lost: Callable[["ServerConnection"], None]) -> None:
         self.reusable_until = 0.0
+        self.opened_in_s = 0.0
         self.rested_at: float | None = None
         self._lost = lost
         self._pending: PendingReply | None = None
--- a/src/yokesill/upstreams/server_client.py
+++ b/src/yokesill/upstreams/server_client.py
@@ -25,6 +25,9 @@
 LONGEST_TURN_S = 0.5
 # A connection that rested for so long and is reset when used was forgotten by its server.
 RESTED_S = 0.5
+# A reset that a request met on its way to the server comes back within a round trip, which connecting took at
+# least; what comes later came while the server worked on the request, or ended under it.
+PROMPT_ROUND_TRIPS, PROMPT_S = 1.5, 0.002
 # A connection that brought nothing for so long may be silent for good; pauses of servers are shorter.
 SILENT_S = 0.5
 VERDICT_OF_STATE = {
@@ -161,7 +164,7 @@
         if not self._is_live(call):
             connections.give_back(opened, self._clock() + idle_time_s(None))
             return
-        call.connected_in_s = self._clock() - started
+        call.connected_in_s = opened.opened_in_s = self._clock() - started
         self._start(call, opened)
 
     def _is_live(self, call: AttemptCall) -> bool:
@@ -189,7 +192,7 @@
 
     def _reason_of_loss(self, call: AttemptCall, error: Exception) -> Reason:
         """Return what the loss of a connection says of its server."""
-        if not isinstance(error, ResetBeforeReplyError):
+        if not isinstance(error, ResetBeforeReplyError) or not self._prompt(call):
             return Reason.CONNECTION_LOST
         if call.connected_in_s is not None:
             call.connections.refused_at = self._clock()
@@ -199,6 +202,13 @@
             return Reason.CONNECTION_FORGOTTEN
         return Reason.CONNECTION_LOST
 
+    def _prompt(self, call: AttemptCall) -> bool:
+        """Whether what comes now was under way before the server can have worked on the request."""
+        if call.connection is None or call.sent_at is None:
+            return True
+        bound_s = PROMPT_ROUND_TRIPS * call.connection.opened_in_s + PROMPT_S
+        return self._clock() - call.sent_at <= bound_s
+
     def _take_reply(self, call: AttemptCall, reader: HttpReplyReader) -> None:
         headers = dict(reader.headers)
         reply = read_reply(call.attempt, reader, headers, self._names)
--- a/src/yokesill/verdict.py
+++ b/src/yokesill/verdict.py
@@ -62,6 +62,8 @@
     OWNER_UNREACHABLE = "owner_unreachable"
     DUPLICATE_IN_DOUBT = "duplicate_in_doubt"
     KEY_REUSED = "key_reused"
+    # Servers ended under it: it is not sent to any more.
+    QUARANTINED = "quarantined"
 
 
 class Failure(NamedTuple):
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -113,11 +113,27 @@
         self.now = end
 
     def arrive(
-        self, path: str = "/wide/x", patience: float | None = 1.5, host: str = HOST, fresh: bool = True
+        self,
+        path: str = "/wide/x",
+        patience: float | None = 1.5,
+        host: str = HOST,
+        fresh: bool = True,
+        asked_before: bool = False,
     ) -> str:
         key = f"k{next(self._numbers)}"
         request = GatewayRequest(
-            key, f"id-{key}", b"GET", host, path, path.encode(), (), b"", self.now, patience, fresh
+            key,
+            f"id-{key}",
+            b"GET",
+            host,
+            path,
+            path.encode(),
+            (),
+            b"",
+            self.now,
+            patience,
+            fresh,
+            asked_before,
         )
         self.feed(ev.RequestArrived(request))
         return key
--- a/tests/outliers/test_judging.py
+++ b/tests/outliers/test_judging.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from yokesill.outliers.exchange import OutlierExchange, Peer
+from yokesill.outliers.exchange import OutlierExchange
 from yokesill.outliers.judge import OutlierJudge
 from yokesill.outliers.messages import Observation, Observations, Suspicion, Suspicions, decode, encode
+from yokesill.outliers.spreading import Peer
 
 
 class Fleet:
@@ -62,7 +63,7 @@
 
 def test_one_judge_that_is_gone_hides_nothing() -> None:
     fleet = Fleet({"z1": 4, "z2": 4})
-    judges = fleet.nodes["z1-0"]._judges_of("slow")
+    judges = fleet.nodes["z1-0"]._spreading.judges_of("slow")
     fleet.dark.add(judges[0])
     others = [peer.node for peer in fleet.peers if peer.node not in judges]
     for number in range(3):
--- a/tests/serving/crash_fleet.py
+++ b/tests/serving/crash_fleet.py
@@ -19,7 +19,11 @@
 from yokesill.gateway.messages import Attempt, GatewayRequest, ServerReply
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.router import GatewayRouter
+from yokesill.outliers.spreading import Peer
+from yokesill.quarantine.exchange import QuarantineExchange
+from yokesill.registry.feeds import QuarantineRecords
 from yokesill.serving.driver import GatewayDriver
+from yokesill.serving.quarantine_link import QuarantineLink
 from yokesill.verdict import Failure, Reason, Verdict
 
 SHARDS = tuple(f"shard-{number}" for number in range(10))
@@ -27,6 +31,7 @@
 ROUTE = gather_route(0.89, SHARDS, attempts=3)
 DEADLY = "/wide/deadly"
 WORK_S, RESTART_S, NOTICED_S, FEED_DELAY_S, DATAGRAM_S = 0.04, 1.0, 3.6, 0.35, 0.002
+GATHERING_S = 0.015
 CONTACT_S = 5.0
 TERMS = BudgetTerms(ratio=0.2, allowance=58.0, window=10.0)
 LOST = Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "closed before a reply")
@@ -137,24 +142,72 @@
             done(ev.AttemptAnswered(attempt.number, outcome, sent_at=sent_at))
 
 
+class Registry(QuarantineRecords):
+    """Records what is kept from servers, and tells all nodes that it reaches; ``down``: it takes nothing."""
+
+    def __init__(self, fleet: "CrashFleet") -> None:
+        self._fleet = fleet
+        self.down = False
+        self.recorded: frozenset[str] = frozenset()
+
+    async def record(self, fingerprint: str) -> Failure | None:
+        await anyio.sleep(0.004)
+        if self.down:
+            return DOWN
+        self.recorded |= {fingerprint}
+        self._fleet.tasks.start_soon(self._tell, ev.RequestQuarantined(fingerprint))
+        return None
+
+    async def lift(self, fingerprint: str) -> Failure | None:
+        await anyio.sleep(0.004)
+        if self.down:
+            return DOWN
+        self.recorded -= {fingerprint}
+        self._fleet.tasks.start_soon(self._tell, ev.QuarantineLifted(fingerprint))
+        return None
+
+    async def _tell(self, event: ev.Event) -> None:
+        await anyio.sleep(FEED_DELAY_S)
+        self._fleet.tell(event)
+
+
 class CrashNode:
-    """One node; ``dead``: it is gone."""
+    """One node; ``dead``: it is gone. ``deaf``: no datagram leaves or reaches it."""
 
     def __init__(self, fleet: "CrashFleet", name: str) -> None:
         self.name = name
         self.fleet = fleet
-        self.dead = False
+        self.dead = self.deaf = False
         number = int(name.removeprefix("n"))
         self.zone = f"z{number % 3 + 1}"
         options = GatewayOptions(self.zone, name, budget=TERMS)
         source = random.Random(1000 + number)
         self.router = GatewayRouter(options, source, anyio.current_time() - 100.0)
         self.driver = GatewayDriver(self.router, ModelClient(fleet, name), lambda _note: None)
+        self.peer = Peer(name, f"10.0.0.{number + 1}:9", self.zone)
+        self.exchange = QuarantineExchange(self.peer, source)
+        feed = (self.router.quarantine, self.driver.feed)
+        self.link = QuarantineLink(self.exchange, *feed, fleet.registry, source)
+        self.driver.crashed = self.link.take
+        self.link.wanted = lambda: fleet.tasks.start_soon(self._send)
         self.scope = anyio.CancelScope()
 
     async def run(self) -> None:
         with self.scope:
-            await self.driver.run()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.link.run)
+                await self.driver.run()
+
+    async def _send(self) -> None:
+        await anyio.sleep(0.0 if self.link.urgent else GATHERING_S)
+        datagrams = [] if self.deaf or self.dead else self.link.flush()
+        await anyio.sleep(DATAGRAM_S)
+        for datagram in datagrams:
+            for node in self.fleet.nodes:
+                if node.peer.address == datagram.address and not node.dead and not node.deaf:
+                    node.link.receive(datagram.data, self.peer.address)
+                    if node.link.pending:
+                        self.fleet.tasks.start_soon(node._send)
 
     def learn(self, event: ev.Event) -> None:
         if not self.dead:
@@ -174,6 +227,7 @@
         self.routes = routes
         self.services = tuple(dict.fromkeys(name for route in routes for name in route.services))
         self.servers = ModelServers(self)
+        self.registry = Registry(self)
         self.finals: Counter[tuple[str, str]] = Counter()
         self.nodes: list[CrashNode] = []
         self._numbers = itertools.count(1)
@@ -186,8 +240,12 @@
         self.nodes = [each for each in self.nodes if each.name != name] + [node]
         self.tasks.start_soon(node.run)
         self.tell(ev.NodesCounted(len(self.nodes)))
+        for each in self.nodes:
+            each.exchange.set_peers(other.peer for other in self.nodes)
         node.learn(ev.ConfigurationLearnt(configuration(1, *self.routes)))
         node.learn(ev.ServersReplaced(self.servers.records()))
+        if not self.registry.down:
+            node.learn(ev.QuarantineReplaced(self.registry.recorded))
         return node
 
     def node(self, name: str) -> CrashNode:
--- a/tests/serving/test_server_client.py
+++ b/tests/serving/test_server_client.py
@@ -437,3 +437,14 @@
         failed(await call(client, attempt(2)), Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
 
     with_server(well, main)
+
+
+def test_a_reset_that_comes_while_the_server_works_is_no_refusal() -> None:
+    async def ends(server: MemoryServer, stream: MemoryStream, heard: Heard) -> None:
+        await anyio.sleep(0.03)
+        await _reset_at_once(server, stream, heard)
+
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        failed(await call(client, attempt(1)), Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+
+    with_server(ends, main)
--- a/tests/serving/test_snapshots.py
+++ b/tests/serving/test_snapshots.py
@@ -28,20 +28,22 @@
     RolloutOrder("desk", "", 0.0, 41, 41, problem="rollouts.desk.targetVersion: is missing"),
 )
 ESTABLISHED = {"s1": ("7",), "desk": ("3", "4")}
-SNAPSHOT = encode_snapshot(STATE, RECORDS, frozenset({"z1"}), ORDERS, ESTABLISHED)
+QUARANTINED = frozenset({"00ff", "11ee"})
+SNAPSHOT = encode_snapshot(STATE, RECORDS, frozenset({"z1"}), ORDERS, ESTABLISHED, QUARANTINED)
 
 
 def test_a_snapshot_comes_back_as_it_was() -> None:
-    learnt, established, orders, replaced, evacuated = decode_snapshot(SNAPSHOT)
+    learnt, established, orders, quarantined, replaced, evacuated = decode_snapshot(SNAPSHOT)
     assert learnt == ev.ConfigurationLearnt(STATE)
     assert established == ev.VersionsEstablished(ESTABLISHED)
     assert orders == ev.RolloutsReplaced(ORDERS)
+    assert quarantined == ev.QuarantineReplaced(QUARANTINED)
     assert replaced == ev.ServersReplaced(tuple(RECORDS))
     assert evacuated == ev.EvacuationsReplaced(frozenset({"z1"}))
 
 
 @pytest.mark.parametrize(
-    "data", [b"", b"\xff", cbor2.dumps([]), cbor2.dumps({"format": 2}), cbor2.dumps({"format": 3})]
+    "data", [b"", b"\xff", cbor2.dumps([]), cbor2.dumps({"format": 3}), cbor2.dumps({"format": 4})]
 )
 def test_a_malformed_snapshot_is_refused(data: bytes) -> None:
     with pytest.raises(ValueError, match="snapshot"):
@@ -79,6 +81,7 @@
         ev.ConfigurationLearnt,
         ev.VersionsEstablished,
         ev.RolloutsReplaced,
+        ev.QuarantineReplaced,
         ev.ServersReplaced,
         ev.EvacuationsReplaced,
     ]
