Soak: requests that end servers, suspended processes, stops and changes in series, callers that stay

Change: a request that ends the servers that run it comes again at any node; a process is stopped together with its steady clock; SIGHUP; all nodes are stopped in turn, each while the last one ends or starts, with changes of the configuration in quick succession; three in ten callers go on using connections that they were told are closing. A checker keeps to the rule's figure. Two starts of one node can't meet any more.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from soak.layout import FRONT_PORT, HOST, LONG_WORD, READY_PORT, READY_URL_PATH, ROUTES, Layout
+from soak.layout import DEADLY_WORD, FRONT_PORT, HOST, LONG_WORD, READY_PORT, READY_URL_PATH, ROUTES, Layout
 from soak.standin import (
     BrokenOff,
     EventLog,
@@ -23,12 +23,14 @@
 from yokesill.platform.names import HEADER_NAMES
 
 RATES_PER_S = {"wide": 12.0, "read": 10.0, "once": 10.0}
-PRESS_EVERY_S = 0.15
+PRESS_EVERY_S, CLING_EVERY_S, DEADLY_EVERY_S = 0.15, 0.25, 0.35
 PROBE_EVERY_S, READY_EVERY_S, MISSES = 0.35, 1.0, 2
 CONNECT_S = 1.0
 # Longer than any bound on an answer, so that a late one is seen as late.
 BEYOND_S = 1.5
 REUSED_UP_TO_S, KEPT_SHARE = 4.0, 0.7
+# So many callers go on using a connection although they were told that it closes.
+STUBBORN_SHARE = 0.3
 REQUEST_ID, DEADLINE, SIGNATURE, PARTS, MISSING = (
     name.decode()
     for name in (
@@ -60,20 +62,24 @@
         self._version = 1
         self._factor = 1.0
         self._pressed: int | None = None
+        self._deadly: set[int] = set()
         self._misses = [0] * layout.nodes
         self._kept: dict[int, list[tuple[float, Connection]]] = {node: [] for node in range(layout.nodes)}
         self._jobs: set[asyncio.Task[None]] = set()
 
     def obey(self, order: dict[str, Any]) -> None:
-        """Learn the newest configuration, how much more load is wanted, and which node to press."""
+        """Learn the configuration, how much more load is wanted, whom to press, and what ends servers."""
         self._version = order.get("version", self._version)
         self._factor = order.get("factor", self._factor)
         self._pressed = order.get("press", self._pressed)
+        self._deadly |= set(order.get("deadly", ()))
+        self._deadly -= set(order.get("harmless", ()))
 
     async def run(self) -> None:
         """Send load until cancelled, then wait for what is under way."""
         streams = [self._send_route(route, rate) for route, rate in RATES_PER_S.items()]
         streams += [self._watch_readiness(), self._send_probes(), self._press()]
+        streams += [self._cling(), self._send_deadly()]
         try:
             await asyncio.gather(*streams)
         finally:
@@ -104,6 +110,24 @@
                 terms = ROUTES["once"]
                 self._start("once", self._pressed, terms.path + LONG_WORD.lstrip("/"), terms.timeout_s)
 
+    async def _cling(self) -> None:
+        """Go on using open connections, whether or not their node is ready, until it is gone."""
+        while True:
+            await asyncio.sleep(CLING_EVERY_S)
+            held = [node for node, kept in self._kept.items() if kept]
+            if held:
+                terms = ROUTES["read"]
+                self._start("read", self._source.choice(held), terms.path, terms.timeout_s)
+
+    async def _send_deadly(self) -> None:
+        """Send the same requests again and again, at any node: wide ones and others."""
+        while True:
+            await asyncio.sleep(DEADLY_EVERY_S * self._source.uniform(0.2, 1.8))
+            for number in sorted(self._deadly):
+                route = ("wide", "read")[number % 2]
+                path = f"{ROUTES[route].path.rstrip('/')}{DEADLY_WORD}{number}"
+                self._begin(f"deadly-{route}", self._node(), path, ROUTES[route].timeout_s)
+
     async def _watch_readiness(self) -> None:
         while True:
             await asyncio.gather(*(self._ask_ready(node) for node in range(self._layout.nodes)))
@@ -119,8 +143,13 @@
         return self._source.choice(ready or range(self._layout.nodes))
 
     def _start(self, route: str, node: int, path: str, deadline_s: float) -> None:
+        self._begin(route, node, path, deadline_s, alone=True)
+
+    def _begin(self, route: str, node: int, path: str, deadline_s: float, alone: bool = False) -> None:
+        """Send a request; ``alone`` if its path is to be its own."""
         request_id = f"{self._prefix}-{next(self._numbers)}"
-        job = asyncio.create_task(self._request(route, node, f"{path}{request_id}", request_id, deadline_s))
+        path += request_id if alone else ""
+        job = asyncio.create_task(self._request(route, node, path, request_id, deadline_s))
         self._jobs.add(job)
         job.add_done_callback(self._jobs.discard)
 
@@ -165,7 +194,8 @@
 
     def _keep(self, node: int, connection: Connection, message: HttpMessage | None) -> None:
         closing = message is None or message.headers.get("connection", "").lower() == "close"
-        if closing or self._source.random() > KEPT_SHARE:
+        stubborn = message is not None and self._source.random() < STUBBORN_SHARE
+        if (closing and not stubborn) or self._source.random() > KEPT_SHARE:
             connection.writer.close()
         else:
             self._kept[node].append((time.monotonic(), connection))
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -17,6 +17,7 @@
 )
 from soak.work_checkers import (
     at_most_once,
+    deadly_kept_from_servers,
     extra_within_budget,
     not_run_never_ran,
     nothing_new_to_leaving,
@@ -32,6 +33,7 @@
         at_most_once,
         right_service,
         nothing_new_to_leaving,
+        deadly_kept_from_servers,
         extra_within_budget,
         planned_stop_cuts_nothing,
         configuration_in_force,
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -16,6 +16,8 @@
 FIRST_VERSION = "s1"
 # Requests on paths with this word take a server longer than a node needs to stop taking callers.
 LONG_WORD, LONG_WORK_S = "/long/", 0.8
+# Requests on paths with this word end each server that begins to run them.
+DEADLY_WORD, DEADLY_WORK_S, RESTART_S = "/deadly-", 0.004, 1.0
 
 
 class Bounds(NamedTuple):
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -9,6 +9,7 @@
 
 from soak.layout import FRONT_PORT, READY_PORT, READY_URL_PATH, Bounds, Layout, settings_text
 from soak.standin import EventLog, call
+from soak.suspendable import SUSPENDED_VARIABLE
 from yokesill.platform.names import SETTINGS_VARIABLE
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -24,15 +25,18 @@
         self._bounds = bounds
         self._folder = folder
         self._log = log
+        self._suspended_s: dict[int, float] = {}
 
     async def start(self, node: int) -> None:
         """Start a node and return once it says that it is ready."""
         settings = self._folder / f"node-{node}.toml"
         settings.write_text(settings_text(self._layout, node, self._bounds))
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        self._tell_suspended(node, 0.0)
+        environment |= {SUSPENDED_VARIABLE: str(self._suspended_file(node))}
         environment |= {SETTINGS_VARIABLE: str(settings), "PYTHONPATH": sysconfig.get_paths()["purelib"]}
         front = f"{self._layout.node(node)}:{FRONT_PORT}"
-        command = (sys.executable, "-S", "deploy/serve.py", front)
+        command = (sys.executable, "-S", "soak/suspendable.py", "deploy/serve.py", front)
         with (self._folder / f"node-{node}.log").open("ab") as output:
             self.processes[node] = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=environment, stdout=output, stderr=output
@@ -57,6 +61,23 @@
             process.send_signal(number)
             self._log.write("node_signal", node=node, signal=number.name)
 
+    async def suspend(self, node: int, seconds: float) -> None:
+        """Stop a node together with its steady clock, as a machine that is suspended does."""
+        process = self.processes[node]
+        self.send(node, signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        if self.processes[node] is process:
+            self._tell_suspended(node, seconds)
+        self.send(node, signal.SIGCONT)
+
+    def _suspended_file(self, node: int) -> Path:
+        return self._folder / f"node-{node}.suspended"
+
+    def _tell_suspended(self, node: int, seconds: float) -> None:
+        """Let a node's steady clock stand back by so much more than it does."""
+        self._suspended_s[node] = self._suspended_s.get(node, 0.0) + seconds
+        self._suspended_file(node).write_text(f"{self._suspended_s[node]:020.6f}")
+
     async def kill(self, node: int) -> None:
         """End a node without warning."""
         self.send(node, signal.SIGKILL)
--- a/soak/record.py
+++ b/soak/record.py
@@ -92,6 +92,14 @@
     bad: bool
 
 
+class Crash(NamedTuple):
+    """A server that a request on ``path`` ended."""
+
+    at_s: float
+    server: str
+    path: str
+
+
 class Record(NamedTuple):
     """Everything that callers, servers, the store and the soak itself saw."""
 
@@ -106,6 +114,7 @@
     ended: dict[str, float] = {}  # noqa: RUF012
     started: tuple[Started, ...] = ()
     node_starts: dict[int, tuple[float, ...]] = {}  # noqa: RUF012
+    crashes: tuple[Crash, ...] = ()
 
     def disturbed(
         self,
@@ -180,6 +189,7 @@
         ended={event["server"]: event["t"] for event in by_kind["ended"]},
         started=tuple(_fields(Started, event, at_s=event["t"]) for event in by_kind["started"]),
         node_starts={node: tuple(times) for node, times in starts.items()},
+        crashes=tuple(_fields(Crash, event, at_s=event["t"]) for event in by_kind["crashed"]),
     )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -55,6 +55,7 @@
         self._shard_set = "a"
         self._operating = asyncio.Lock()
         self._told: set[str] = set()
+        self._restarting = [asyncio.Lock() for _ in range(layout.nodes)]
 
     async def run(self, about: dict[str, Any]) -> int:
         """Run, write the report, and return how many violations there were."""
@@ -134,6 +135,11 @@
             standins.callers.order(factor=BURST_FACTOR)
             await asyncio.sleep(lasting_s)
             standins.callers.order(factor=1.0)
+        elif kind == "deadly_request":
+            number = next(self._numbers)
+            standins.callers.order(deadly=[number])
+            await asyncio.sleep(lasting_s)
+            standins.callers.order(harmless=[number])
         elif kind.startswith("node_") or kind == "herd_kill":
             # Callers that know nothing of a stop yet keep coming, with requests that take long.
             pressed = fault.targets[0] if kind == "node_stop" else None
@@ -153,12 +159,20 @@
             await asyncio.sleep(lasting_s)
             self._nodes.send(node, signal.SIGCONT)
             return
-        if kind == "node_stop":
-            await self._nodes.terminate(node)
-        else:
-            await self._nodes.kill(node)
-            await asyncio.sleep(lasting_s)
-        await self._nodes.start(node)
+        if kind == "node_suspend":
+            await self._nodes.suspend(node, lasting_s)
+            return
+        if kind == "node_hup":
+            self._nodes.send(node, signal.SIGHUP)
+            return
+        # Signals may meet a node that ends or starts; two starts of one node may not.
+        async with self._restarting[node]:
+            if kind == "node_stop":
+                await self._nodes.terminate(node)
+            else:
+                await self._nodes.kill(node)
+                await asyncio.sleep(lasting_s)
+            await self._nodes.start(node)
 
     async def _disturb_link(self, network: Standin, fault: Fault, lasting_s: float) -> None:
         link = fault.kind.split("_")[0]
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -9,6 +9,8 @@
 KINDS: dict[str, tuple[str, float, float]] = {
     "node_kill": ("node", 0.5, 3.0),
     "node_pause": ("node", 0.5, 4.0),
+    "node_suspend": ("node", 1.0, 6.0),
+    "node_hup": ("node", 0.1, 0.1),
     "node_stop": ("node", 8.0, 8.0),
     "herd_kill": ("all", 1.0, 1.0),
     "front_reset": ("front", 0.2, 1.0),
@@ -45,6 +47,7 @@
     "desk_loses_answers": ("desk", 0.5, 1.5),
     "desk_dark": ("desk", 1.0, 2.5),
     "load_burst": ("callers", 2.0, 4.0),
+    "deadly_request": ("callers", 6.0, 12.0),
     "config_change": ("operator", 0.1, 0.1),
     "reshard": ("operator", 0.1, 0.1),
 }
@@ -64,6 +67,10 @@
 # Servers leave all the time, beside whatever else happens: the bound on them is judged only where
 # nothing else touched them, so that few of those that leave among the other faults would count.
 DRAIN_EVERY_S = (7.0, 10.0)
+# Now and then nodes are stopped in turn, the next while the last one still ends or starts, and changes of the
+# configuration come close together meanwhile.
+SERIES_EVERY_S, STOP_GAP_S = (18.0, 30.0), (0.8, 2.0)
+CHANGES_IN_SERIES, CHANGE_GAP_S = 6, 0.3
 
 
 class Fault(NamedTuple):
@@ -100,6 +107,7 @@
     if "server_drain" in kinds:
         faults += _drains(source, end_s, servers)
     faults += _rollouts(source, end_s, kinds)
+    faults += _series(source, end_s, nodes, kinds, [each for each in faults if each.kind == "herd_kill"])
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
@@ -157,6 +165,33 @@
     return faults
 
 
+def _series(
+    source: random.Random, end_s: float, nodes: int, kinds: tuple[str, ...], herds: list[Fault]
+) -> list[Fault]:
+    """Return stops of all nodes in turn, and changes in quick succession beside them."""
+    if not {"node_stop", "config_change"} <= set(kinds):
+        return []
+    faults: list[Fault] = []
+    at_s = FIRST_AT_S + source.uniform(*SERIES_EVERY_S) / 2
+    lasting_s = KINDS["node_stop"][2]
+    while at_s + lasting_s < end_s:
+        stop_s = at_s
+        for node in source.sample(range(nodes), nodes):
+            faults.append(Fault("node_stop", round(stop_s, 3), round(stop_s + lasting_s, 3), (node,)))
+            stop_s += source.uniform(*STOP_GAP_S)
+        for number in range(CHANGES_IN_SERIES):
+            change_s = round(at_s + number * CHANGE_GAP_S, 3)
+            faults.append(Fault("config_change", change_s, round(change_s + 0.1, 3), ()))
+        at_s = stop_s + source.uniform(*SERIES_EVERY_S)
+    quiet = [(herd.at_s - 0.1, herd.at_s + HERD_QUIET_S) for herd in herds]
+    return [
+        each
+        for each in faults
+        if each.until_s <= end_s
+        and not any(each.at_s <= until_s and each.until_s >= begin_s for begin_s, until_s in quiet)
+    ]
+
+
 def _rollouts(source: random.Random, end_s: float, kinds: tuple[str, ...]) -> list[Fault]:
     wanted = [kind for kind in kinds if kind in ROLLOUT_KINDS]
     faults: list[Fault] = []
--- a/soak/server.py
+++ b/soak/server.py
@@ -3,9 +3,10 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
-from soak.layout import DESK, LONG_WORD, LONG_WORK_S, SERVER_PORT, SLOTS
+from soak.layout import DEADLY_WORD, DEADLY_WORK_S, DESK, LONG_WORD, LONG_WORK_S, SERVER_PORT, SLOTS
 from soak.records import records_of, single_body
 from soak.standin import EventLog, HttpMessage, encode_message, read_message
 from yokesill.platform.names import HEADER_NAMES
@@ -46,6 +47,7 @@
         self.mode = "sound"
         self.bad = False
         self.leaving = False
+        self.crashed: Callable[[], None] = lambda: None
         self._log = log
         self._source = source
         self._running = 0
@@ -127,6 +129,11 @@
         request_id = request.headers[REQUEST_ID]
         signature = f"{self.instance}.{next(self._numbers)}"
         self._note(request, ran=True, signature=signature)
+        if DEADLY_WORD in request.first[1]:
+            await asyncio.sleep(DEADLY_WORK_S)
+            self._log.write("crashed", server=self.instance, path=request.first[1])
+            self.crashed()
+            return None
         work_s = (DESK_WORK_S if self.service == DESK else SHARD_WORK_S) * self._source.lognormvariate(0, 0.4)
         work_s *= SLOW_FACTOR if self.mode == "slow" else 1.0
         work_s += LONG_WORK_S if LONG_WORD in request.first[1] else 0.0
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -8,7 +8,17 @@
 from pathlib import Path
 from typing import Any
 
-from soak.layout import DESK, FIRST_VERSION, OPERATOR_PORT, SERVER_PORT, SLOTS, ZONES, Bounds, Layout
+from soak.layout import (
+    DESK,
+    FIRST_VERSION,
+    OPERATOR_PORT,
+    RESTART_S,
+    SERVER_PORT,
+    SLOTS,
+    ZONES,
+    Bounds,
+    Layout,
+)
 from soak.server import Server
 from soak.standin import EventLog, call, follow_orders, run_standin
 from soak.store import HEARTBEAT_S
@@ -97,6 +107,7 @@
         instance = f"i-{slot}-{next(self._numbers)}"
         server = Server(instance, service, version, self._log, random.Random(self._source.random()))
         server.bad = bad
+        server.crashed = lambda: self._crash(slot, server)
         self._servers[slot] = server
         await server.start(self._layout.address(2, slot))
         self._log.write("started", server=instance, service=service, version=version, slot=slot, bad=bad)
@@ -109,6 +120,18 @@
             server.end()
         return server
 
+    def _crash(self, slot: int, server: Server) -> None:
+        """End a server that a request ended; another one starts in its place."""
+        if self._servers.get(slot) is server:
+            self._end(slot)
+            job = asyncio.create_task(self._start_again(slot, server))
+            self._jobs.add(job)
+            job.add_done_callback(self._jobs.discard)
+
+    async def _start_again(self, slot: int, server: Server) -> None:
+        await asyncio.sleep(RESTART_S)
+        await self._start(slot, server.service, server.version, server.bad)
+
     async def _drain(self, slot: int) -> None:
         """State ``draining``, serve on for the bound and a while, and end."""
         server = self._servers.get(slot)
--- a/soak/work_checkers.py
+++ b/soak/work_checkers.py
@@ -7,6 +7,9 @@
 from soak.layout import DESK, ROUTES
 from soak.record import Arrival, Record
 
+# The rule's figure: so many servers, and as many sends later than the bound.
+DEADLY_SERVERS = 3
+
 
 def not_run_never_ran(record: Record) -> Checked:
     """What is answered as not run has not run and never will, where it must not run twice."""
@@ -114,3 +117,38 @@
         else:
             due[DESK].append(ask.asked_s)
     return due
+
+
+def deadly_kept_from_servers(record: Record) -> Checked:
+    """A request that has ended three servers reaches no more than three later than the bound.
+
+    A case for each such request. What nodes out of touch sent does not count, nor what came while the store
+    was disturbed; a wide request may have been handed to any node.
+    """
+    asks = {ask.id: ask for ask in record.asks}
+    crashed: dict[str, dict[str, float]] = defaultdict(dict)
+    for each in record.crashes:
+        crashed[each.path].setdefault(each.server, each.at_s)
+
+    def counts(each: Arrival, since_s: float) -> bool:
+        ask = asks.get(each.id)
+        if ask is None or not record.core_stable(since_s, each.at_s):
+            return False
+        nodes = range(record.layout.nodes) if ask.route.endswith("wide") else (ask.node,)
+        return all(record.node_in_touch(node, each.at_s, each.at_s) for node in nodes)
+
+    def cases() -> Iterator[Case]:
+        for path, servers in crashed.items():
+            if len(servers) < DEADLY_SERVERS:
+                continue
+            third_s = sorted(servers.values())[DEADLY_SERVERS - 1]
+            due_s = third_s + record.bounds.contact_s
+            late = [x for x in record.arrivals if x.path == path and x.at_s > due_s and counts(x, third_s)]
+            told = (
+                f"{path}: {len(late)} more after {len(servers)} servers, the first {late[0].id}"
+                if late
+                else ""
+            )
+            yield third_s, told if len(late) > DEADLY_SERVERS else ""
+
+    return judge("deadly_kept_from_servers", cases())
--- a/tests/soak/test_soak_checkers.py
+++ b/tests/soak/test_soak_checkers.py
@@ -4,7 +4,9 @@
 
 import pytest
 from run_record import (
+    SHARDS,
     arrival,
+    ask,
     good,
     probe,
     single,
@@ -18,7 +20,7 @@
 
 from soak.checkers import CHECKERS, check
 from soak.layout import DESK
-from soak.record import Record
+from soak.record import Crash, Record
 from soak.records import greatest_records
 
 Broken = Callable[[], Record]
@@ -177,3 +179,29 @@
     records = [body[at : at + 16] for at in range(0, len(body), 16)]
     assert len(set(records)) == 16
     assert records == sorted(records, reverse=True)
+
+
+def _broken(record: Record) -> set[str]:
+    return {name for name, checked in check(record).items() if checked.violations}
+
+
+def deadly(sends: int, at_s: float = 18.0) -> Record:
+    """Return a run in which a request ends three servers at 10 s and is sent on later."""
+    path = "/wide/deadly-1"
+    first = [arrival(10.0, service, "d0", path=path) for service in SHARDS[:3]]
+    later = [arrival(at_s, SHARDS[n % 5], f"d{n + 1}", server=f"i-{n}", path=path) for n in range(sends)]
+    record = with_arrivals(good(), *first, *later)
+    for each in (*first, *later):
+        record = with_ask(record, ask(each.id, "deadly-wide", each.at_s, status=502))
+    return record._replace(crashes=tuple(Crash(each.at_s + 0.01, each.server, path) for each in first))
+
+
+def test_a_request_that_ended_three_servers_reaches_three_more_at_most() -> None:
+    assert _broken(deadly(3)) == set()
+    assert _broken(deadly(4)) == {"deadly_kept_from_servers"}
+    assert _broken(deadly(9, at_s=13.0)) == set()
+
+
+def test_what_nodes_out_of_touch_send_of_it_does_not_count() -> None:
+    assert _broken(with_fault(deadly(4), "node_suspend", 15.0, 16.0, 1)) == set()
+    assert _broken(with_fault(deadly(4), "store_down", 15.0, 16.0)) == set()
