--- a/soak/node_checkers.py
+++ b/soak/node_checkers.py
@@ -41,11 +41,16 @@
 
 
 def _given_up(record: Record, ask: Ask, arrivals: list[Arrival], slots: dict[str, int]) -> bool:
-    """Whether a node answered for itself, before the time-out, while a sound server was at work."""
+    """Whether a node answered for itself, before the time-out, while a sound server was at work.
+
+    Not where servers have just ended under a request: what was there with it broke off too, and the answers
+    of the other shards can't make up for it.
+    """
     terms = ROUTES.get(ask.route)
     if terms is None or ask.signature or ask.succeeded or ask.status in (0, *PROMISES_NOT_RUN):
         return False
-    if ask.ended_s - ask.asked_s > terms.timeout_s - EARLY_S:
+    late = ask.ended_s - ask.asked_s > terms.timeout_s - EARLY_S
+    if late or record.servers_crashed(ask.asked_s, ask.ended_s):
         return False
     return any(
         each.ran
--- a/soak/record.py
+++ b/soak/record.py
@@ -7,9 +7,12 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from soak.layout import Bounds, Layout
+from soak.layout import RESTART_S, Bounds, Layout
 from soak.schedule import ALL_KINDS, Fault
 
+# A server that a request ended is back, and all nodes know it, after so long.
+BACK_AFTER_S = RESTART_S + 1.0
+
 
 class Ask(NamedTuple):
     """A caller's request and its end; times in seconds of the machine's monotonic clock.
@@ -147,6 +150,10 @@
             ("server", "shard", "shards", "desk"), slot, begin_s, end_s, but="server_drain"
         )
 
+    def servers_crashed(self, begin_s: float, end_s: float) -> bool:
+        """Whether servers that a request had ended were gone at some moment of a time."""
+        return any(begin_s - BACK_AFTER_S <= each.at_s <= end_s for each in self.crashes)
+
     def core_stable(self, begin_s: float, end_s: float) -> bool:
         """Whether the store was sound."""
         return not self.disturbed(("core",), None, begin_s, end_s)
--- a/src/yokesill/cli/explain.py
+++ b/src/yokesill/cli/explain.py
@@ -11,6 +11,7 @@
 from yokesill.cli.base import BaseCommand, ExitCode
 
 CONTEXT_EVENTS = frozenset({"server_state", "server_entry", "rollout_obeyed"})
+JUDGED = "request_judged"
 LEFT_OUT = frozenset({"event", "timestamp", "level", "component", "request"})
 
 
@@ -48,8 +49,8 @@
 def story(lines: Iterable[LogLine], request: str) -> list[LogLine]:
     """Return the request's own lines and what was believed of its servers on the same node before.
 
-    In the order of time; of each server, and of each service's roll-out, only the last change before the
-    request's last line.
+    With what any node found of requests like it. In the order of time; of each server, and of each service's
+    roll-out, only the last change before the request's last line.
     """
     ordered = sorted(lines, key=lambda line: line.time)
     own = [line for line in ordered if line.fields.get("request") == request]
@@ -60,6 +61,9 @@
     named = [line.fields.get(field, ()) for line in own for field in ("missing", "left_out")]
     services = {service for names in named for service in names}
     services |= {line.fields.get("service") for line in own} - {None}
+    fingerprints = {line.fields.get("fingerprint") for line in own} - {None}
+    # Any node may have found what holds for a request that comes again.
+    judged = [line for line in ordered if line.event == JUDGED and line.fields["fingerprint"] in fingerprints]
     beliefs: dict[tuple[str, str], LogLine] = {}
     for line in ordered:
         if line.time > own[-1].time or line.event not in CONTEXT_EVENTS or line.source not in sources:
@@ -67,7 +71,7 @@
         instance = line.fields.get("instance")
         if instance in servers or line.fields.get("service") in services:
             beliefs[(line.source, str(instance))] = line
-    return sorted([*own, *beliefs.values()], key=lambda line: line.time)
+    return sorted([*own, *judged, *beliefs.values()], key=lambda line: line.time)
 
 
 class ExplainCommand(BaseCommand):
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -110,6 +110,11 @@
             return 200, self.objects[(kind, body["meta"]["name"])]
         if match[3] is not None and name is not None:
             return self._answer_status(kind, name, json.loads(content))
+        if method == "DELETE" and name is not None:
+            if (kind, name) not in self.objects:
+                return 404, None
+            self.remove(kind, name)
+            return 200, {}
         if method == "PUT" and name is not None:
             self.put(kind, name, json.loads(content)["spec"])
             return 200, self.objects[(kind, name)]
--- /dev/null
+++ b/tests/platform/test_quarantine_records.py
@@ -0,0 +1,75 @@
+"""Which requests are kept from servers stands in the store: all read it, whoever finds one writes it."""
+
+import random
+
+import anyio
+from conftest import run_virtual
+from memory_servers import MemoryServer
+from store_standin import StoreStandin
+
+from yokesill.gateway import events as ev
+from yokesill.platform.feeds import QuarantineFeed, StoredQuarantine
+from yokesill.platform.store import MetadataStore
+from yokesill.registry.api_client import ApiClient
+from yokesill.registry.feed_states import changes_from_wire, changes_to_wire, decode_state, encode_state
+from yokesill.registry.feeds import Batch
+from yokesill.registry.follower import FeedFollower
+from yokesill.serving.settings import Address
+
+KIND = "yokesill-quarantine"
+
+
+def test_what_one_node_records_every_other_one_reads_until_an_operator_deletes_it() -> None:
+    async def main() -> list[ev.Event]:
+        events: list[ev.Event] = []
+        async with anyio.create_task_group() as tasks:
+            standin = StoreStandin()
+            server = MemoryServer(standin.script, tasks)
+            store = MetadataStore(ApiClient(Address("10.0.0.1", 80), server.connect))
+            follower = FeedFollower(QuarantineFeed(store), events.append, 0.3, random.Random(3))
+            tasks.start_soon(follower.run)
+            await anyio.sleep(1.0)
+            records = StoredQuarantine(store)
+            for _ in range(2):
+                assert await records.record("00ff") is None
+            await anyio.sleep(1.0)
+            assert standin.revision == 1
+            standin.remove(KIND, "00ff")
+            await anyio.sleep(1.0)
+            assert await records.record("11ee") is None
+            for _ in range(2):
+                assert await records.lift("11ee") is None
+            await anyio.sleep(1.0)
+            tasks.cancel_scope.cancel()
+        return events
+
+    told = run_virtual(main)
+    # Named tuples of other types are equal if their items are.
+    assert [(type(each).__name__, each[0]) for each in told] == [
+        ("QuarantineReplaced", frozenset()),
+        ("RequestQuarantined", "00ff"),
+        ("QuarantineLifted", "00ff"),
+        ("RequestQuarantined", "11ee"),
+        ("QuarantineLifted", "11ee"),
+    ]
+
+
+def test_a_store_that_takes_nothing_is_a_failure_and_not_a_record() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            standin = StoreStandin(mode="busy")
+            server = MemoryServer(standin.script, tasks)
+            records = StoredQuarantine(MetadataStore(ApiClient(Address("10.0.0.1", 80), server.connect)))
+            assert await records.record("00ff") is not None
+            assert await records.lift("00ff") is not None
+            tasks.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+def test_nodes_tell_one_another_changes_and_the_whole() -> None:
+    changes = (ev.RequestQuarantined("00ff"), ev.QuarantineLifted("11ee"))
+    read = changes_from_wire(changes_to_wire(changes) or ())
+    assert [repr(each) for each in read] == [repr(each) for each in changes]
+    whole = ev.QuarantineReplaced(frozenset({"00ff", "11ee"}))
+    assert decode_state(encode_state(whole, 9)) == Batch(9, (whole,))
--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -15,6 +15,7 @@
 from yokesill.gateway.events import (
     ConfigurationLearnt,
     Event,
+    QuarantineReplaced,
     RolloutsReplaced,
     ServersReplaced,
     VersionsEstablished,
@@ -204,6 +205,18 @@
     with_node(main, order=RolloutOrder("desk", "v2", 12.0, 5, 6))
 
 
+def test_a_node_waits_for_the_requests_that_are_kept_from_servers() -> None:
+    async def main(node: Node) -> None:
+        await node.until(node.ready)
+        around = replace(node.process._surroundings, quarantine=FixedFeed("quarantine"))
+        node.process._surroundings = around
+        assert not node.process._knows_enough()
+        node.process.driver.feed(QuarantineReplaced(frozenset()))
+        assert node.process._knows_enough()
+
+    with_node(main)
+
+
 def test_a_peer_that_knows_fewer_servers_makes_no_hole_in_what_the_registry_told() -> None:
     async def main(node: Node) -> None:
         known = encode_snapshot(configuration(1, single_route()), [], frozenset())
--- a/tests/soak/test_soak_checkers.py
+++ b/tests/soak/test_soak_checkers.py
@@ -205,3 +205,13 @@
 def test_what_nodes_out_of_touch_send_of_it_does_not_count() -> None:
     assert _broken(with_fault(deadly(4), "node_suspend", 15.0, 16.0, 1)) == set()
     assert _broken(with_fault(deadly(4), "store_down", 15.0, 16.0)) == set()
+
+
+def test_what_broke_off_with_a_server_is_not_laid_to_a_stop() -> None:
+    record = with_fault(good(), "node_stop", 9.9, 15.0, 0)
+    record = with_ask(record, single("r1", "read", status=502, signature=""))
+    record = record._replace(done=record.done | {"i-desk.r1": (11.0, 200)})
+    assert _broken(record) == {"planned_stop_cuts_nothing"}
+    crash = Crash(9.0, "i-other", "/wide/deadly-1")
+    assert _broken(record._replace(crashes=(crash,))) == set()
+    assert _broken(record._replace(crashes=(crash._replace(at_s=5.0),))) == {"planned_stop_cuts_nothing"}
