--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from soak.checkers import check
-from soak.layout import Bounds, Layout
+from soak.layout import Layout, bounds_for
 from soak.record import read_record
 from soak.run import Soak
 from soak.schedule import KINDS, ROLLOUT_KINDS, plan
@@ -63,7 +63,8 @@
 
 def _judge(folder: Path) -> int:
     about = json.loads((folder / "report.json").read_text())
-    checked = check(read_record(folder, Layout(nodes=about["nodes"]), Bounds()))
+    nodes = about["nodes"]
+    checked = check(read_record(folder, Layout(nodes=nodes), bounds_for(nodes)))
     for each in checked.values():
         for violation in each.violations:
             print(f"violation: {violation.promise}: {violation.detail}")
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -41,6 +41,15 @@
     rollback_s: float = 5.0
 
 
+def bounds_for(nodes: int) -> Bounds:
+    """Return the bounds of a deployment of so many nodes.
+
+    Each node learns for itself, by one rejected arrival, that another server has an address now: so the
+    allowance of extra arrivals grows with the nodes, as it does where users run them.
+    """
+    return Bounds(budget_slack=max(Bounds().budget_slack, float(nodes)))
+
+
 class RouteTerms(NamedTuple):
     """What a route of the soak promises; ``greatest`` is 0 where one server answers."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 from soak.checkers import check
-from soak.layout import DESK, OPERATOR_PORT, Bounds, Layout, configuration
+from soak.layout import DESK, OPERATOR_PORT, Layout, bounds_for, configuration
 from soak.nodes import Nodes
 from soak.processes import Standin, Usage, memory_mb
 from soak.record import fault_fields, read_record
@@ -43,7 +43,7 @@
     def __init__(self, layout: Layout, seed: int, seconds: float, faults: tuple[Fault, ...], folder: Path):
         self.usage = Usage()
         self._layout = layout
-        self._bounds = Bounds()
+        self._bounds = bounds_for(layout.nodes)
         self._seed = seed
         self._seconds = seconds
         self._faults = faults
