--- a/src/yokesill/gateway/events.py
+++ b/src/yokesill/gateway/events.py
@@ -4,9 +4,35 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from yokesill.gateway.crash_events import (
+    AnswerObserved as AnswerObserved,
+)
+from yokesill.gateway.crash_events import (
+    AnswerReported as AnswerReported,
+)
+from yokesill.gateway.crash_events import (
+    LossObserved as LossObserved,
+)
+from yokesill.gateway.crash_events import (
+    LossReported as LossReported,
+)
+from yokesill.gateway.crash_events import (
+    QuarantineLifted as QuarantineLifted,
+)
+from yokesill.gateway.crash_events import (
+    QuarantineReplaced as QuarantineReplaced,
+)
+from yokesill.gateway.crash_events import (
+    RequestJudged as RequestJudged,
+)
+from yokesill.gateway.crash_events import (
+    RequestQuarantined as RequestQuarantined,
+)
+from yokesill.gateway.crash_events import (
+    StandingHeard as StandingHeard,
+)
 from yokesill.gateway.documents import Configuration, ServerRecord
 from yokesill.gateway.messages import Attempt, GatewayRequest, RequestSummary, ServerReply
-from yokesill.quarantine.judge import Loss, Standing
 from yokesill.rollouts.messages import RolloutWord
 from yokesill.rollouts.orders import RolloutOrder
 from yokesill.verdict import Failure
@@ -149,46 +175,6 @@
     for_s: float
 
 
-class LossReported(NamedTuple):
-    """Another node told that a server ended under a request."""
-
-    fingerprint: str
-    loss: Loss
-
-
-class AnswerReported(NamedTuple):
-    """Another node told that a server answered a request under which servers had ended."""
-
-    fingerprint: str
-    service: str
-    trial: bool
-
-
-class StandingHeard(NamedTuple):
-    """Another node found that a request is to be suspected or quarantined."""
-
-    fingerprint: str
-    standing: Standing
-
-
-class RequestQuarantined(NamedTuple):
-    """The registry records that a request is kept from servers."""
-
-    fingerprint: str
-
-
-class QuarantineLifted(NamedTuple):
-    """A request was taken off that record."""
-
-    fingerprint: str
-
-
-class QuarantineReplaced(NamedTuple):
-    """All requests on that record as of one moment."""
-
-    fingerprints: frozenset[str]
-
-
 class NodesCounted(NamedTuple):
     """How many nodes share the budgets and the servers' connections."""
 
@@ -298,28 +284,6 @@
     good_answers: int
 
 
-class LossObserved(NamedTuple):
-    """A server ended under a request: tell the nodes that judge it."""
-
-    fingerprint: str
-    loss: Loss
-
-
-class AnswerObserved(NamedTuple):
-    """A server answered a request under which servers had ended: tell the nodes that judge it."""
-
-    fingerprint: str
-    service: str
-    trial: bool
-
-
-class RequestJudged(NamedTuple):
-    """This node found that a request is to be suspected or quarantined: tell all nodes."""
-
-    fingerprint: str
-    standing: Standing
-
-
 class Note(NamedTuple):
     """A decision worth a line in the log: its name and its inputs."""
 
