--- a/src/yokesill/gateway/events.py
+++ b/src/yokesill/gateway/events.py
@@ -6,29 +6,13 @@
 
 from yokesill.gateway.crash_events import (
     AnswerObserved as AnswerObserved,
-)
-from yokesill.gateway.crash_events import (
     AnswerReported as AnswerReported,
-)
-from yokesill.gateway.crash_events import (
     LossObserved as LossObserved,
-)
-from yokesill.gateway.crash_events import (
     LossReported as LossReported,
-)
-from yokesill.gateway.crash_events import (
     QuarantineLifted as QuarantineLifted,
-)
-from yokesill.gateway.crash_events import (
     QuarantineReplaced as QuarantineReplaced,
-)
-from yokesill.gateway.crash_events import (
     RequestJudged as RequestJudged,
-)
-from yokesill.gateway.crash_events import (
     RequestQuarantined as RequestQuarantined,
-)
-from yokesill.gateway.crash_events import (
     StandingHeard as StandingHeard,
 )
 from yokesill.gateway.documents import Configuration, ServerRecord
--- a/src/yokesill/gateway/learning.py
+++ b/src/yokesill/gateway/learning.py
@@ -4,8 +4,7 @@
 from functools import singledispatch
 from typing import Any
 
-from yokesill.gateway import events as ev
-from yokesill.gateway import notes
+from yokesill.gateway import events as ev, notes
 from yokesill.gateway.context import GatewayContext
 from yokesill.gateway.documents import Configuration, ServerRecord
 from yokesill.gateway.splits import SplitCursors
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -5,8 +5,7 @@
 from functools import singledispatch
 from typing import Any
 
-from yokesill.gateway import events as ev
-from yokesill.gateway import notes
+from yokesill.gateway import events as ev, notes
 from yokesill.gateway.budget import BudgetTerms
 from yokesill.gateway.context import GatewayContext, LiveAttempt
 from yokesill.gateway.crashes import RequestCrashes, quarantined
--- a/src/yokesill/rollouts/order_progress.py
+++ b/src/yokesill/rollouts/order_progress.py
@@ -9,8 +9,7 @@
 from yokesill.rollouts.orders import OrderId, Overtaken, RolloutOrder, RolloutState, RolloutTerms
 from yokesill.rollouts.stages import FEED_S, Circumstances, Stage, Wanted, wanted_record
 from yokesill.rollouts.verdict import Finding, Verdict
-from yokesill.verdict import Failure
-from yokesill.verdict import Verdict as Ran
+from yokesill.verdict import Failure, Verdict as Ran
 
 # What the second decider leaves the first to do: a slow write of the registry (0.25 s) and its word. With 1 s
 # a decider killed in the switch made its successor 0.2 s too late for the order's time.
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -3,8 +3,7 @@
 import random
 
 from harness import TERMS, RouterHarness, failure, gather_route, single_route
-from hypothesis import Phase, given, settings
-from hypothesis import strategies as st
+from hypothesis import Phase, given, settings, strategies as st
 
 from yokesill.gateway.budget import ExtraAttemptBudget
 from yokesill.verdict import Reason, Verdict
