Logs tell an older copy of the registry from other nodes' older word

Cause: the incident's logs could not tell its hypotheses apart: neither which position a dropped list had, nor whether the registry had been restored. Change: registry_timeline when the registry's answers name another timeline, registry_answer_older once for each position that a list fell short of. No decision changed.

--- a/src/yokesill/platform/names.py
+++ b/src/yokesill/platform/names.py
@@ -19,5 +19,7 @@
 ROLLOUTS_KIND = "rollouts"
 NODES_KIND = "yokesill-nodes"
 QUARANTINE_KIND = "yokesill-quarantine"
+# Of the store's answers: rises by one each time that the store came back from an older copy.
+TIMELINE_HEADER = b"store-era"
 SWITCHED_OFF_VARIABLE = "YOKESILL_SWITCHED_OFF"
 SETTINGS_VARIABLE = "YOKESILL_CONFIG"
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -7,6 +7,8 @@
 from urllib.parse import quote
 
 from yokesill.comm import http_status as http
+from yokesill.logs import get_logger
+from yokesill.platform.names import TIMELINE_HEADER
 from yokesill.registry.api_client import ApiClient, ApiReply
 from yokesill.registry.feeds import HistoryLost
 from yokesill.verdict import Failure, Reason, Verdict
@@ -43,6 +45,8 @@
 
     def __init__(self, client: ApiClient) -> None:
         self._client = client
+        self._timeline = 0
+        self._log = get_logger("registry")
 
     async def list(self, kind: str, stale: bool = False) -> StoreView | Failure:
         """Return a kind's objects; all pages, as of the first page's revision."""
@@ -52,7 +56,7 @@
         while True:
             query = "&".join(part for part in ("stale=1" if stale else "", after) if part)
             path = f"/objects/{kind}" + (f"?{query}" if query else "")
-            reply = await self._client.call("GET", path, CALL_TIMEOUT_S)
+            reply = await self._call("GET", path, CALL_TIMEOUT_S)
             if isinstance(reply, Failure) or reply.status != http.OK:
                 return _failure(reply)
             try:
@@ -71,7 +75,7 @@
     ) -> StoreView | HistoryLost | Failure:
         """Return the changes of a kind after ``revision``; waits up to ``wait`` seconds for one."""
         path = f"/objects/{kind}?watch={revision}&waitMs={int(wait * 1000)}" + ("&stale=1" if stale else "")
-        reply = await self._client.call("GET", path, STALE_TIMEOUT_S if stale else wait + WATCH_MARGIN_S)
+        reply = await self._call("GET", path, STALE_TIMEOUT_S if stale else wait + WATCH_MARGIN_S)
         if isinstance(reply, ApiReply) and reply.status == http.GONE:
             return HistoryLost()
         if isinstance(reply, Failure) or reply.status != http.OK:
@@ -85,11 +89,11 @@
     async def put(self, kind: str, name: str, spec: dict[str, Any], replace: bool = True) -> Failure | None:
         """Create an object; ``replace`` what it says if there is one, or leave that as it is."""
         body = {"meta": {"name": name}, "spec": spec}
-        reply = await self._client.call("POST", f"/objects/{kind}", CALL_TIMEOUT_S, body)
+        reply = await self._call("POST", f"/objects/{kind}", CALL_TIMEOUT_S, body)
         if isinstance(reply, ApiReply) and reply.status == http.CONFLICT:
             if not replace:
                 return None
-            reply = await self._client.call("PUT", f"/objects/{kind}/{quote(name)}", CALL_TIMEOUT_S, body)
+            reply = await self._call("PUT", f"/objects/{kind}/{quote(name)}", CALL_TIMEOUT_S, body)
         if isinstance(reply, ApiReply) and reply.status in (http.OK, http.CREATED):
             return None
         return _failure(reply)
@@ -97,7 +101,7 @@
     async def delete(self, kind: str, name: str) -> Failure | None:
         """Remove an object; one that isn't there is no failure."""
         path = f"/objects/{kind}/{quote(name, safe='')}"
-        reply = await self._client.call("DELETE", path, CALL_TIMEOUT_S)
+        reply = await self._call("DELETE", path, CALL_TIMEOUT_S)
         gone = isinstance(reply, ApiReply) and reply.status in (http.OK, http.NOT_FOUND)
         return None if gone else _failure(reply)
 
@@ -107,11 +111,19 @@
         """Replace an object's status if it is still at ``revision``; an answer is 200, 404 or 409."""
         body = {"meta": {"name": name, "revision": revision}, "status": status}
         path = f"/objects/{kind}/{quote(name, safe='')}/status"
-        reply = await self._client.call("PUT", path, CALL_TIMEOUT_S, body)
+        reply = await self._call("PUT", path, CALL_TIMEOUT_S, body)
         if isinstance(reply, ApiReply) and reply.status in (http.OK, http.NOT_FOUND, http.CONFLICT):
             return reply
         return _failure(reply)
 
+    async def _call(self, method: str, path: str, timeout_s: float, body: Any = None) -> ApiReply | Failure:
+        """Call the store; log when it has come back from an older copy since the last answer."""
+        reply = await self._client.call(method, path, timeout_s, body)
+        if isinstance(reply, ApiReply) and (timeline := _timeline_of(reply)) != self._timeline:
+            self._log.info("registry_timeline", timeline=timeline, before=self._timeline)
+            self._timeline = timeline
+        return reply
+
 
 def item_of(item: Any, gone: bool = False) -> StoredItem:
     """Read an object; a malformed one raises ``KeyError`` or ``TypeError``."""
@@ -121,6 +133,12 @@
     return StoredItem(meta["name"], meta["revision"], item.get("spec"), *known)
 
 
+def _timeline_of(reply: ApiReply) -> int:
+    """Return which timeline an answer is from; 0 if it doesn't say."""
+    value = next((value for name, value in reply.headers if name == TIMELINE_HEADER), b"")
+    return int(value) if value.isdigit() else 0
+
+
 def _failure(reply: ApiReply | Failure) -> Failure:
     if isinstance(reply, Failure):
         return reply
--- a/src/yokesill/registry/api_client.py
+++ b/src/yokesill/registry/api_client.py
@@ -26,11 +26,15 @@
 BROKEN = (ReplyError, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
 class RawReply(NamedTuple):
-    """A whole reply as it came."""
+    """A whole reply as it came; names of ``headers`` are in lower case."""
 
     status: int
     body: bytes
+    headers: Headers = ()
 
 
 class ApiReply(NamedTuple):
@@ -38,6 +42,7 @@
 
     status: int
     body: Any
+    headers: Headers = ()
 
 
 async def connect_with_probes(host: str, port: int) -> anyio.abc.ByteStream:
@@ -75,7 +80,8 @@
         if isinstance(reply, Failure):
             return reply
         try:
-            return ApiReply(reply.status, json.loads(reply.body) if reply.body else None)
+            content = json.loads(reply.body) if reply.body else None
+            return ApiReply(reply.status, content, reply.headers)
         except ValueError as error:
             return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, repr(error))
 
@@ -107,7 +113,7 @@
             self._idle.append(connection)
         else:
             await self._drop(connection)
-        return RawReply(reader.status, reader.body)
+        return RawReply(reader.status, reader.body, tuple(reader.headers))
 
     async def _take(self) -> StreamConnection:
         while self._idle:
--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -95,6 +95,7 @@
         self._called_at_s = 0.0
         self._call_scope: anyio.CancelScope | None = None
         self._checks_fail = False
+        self._older_than: int | None = None
 
     @property
     def lost(self) -> bool:
@@ -207,6 +208,8 @@
             self._apply(batch)
             if batch.position > before:
                 self.on_read(before, batch)
+        else:
+            self._log_older(batch)
         self._confirm()
         self._set_connected(True, "")
         self._reach.call_answered()
@@ -240,6 +243,14 @@
                 self._list_next = isinstance(outcome, HistoryLost)
                 self._call_scope.cancel()
 
+    def _log_older(self, batch: Batch) -> None:
+        """Log that what the registry answered is not applied: once for each position that is known here."""
+        if self._older_than != self._position:
+            known, self._older_than = self._position, self._position
+            self._log.info(
+                "registry_answer_older", feed=self._feed_name, position=batch.position, known=known
+            )
+
     def _log_check(self, outcome: Batch | HistoryLost | Failure) -> None:
         """Log the first of several failed checks; a registry that is known as lost was logged."""
         failed = isinstance(outcome, Failure)
