--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -4,23 +4,35 @@
 real one: down, silent, throttled, answers lost after their effect.
 """
 
+import copy
 import json
 import re
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import anyio
 from memory_servers import Heard, MemoryServer, MemoryStream
 
 PAGE = 3
+CRLF = "\r\n"
+
+
+class StoreCopy(NamedTuple):
+    """A copy of the store's state, from which it may come back."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    log: list[tuple[int, str, dict[str, Any], bool]]
+    forgotten: int
 
 
 @dataclass
 class StoreStandin:
     """Objects by kind and name; ``log`` are the changes that are still remembered.
 
-    It lists ``page`` objects at a time, and an answer is ``answer_s`` seconds on its way.
+    It lists ``page`` objects at a time, and an answer is ``answer_s`` seconds on its way. ``timeline`` rises
+    by one each time that it comes back from a copy; 0: it names none.
     """
 
     revision: int = 0
@@ -32,6 +44,7 @@
     answer_s: float = 0.0
     lose_answers: int = 0
     calls: list[str] = field(default_factory=list)
+    timeline: int = 0
     changed: anyio.Event | None = None
 
     def full_price_calls(self) -> int:
@@ -64,6 +77,16 @@
         self.forgotten = self.revision
         self._wake()
 
+    def copied(self) -> StoreCopy:
+        """Return a copy of the state now."""
+        return copy.deepcopy(StoreCopy(self.revision, self.objects, self.log, self.forgotten))
+
+    def restore(self, older: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone, and its revisions are given out again."""
+        self.revision, self.objects, self.log, self.forgotten = copy.deepcopy(older)
+        self.timeline += 1
+        self._wake()
+
     def _remember(self, kind: str, item: dict[str, Any], gone: bool) -> None:
         self.log.append((self.revision, kind, json.loads(json.dumps(item)), gone))
         self._wake()
@@ -92,7 +115,8 @@
     async def _reply(self, stream: MemoryStream, status: int, body: Any) -> None:
         content = json.dumps(body).encode()
         head = (
-            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
+            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(content)}\r\n"
+            f"{f'Store-Era: {self.timeline}{CRLF}' if self.timeline else ''}\r\n"
         )
         await stream.send(head.encode() + content)
 
@@ -139,7 +163,7 @@
     async def _watch(self, kind: str, revision: int, wait: float) -> tuple[int, Any]:
         with anyio.move_on_after(wait):
             while True:
-                if revision < self.forgotten:
+                if not self.forgotten <= revision <= self.revision:
                     return 410, None
                 events = [
                     {"object": item, "gone": gone}
