Tests of a restored registry: records, entries, nodes, quarantine, evacuations, older releases

Cause: the same comparison stood in orders of roll-outs and the condition of their records, and what nodes had written was gone with the copy. The roll-outs' model registry can be restored.

--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -156,7 +156,7 @@
             node.decider.withdraw(service, self.now)
             return
         known = node.records.get(service)
-        if known is None or order.revision > known.revision:
+        if known is None or order.position > known.position:
             node.records[service] = order
         node.decider.set_order(order, self.now)
 
--- a/bench/rollout_world.py
+++ b/bench/rollout_world.py
@@ -33,11 +33,15 @@
 
 
 class Registry:
-    """Orders under revisions; writes under a condition, whose answers may be lost."""
+    """Orders under revisions; writes under a condition, whose answers may be lost.
+
+    ``timeline`` rises by one each time that it comes back from an older copy.
+    """
 
     def __init__(self) -> None:
         self.orders: dict[str, RolloutOrder] = {}
         self.revision = 10
+        self.timeline = 0
         self.refuses: set[str] = set()
         self.lost: list[tuple[RolloutState, bool]] = []
         self.late: list[RolloutOrder] = []
@@ -47,10 +51,17 @@
     def put(self, service: str, target: str = NEW, duration_s: float = 12.0, problem: str = "") -> OrderId:
         """Make an order, in place of an earlier one of that service."""
         self.revision += 1
-        order = RolloutOrder(service, target, duration_s, self.revision, self.revision, problem=problem)
+        ordered = (service, target, duration_s, self.revision, self.revision)
+        order = RolloutOrder(*ordered, problem=problem, timeline=self.timeline)
         self.orders[service] = order
         return order.id
 
+    def restore(self, orders: dict[str, RolloutOrder], revision: int) -> None:
+        """Come back from a copy: what was written since is gone, its revisions are given out again."""
+        self.timeline += 1
+        self.revision = revision
+        self.orders = {name: each._replace(timeline=self.timeline) for name, each in orders.items()}
+
     def write(self, node: str, order: RolloutOrder) -> RolloutOrder | Overtaken | Failure:
         """Write under the condition of the order's revision; the answer may be lost, or the write late."""
         if node in self.refuses:
@@ -73,7 +84,7 @@
         if not done:
             return Overtaken(current)
         self.revision += 1
-        now_stands = order._replace(revision=self.revision)
+        now_stands = order._replace(revision=self.revision, timeline=self.timeline)
         self.orders[order.service] = now_stands
         if order.state.final:
             self.finals.setdefault(order.id, set()).add(order.state)
--- a/src/yokesill/gateway/servers/server_table.py
+++ b/src/yokesill/gateway/servers/server_table.py
@@ -5,9 +5,9 @@
 `eligibility`.
 """
 
+import dataclasses
 from collections import Counter
 from collections.abc import Collection, Iterable
-from dataclasses import replace
 
 from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.options import GatewayOptions
@@ -123,7 +123,9 @@
         known = {record.instance: self._by_instance.get(record.instance) for record in records}
         gone = {name for name, state in known.items() if state is not None and state.removed_at_s is not None}
         leaving = {name for name, state in known.items() if state is not None and state.record.leaving}
-        newest = [replace(each, leaving=True) if each.instance in leaving else each for each in records]
+        newest = [
+            dataclasses.replace(each, leaving=True) if each.instance in leaving else each for each in records
+        ]
         return self.replace([each for each in newest if each.instance not in gone], now)
 
     def _put_all(self, records: Collection[ServerRecord], now: float) -> None:
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -415,3 +415,25 @@
     assert harness.of(harness.arrive())[0].server.zone == "z2"
     harness.advance(1.0)
     assert harness.of(harness.arrive())[0].server.zone == "z1"
+
+
+def test_a_restored_registrys_older_entries_neither_bring_back_nor_call_off_a_leaving_server() -> None:
+    harness = RouterHarness(gather_route())
+    listed = harness.router.servers.records()
+    left, gone, stays = listed[:3]
+    harness.feed(ev.ServerListed(replace(left, leaving=True)))
+    harness.feed(ev.ServerRemoved(gone.instance))
+    harness.feed(ev.ServersRestored(tuple(listed)))
+    known = {each.instance: each.leaving for each in harness.router.servers.records()}
+    assert known[left.instance] is True
+    assert gone.instance not in known
+    assert known[stays.instance] is False
+    harness.feed(ev.ServersReplaced(tuple(listed)))
+    assert len(harness.router.servers.records()) == len(listed)
+
+
+def test_a_server_that_a_restored_registry_lacks_counts_as_gone() -> None:
+    harness = RouterHarness(gather_route())
+    first, *others = harness.router.servers.records()
+    harness.feed(ev.ServersRestored(tuple(others)))
+    assert first.instance not in {each.instance for each in harness.router.servers.records()}
--- a/tests/platform/test_following_the_store.py
+++ b/tests/platform/test_following_the_store.py
@@ -16,8 +16,9 @@
 from yokesill.registry.api_client import ApiClient
 from yokesill.registry.feeds import NodeContact
 from yokesill.registry.follower import FeedFollower
-from yokesill.registry.node_presence import NodePresence
+from yokesill.registry.node_presence import ANNOUNCED_AGAIN_S, NodePresence
 from yokesill.serving.settings import Address
+from yokesill.verdict import Failure
 
 CONFIG: dict[str, Any] = {
     "configVersion": 7,
@@ -289,3 +290,79 @@
             tasks.cancel_scope.cancel()
 
     run_virtual(run)
+
+
+def test_changes_after_a_revision_that_was_given_out_again_are_not_applied() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        older = standin.copied()
+        standin.put("servers", "i-lost", entry())
+        await anyio.sleep(1.0)
+        standin.mode = "busy"
+        await anyio.sleep(1.0)
+        standin.restore(older)
+        standin.put("servers", "i-hidden", entry())
+        standin.put("servers", "i-told", entry())
+        before = len(followed.events)
+        standin.mode = "up"
+        await anyio.sleep(3.0)
+        told = [each for each in followed.events[before:] if not isinstance(each, ev.ConfigurationLearnt)]
+        assert isinstance(told[0], ev.ServersRestored)
+        assert {record.instance for record in told[0].records} >= {"i-hidden", "i-told"}
+
+    following(main)
+
+
+def test_pages_of_a_list_from_before_and_after_a_restore_are_no_list() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        older = standin.copied()
+        standin.put("servers", "i-late", entry())
+        standin.answer_s = 0.4
+        listing: list[object] = []
+
+        async def read() -> None:
+            listing.append(await followed.store.list("servers"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read)
+            await anyio.sleep(0.6)
+            standin.restore(older)
+        assert isinstance(listing[0], Failure)
+        standin.answer_s = 0.0
+        await anyio.sleep(3.0)
+        assert "i-late" not in followed.servers()
+
+    following(main)
+
+
+def test_a_node_whose_entry_the_store_lost_is_still_counted_and_announces_itself_again() -> None:
+    async def run() -> None:
+        standin = StoreStandin()
+        counts: dict[str, int] = {}
+        nodes: list[NodePresence] = []
+        async with anyio.create_task_group() as tasks:
+            older = standin.copied()
+            for number in range(4):
+                server = MemoryServer(standin.script, tasks)
+                store = MetadataStore(ApiClient(Address("10.0.0.1", 80), server.connect))
+                name = f"n{number}"
+
+                def counted(count: int, name: str = name) -> None:
+                    counts[name] = count
+
+                nodes.append(
+                    NodePresence(StoredNodes(store), NodeContact(name), counted, random.Random(number))
+                )
+                tasks.start_soon(nodes[-1].run)
+            await anyio.sleep(30.0)
+            standin.restore(older)
+            # Long enough for each node to read the directory twice.
+            for _ in range(60):
+                await anyio.sleep(0.5)
+                assert counts == {f"n{number}": 4 for number in range(4)}
+            for node in nodes:
+                node.announce_again()
+            await anyio.sleep(ANNOUNCED_AGAIN_S + 0.1)
+            assert len([name for of, name in standin.objects if of == "yokesill-nodes"]) == 4
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
--- a/tests/platform/test_rollout_records.py
+++ b/tests/platform/test_rollout_records.py
@@ -248,3 +248,23 @@
     settings = parse_settings(text)
     assert isinstance(settings, GatewaySettings)
     assert settings.rollouts == terms
+
+
+def test_a_record_that_was_read_before_the_store_was_restored_is_not_written() -> None:
+    async def main(standin: StoreStandin, store: MetadataStore) -> None:
+        older = standin.copied()
+        standin.timeline = 1
+        feed = rollout_feed(store)
+        await feed.list()
+        late = RolloutOrder("s1", "v2", 12.0, 5, 5, COMPLETED, timeline=1)
+        standin.restore(older)
+        batch = await feed.list()
+        failure = await StoredRollouts(store).record(late)
+        assert isinstance(failure, Failure)
+        assert failure.verdict is Verdict.NOT_RUN
+        assert standin.objects[(KIND, "s1")]["status"] is None
+        assert isinstance(batch, Batch)
+        (event,) = batch.events
+        assert event == RolloutsReplaced((late._replace(state=ORDERED, timeline=2),))
+
+    with_store(main)
--- a/tests/serving/test_quarantine_link.py
+++ b/tests/serving/test_quarantine_link.py
@@ -73,3 +73,22 @@
     assert records.calls == []
     with_link(records, FOUND, RECORD_KEPT_S + 4 * LIFT_CHECK_S, frozenset({"00ff"}))
     assert set(records.calls) == {"lift 00ff"}
+
+
+def test_what_a_restored_registry_may_have_lost_is_recorded_again_by_its_owners() -> None:
+    records = Records(refused=2)
+
+    async def main() -> None:
+        crashes = CrashTracker()
+        crashes.record(frozenset({"00ff", "11ee"}), [])
+        exchange = QuarantineExchange(Peer("n1", "10.0.0.1:7", "z1"), random.Random(1))
+        link = QuarantineLink(exchange, crashes, lambda _event: None, records, random.Random(1), lambda: None)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            link.record_again()
+            await anyio.sleep(5.0)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(main)
+    assert sorted(set(records.calls)) == ["record 00ff", "record 11ee"]
+    assert len(records.calls) == 4
