--- a/soak/record.py
+++ b/soak/record.py
@@ -163,7 +163,7 @@
         return [each for each in self.stored if each.kind == "config" and each.part == "spec"]
 
     def accepted_at_s(self) -> dict[int, float]:
-        """When each version of the configuration was accepted; one that the store lost was accepted before."""
+        """When each version of the configuration was accepted first; one that was lost is written again."""
         found: dict[int, float] = {}
         for each in self.configurations():
             found.setdefault(each.value["configVersion"], each.at_s)
