Soak: a request whose shards failed by themselves is not laid to a stop

Change: planned_stop_cuts_nothing leaves out what can't reach its route's coverage any more; a failure that leaves the coverage within reach is judged as before, and a test holds both.

--- a/soak/node_checkers.py
+++ b/soak/node_checkers.py
@@ -13,6 +13,7 @@
 LONGEST_ASK_S = 4.0
 # An own failure that comes so long before the time-out was not caused by it.
 EARLY_S = 0.1
+SUCCESS = 200
 
 
 def planned_stop_cuts_nothing(record: Record) -> Checked:
@@ -44,7 +45,7 @@
     """Whether a node answered for itself, before the time-out, while a sound server was at work.
 
     Not where servers have just ended under a request: what was there with it broke off too, and the answers
-    of the other shards can't make up for it.
+    of the other shards can't make up for it. Nor where too many shards answered a failure of their own.
     """
     terms = ROUTES.get(ask.route)
     if terms is None or ask.signature or ask.succeeded or ask.status in (0, *PROMISES_NOT_RUN):
@@ -52,6 +53,8 @@
     late = ask.ended_s - ask.asked_s > terms.timeout_s - EARLY_S
     if late or record.servers_crashed(ask.asked_s, ask.ended_s):
         return False
+    if _coverage_is_lost(record, ask, arrivals):
+        return False
     return any(
         each.ran
         and record.done.get(each.signature, (0.0, 0))[0] > ask.ended_s
@@ -60,6 +63,21 @@
     )
 
 
+def _coverage_is_lost(record: Record, ask: Ask, arrivals: list[Arrival]) -> bool:
+    """Whether too many of a request's shards had answered a failure, with no other server at work on it."""
+    asked: set[str] = set()
+    failed: set[str] = set()
+    running: set[str] = set()
+    for each in arrivals:
+        asked.add(each.service)
+        done_s, status = record.done.get(each.signature, (float("inf"), 0))
+        if each.ran and done_s > ask.ended_s:
+            running.add(each.service)
+        elif each.ran and status != SUCCESS:
+            failed.add(each.service)
+    return len(asked) - len(failed - running) < ROUTES[ask.route].least_coverage * len(asked)
+
+
 def served_after_herd(record: Record) -> Checked:
     """Once everything was killed and is back, requests are served within the bound."""
 
--- a/tests/soak/test_soak_checkers.py
+++ b/tests/soak/test_soak_checkers.py
@@ -20,7 +20,7 @@
 
 from soak.checkers import CHECKERS, check
 from soak.layout import DESK
-from soak.record import Crash, Record
+from soak.record import Crash, Record, Started
 from soak.records import greatest_records
 
 Broken = Callable[[], Record]
@@ -223,3 +223,20 @@
     # Its route went with the version after the next, which was accepted before the loss.
     dropped = with_probes(record, probe("p2", 2, 31.2), probe("p3", 2, 32.0, status=404))
     assert check(dropped)["never_older"].violations == []
+
+
+def test_a_wide_request_whose_shards_failed_by_themselves_was_not_ended_by_a_stop() -> None:
+    services = ("a0", "a1", "a2", "a3", "a4")
+    places = tuple(Started(0.0, f"i-{name}", name, "s1", slot, False) for slot, name in enumerate(services))
+    record = with_fault(good(), "node_stop", 9.9, 18.0, 0)
+    record = record._replace(started=(*record.started, *places))
+    record = with_arrivals(record, *[arrival(10.01, name, "w9") for name in services])
+    record = with_ask(record, ask("w9", "wide", status=502, ended_s=10.05))
+
+    def laid_to_the_stop(*failed: str) -> bool:
+        done = {f"i-{name}.w9": (10.03, 500) if name in failed else (10.2, 200) for name in services}
+        checked = check(record._replace(done=record.done | done))
+        return bool(checked["planned_stop_cuts_nothing"].violations)
+
+    # Four of five shards are enough.
+    assert [laid_to_the_stop(), laid_to_the_stop("a0"), laid_to_the_stop("a0", "a1")] == [True, True, False]
