--- a/src/yokesill/platform/rollouts.py
+++ b/src/yokesill/platform/rollouts.py
@@ -38,7 +38,11 @@
         if isinstance(reply, Failure):
             return reply
         try:
-            item = None if reply.status == NOT_FOUND else item_of(reply.body, timeline=timeline_of(reply))
+            item = (
+                None
+                if reply.status == NOT_FOUND
+                else item_of(reply.body, timeline=timeline_of(reply) or order.timeline)
+            )
         except (AttributeError, KeyError, TypeError) as error:
             detail = f"the record of {order.service}: {error!r}"
             return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, detail)
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -63,7 +63,7 @@
             if isinstance(reply, Failure) or reply.status != http.OK:
                 return _failure(reply)
             try:
-                timeline = timeline_of(reply)
+                timeline = self._timeline
                 page = [item_of(each, timeline=timeline) for each in reply.body["items"]]
                 first_at = first_at or Position(timeline, reply.body["at"])
                 more = bool(reply.body.get("more"))
@@ -88,7 +88,7 @@
         if isinstance(reply, Failure) or reply.status != http.OK:
             return _failure(reply)
         try:
-            timeline, events = timeline_of(reply), reply.body["events"]
+            timeline, events = self._timeline, reply.body["events"]
             items = tuple(item_of(each["object"], bool(each["gone"]), timeline) for each in events)
             return StoreView(Position(timeline, reply.body["at"]), items)
         except (KeyError, TypeError) as error:
@@ -130,9 +130,13 @@
         return _failure(reply)
 
     async def _call(self, method: str, path: str, timeout_s: float, body: Any = None) -> ApiReply | Failure:
-        """Call the store; log when it has come back from an older copy since the last answer."""
+        """Call the store; note when it has come back from an older copy since the last answer.
+
+        An answer that names no timeline, as of something in between, is taken to be from the last one.
+        """
         reply = await self._client.call(method, path, timeout_s, body)
-        if isinstance(reply, ApiReply) and (timeline := timeline_of(reply)) != self._timeline:
+        timeline = timeline_of(reply) if isinstance(reply, ApiReply) else 0
+        if timeline not in (0, self._timeline):
             self._log.info("registry_timeline", timeline=timeline, before=self._timeline)
             self._timeline = timeline
         return reply
--- a/src/yokesill/registry/feed_states.py
+++ b/src/yokesill/registry/feed_states.py
@@ -134,39 +134,40 @@
 
 def encode_state(event: WholeFeed, position: Position) -> bytes:
     """Return a whole feed as known at ``position``."""
-    feed, content = _whole_to_wire(event)
+    feed, content = _whole_to_wire(event, position.timeline)
     data = cbor2.dumps([feed, position.revision, content])
     return with_extension(data, position.timeline) if position.timeline else data
 
 
 @singledispatch
-def _whole_to_wire(event: Any) -> tuple[str, Any]:
-    """Return a whole feed's name and content."""
+def _whole_to_wire(event: Any, timeline: int) -> tuple[str, Any]:
+    """Return a whole feed's name and content as told on a timeline."""
     raise TypeError(f"no feed: {event!r}")
 
 
 @_whole_to_wire.register
-def _(event: ConfigurationLearnt) -> tuple[str, Any]:
+def _(event: ConfigurationLearnt, _timeline: int) -> tuple[str, Any]:
     return CONFIGURATION, configuration_to_wire(event.configuration)
 
 
 @_whole_to_wire.register
-def _(event: ServersReplaced) -> tuple[str, Any]:
+def _(event: ServersReplaced, _timeline: int) -> tuple[str, Any]:
     return SERVERS, [server_to_wire(record) for record in event.records]
 
 
 @_whole_to_wire.register
-def _(event: EvacuationsReplaced) -> tuple[str, Any]:
+def _(event: EvacuationsReplaced, _timeline: int) -> tuple[str, Any]:
     return EVACUATIONS, sorted(event.zones)
 
 
 @_whole_to_wire.register
-def _(event: RolloutsReplaced) -> tuple[str, Any]:
-    return ROLLOUTS, [order_to_wire(order) for order in event.orders]
+def _(event: RolloutsReplaced, timeline: int) -> tuple[str, Any]:
+    # An order that was read on an earlier timeline may be lost: its revision would name another change.
+    return ROLLOUTS, [order_to_wire(order) for order in event.orders if order.timeline == timeline]
 
 
 @_whole_to_wire.register
-def _(event: QuarantineReplaced) -> tuple[str, Any]:
+def _(event: QuarantineReplaced, _timeline: int) -> tuple[str, Any]:
     return QUARANTINE, sorted(event.fingerprints)
 
 
--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -247,7 +247,7 @@
                 pause_s = min(FAILED_CHECK_PAUSE_S, self._check_interval_s)
                 continue
             # A revision of another timeline says nothing of what is known here.
-            relisting = isinstance(outcome, HistoryLost) or outcome.position.timeline > position.timeline
+            relisting = isinstance(outcome, HistoryLost) or outcome.position.timeline != position.timeline
             if isinstance(outcome, Batch) and not outcome.events and not relisting:
                 self._nothing_new()
                 continue
--- a/tests/platform/test_following_the_store.py
+++ b/tests/platform/test_following_the_store.py
@@ -312,6 +312,20 @@
     following(main)
 
 
+def test_an_answer_that_names_no_timeline_is_no_restore() -> None:
+    async def main(standin: StoreStandin, followed: Followed) -> None:
+        standin.restore(standin.copied())
+        await anyio.sleep(5.0)
+        assert {each.position.timeline for each in followed.followers if each.position} == {1}
+        standin.timeline = 0
+        standin.put("servers", "i-9", entry())
+        await anyio.sleep(1.5)
+        assert "i-9" in followed.servers()
+        assert {each.position.timeline for each in followed.followers if each.position} == {1}
+
+    following(main)
+
+
 def test_pages_of_a_list_from_before_and_after_a_restore_are_no_list() -> None:
     async def main(standin: StoreStandin, followed: Followed) -> None:
         older = standin.copied()
--- a/tests/rollouts/test_restored_records.py
+++ b/tests/rollouts/test_restored_records.py
@@ -8,6 +8,10 @@
 from rollout_fleet import Fleet
 from rollout_world import NEW
 
+from yokesill.gateway.events import RolloutsReplaced
+from yokesill.positions import Position
+from yokesill.registry.feed_states import decode_state, encode_state
+from yokesill.registry.feeds import Batch
 from yokesill.rollouts.canary import Canary
 from yokesill.rollouts.node_orders import NodeOrders
 from yokesill.rollouts.orders import RolloutOrder, RolloutState
@@ -90,6 +94,12 @@
     assert set(node.effective) == {"s", "other"}
 
 
+def test_a_feed_of_a_later_timeline_tells_no_order_that_was_read_before() -> None:
+    lost, read = ORDER, ORDER._replace(service="other", timeline=2, revision=7)
+    told = decode_state(encode_state(RolloutsReplaced((lost, read)), Position(2, 8)))
+    assert told == Batch(Position(2, 8), (RolloutsReplaced((read,)),))
+
+
 def test_a_record_of_the_timeline_before_changes_nothing() -> None:
     node = NodeOrders(ServiceVersions(True, 2.0), Canary())
     node.ordered(ORDER._replace(timeline=2, revision=7))
