--- a/tests/rollouts/test_decider_failures.py
+++ b/tests/rollouts/test_decider_failures.py
@@ -447,3 +447,15 @@
     assert fleet.state() is RolloutState.CANARY
     fleet.servers += gone
     assert fleet.until(COMPLETED) <= ENDS_S
+
+
+def test_an_order_ends_in_its_time_though_all_nodes_were_killed_and_started_anew() -> None:
+    fleet = ordered()
+    fleet.until(CANARY)
+    fleet.run(3.0)
+    for node in fleet.nodes.values():
+        node.alive = False
+    fleet.run(2.0)
+    for name in list(fleet.nodes):
+        fleet.restart(name)
+    assert fleet.until(COMPLETED) <= ENDS_S
