A roll-out's record says by the time of day when its order was made

Cause: time since the order lived in the deciders' memory alone. The record held what had passed when its state was written (0.5 s), and deciders that started anew counted from there; their rollout_stage lines show elapsed_s doing so.

Change: the record also holds orderedAtMs, read as time passed. Deciders measure by steady clocks as before and tell in decisions whether their time is measured, behind the message, where older releases pass it over; a record's time counts only where nobody's is measured. Why it holds: while no node runs the time of day is the only thing that goes on; a jump of one node's clock (8 s in a test) changes no order that somebody followed. The same fault elsewhere: two rules took time past the deadline for time that others had waited, and would have completed an order found late with requests at old servers, or taken it back before the canary had a share. Both have tests that failed.

The fleet's model (bench/rollout_fleet.py) now reads a record as the edge does.

--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -88,6 +88,8 @@
         self.bad_seen_at_s: list[float] = []
         self._feed: list[tuple[float, str, RolloutOrder | None]] = []
         self._fed: dict[str, RolloutOrder] = {}
+        self._ordered_at_s: dict[OrderId, float] = {}
+        self.time_of_day_off_s = 0.0
 
     def _start(self, name: str, incarnation: int) -> Node:
         decider = RolloutDecider(name, incarnation, RolloutLimits(), random.Random(1), self.now)
@@ -158,7 +160,15 @@
         known = node.records.get(service)
         if known is None or order.position > known.position:
             node.records[service] = order
-        node.decider.set_order(order, self.now)
+        node.decider.set_order(self._as_read(order), self.now)
+
+    def _as_read(self, order: RolloutOrder) -> RolloutOrder:
+        """Return an order with the time since its making that its record tells a reader now."""
+        ordered_at_s = self._ordered_at_s.get(order.id)
+        if ordered_at_s is None or order.state is RolloutState.ORDERED:
+            return order
+        by_time_of_day_s = self.now + self.time_of_day_off_s - ordered_at_s
+        return order._replace(elapsed_s=max(order.elapsed_s, by_time_of_day_s))
 
     def _serve(self) -> None:
         running = [node for node in self.nodes.values() if node.running]
@@ -205,6 +215,7 @@
         for service in self.services:
             decider.set_versions(service, counts)
         for record in decider.tick(self.now):
+            self._ordered_at_s[record.id] = self.now - record.elapsed_s
             outcome = self.registry.write(node.name, record)
             decider.recorded(record, outcome, self.now)
             if isinstance(outcome, RolloutOrder):
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import sys
+import time
 from dataclasses import replace
 from pathlib import Path
 
@@ -59,8 +60,8 @@
         quarantine=feeds.quarantine_feed(store),
         quarantine_records=feeds.StoredQuarantine(store),
         evacuations=feeds.evacuation_feed(store) if settings.evacuation_bound_s is not None else None,
-        rollouts=rollout_feed(store) if settings.rollouts is not None else None,
-        rollout_records=StoredRollouts(store) if settings.rollouts is not None else None,
+        rollouts=rollout_feed(store, time.time) if settings.rollouts is not None else None,
+        rollout_records=StoredRollouts(store, time.time) if settings.rollouts is not None else None,
         nodes=feeds.StoredNodes(store),
         names=HEADER_NAMES,
         ready_path=READY_PATH,
--- a/src/yokesill/rollouts/messages.py
+++ b/src/yokesill/rollouts/messages.py
@@ -1,14 +1,23 @@
 """What nodes and deciders send each other in roll-outs: reports and decisions.
 
 Nothing depends on the arrival of one datagram: counts are totals, decisions are repeated, and a lost report
-costs some samples. ``rollouts/datagrams`` splits them.
+costs some samples. ``rollouts/datagrams`` splits them. Whether times were measured stands behind the
+decisions, one an order, where releases that don't know it pass it over.
 """
 
 from collections.abc import Callable
 from functools import singledispatch
 from typing import Any, NamedTuple
 
-from yokesill.peers.frame import Kind, count, decode_frame, encode_frame, text
+from yokesill.peers.frame import (
+    Kind,
+    count,
+    decode_frame,
+    encode_frame,
+    split_extension,
+    text,
+    with_extension,
+)
 from yokesill.rollouts.orders import OrderId, RolloutState
 
 
@@ -55,13 +64,15 @@
 
     ``share`` (0 to 1) of the service's requests goes to the new version while ``state`` is ``CANARY``.
     ``state`` was recorded in the registry before it is announced, but for ``ROLLED_BACK``: nothing more goes
-    to the new version from the moment at which anybody says so. ``elapsed_s`` has passed since the order.
+    to the new version from the moment at which anybody says so. ``elapsed_s`` has passed since the order;
+    ``time_measured``: by the sender's steady clock or another decider's, not by what the record tells.
     """
 
     order: OrderId
     state: RolloutState
     share: float
     elapsed_s: float
+    time_measured: bool = True
 
 
 class RolloutDecisions(NamedTuple):
@@ -95,7 +106,9 @@
 def _(message: RolloutDecisions) -> bytes:
     entries = [entry_to_wire(each) for each in message.orders]
     valid_ms = round(message.valid_s * 1000)
-    return encode_frame(Kind.ROLLOUT_DECISIONS, message.node, message.reaches_registry, valid_ms, entries)
+    data = encode_frame(Kind.ROLLOUT_DECISIONS, message.node, message.reaches_registry, valid_ms, entries)
+    measured = [each.time_measured for each in message.orders]
+    return data if all(measured) else with_extension(data, measured)
 
 
 @singledispatch
@@ -124,7 +137,18 @@
     ValueError
         It is no message of this version.
     """
-    return decode_frame(data, _READERS)
+    message = decode_frame(data, _READERS)
+    if not isinstance(message, RolloutDecisions):
+        return message
+    _, measured = split_extension(data)
+    return message if measured is None else _with_times(message, measured)
+
+
+def _with_times(message: RolloutDecisions, measured: Any) -> RolloutDecisions:
+    if not isinstance(measured, list) or len(measured) != len(message.orders):
+        raise ValueError(f"{measured!r} as how the times of {len(message.orders)} orders are known")
+    orders = zip(message.orders, measured, strict=True)
+    return message._replace(orders=tuple(each._replace(time_measured=bool(known)) for each, known in orders))
 
 
 def _sample_to_wire(sample: Sample) -> list[Any]:
--- a/src/yokesill/rollouts/order_progress.py
+++ b/src/yokesill/rollouts/order_progress.py
@@ -65,7 +65,11 @@
         self._terms = terms
         self._recorded = order.state
         self._started_at_s = now - max(order.elapsed_s, FEED_S)
+        # A node that learned of the order after it was taken up knows its time by the record, and so by the
+        # time of day, which may be seconds off. Whoever followed it from its making knows better.
+        self._time_measured = order.state is RolloutState.ORDERED
         self._state_since_s = now
+        self._informed_since_s: float | None = None
         self._announce_until_s = float("-inf")
         self._halt: _Halt | None = None
         self._writes = RecordWrites(now)
@@ -81,12 +85,13 @@
         self.order = order
         self._writes.settled()
         self._recorded = max(order.state, self._recorded, key=_rank)
-        self._started_at_s = min(self._started_at_s, now - order.elapsed_s)
+        if not self._time_measured:
+            self._started_at_s = min(self._started_at_s, now - order.elapsed_s)
         self._enter(order.state, now, recorded=True)
 
     def receive_decision(self, decision: OrderDecision, now: float) -> None:
         """Take another decider's decision."""
-        self._started_at_s = min(self._started_at_s, now - decision.elapsed_s)
+        self._learn_time(decision, now)
         self._learn(decision.state, now)
 
     def report(self, node: str, incarnation: int, report: OrderReport, now: float) -> None:
@@ -118,6 +123,10 @@
     def step(self, view: DeciderView, now: float) -> RolloutOrder | None:
         """Decide anew; return the record to write now, if any."""
         self._assess(now)
+        if not view.informed:
+            self._informed_since_s = None
+        elif self._informed_since_s is None:
+            self._informed_since_s = now
         change = self._next_record(view, now)
         if change is None:
             self._writes.nothing_due()
@@ -156,7 +165,8 @@
             totals = self.exposure.totals
             self._log_event("rollout_share", share=round(share, 3), sent_old=totals.old, sent_new=totals.new)
             self._announced_share = share
-        return OrderDecision(self.order.id, state, share, max(0.0, self.elapsed_s(now)))
+        elapsed_s = max(0.0, self.elapsed_s(now))
+        return OrderDecision(self.order.id, state, share, elapsed_s, self._time_measured)
 
     def is_announced(self, now: float) -> bool:
         """Whether others need decisions on it: it is open, became final just now, or its record was lost."""
@@ -217,6 +227,7 @@
             self.state,
             self.elapsed_s(now),
             now - self._state_since_s,
+            now - self._informed_since_s if self._informed_since_s is not None else 0.0,
             self.exposure.totals,
             self.answers.assessment(now),
             self.answers.new_answers,
@@ -240,6 +251,15 @@
         if assessment.finding is Finding.BAD:
             self._take_back(assessment.reason, now)
 
+    def _learn_time(self, decision: OrderDecision, now: float) -> None:
+        """Take how long ago the order was made; a measured time outweighs one that was read."""
+        started_at_s = now - decision.elapsed_s
+        if decision.time_measured and not self._time_measured:
+            self._started_at_s = started_at_s
+            self._time_measured = True
+        elif decision.time_measured or not self._time_measured:
+            self._started_at_s = min(self._started_at_s, started_at_s)
+
     def _learn(self, state: RolloutState, now: float) -> None:
         """Take a state that another node announces or has in effect."""
         if state is not RolloutState.ROLLED_BACK:
--- a/src/yokesill/rollouts/orders.py
+++ b/src/yokesill/rollouts/orders.py
@@ -56,7 +56,8 @@
     """An order and its record, as the registry holds them at ``revision`` of ``timeline``.
 
     ``target`` is the version to move to, within ``duration_s`` from the order. ``elapsed_s`` is how much of
-    that had passed when ``state`` was recorded. ``reason`` says why the state is what it is. ``problem``
+    that had passed when it was read or written, as far as the record tells; for an order that nobody has
+    taken up, 0. ``reason`` says why the state is what it is. ``problem``
     says what is wrong with an order that can't be carried out; it is empty for a proper one. ``numbered``:
     its target was written as a number, and so stands in the record.
     """
--- a/src/yokesill/rollouts/stages.py
+++ b/src/yokesill/rollouts/stages.py
@@ -26,6 +26,9 @@
 # The new version had its share of so many requests, two at least, and answered none well, or gave so many
 # answers and no good one: too few for a test, but nothing to move to.
 LEAST_REQUESTS, LEAST_ANSWERS = 20, 2
+# Who takes over a canary has seen nothing of it: its share's way to the nodes, a second of requests and a
+# report pass before the absence of answers says anything.
+UNSEEN_S = 2.0
 # Requests at old servers that don't end delay a good version for so long beyond the deadline, not for ever.
 # Chosen, not measured.
 OVERDUE_S = 6.0
@@ -81,12 +84,16 @@
 
 
 class OrderStatus(NamedTuple):
-    """How far one order is; ``waits_for`` are the nodes that may still use the old version."""
+    """How far one order is; ``waits_for`` are the nodes that may still use the old version.
+
+    ``informed_s`` is for how long its decider has known all counts, and so has given a share.
+    """
 
     order: RolloutOrder
     state: RolloutState
     elapsed_s: float
     in_state_s: float
+    informed_s: float
     totals: Totals
     assessment: VersionAssessment
     new_answers: int
@@ -147,6 +154,8 @@
         return None if lapsed else _back("no server of the version")
     enough = status.totals.all >= LEAST_REQUESTS or status.new_answers >= LEAST_ANSWERS
     if enough and status.good_answers == 0:
+        if status.new_answers == 0 and status.informed_s < UNSEEN_S:
+            return None
         return _back("no good answer of the new version was seen")
     return RecordChange(RolloutState.SWITCHING, "")
 
@@ -180,4 +189,6 @@
 
 
 def _overdue(status: OrderStatus) -> bool:
-    return status.elapsed_s >= status.order.duration_s + OVERDUE_S
+    """Whether waiting has to end; deciders that find an order after its time wait for as long as others."""
+    late = status.elapsed_s >= status.order.duration_s + OVERDUE_S
+    return late and status.in_state_s >= OVERDUE_S
--- a/tests/forms/bindings.py
+++ b/tests/forms/bindings.py
@@ -80,21 +80,24 @@
 
 
 def _by_position(value: Any) -> Any:
-    """Return a value without the timelines of the registry: the tables are older than these.
+    """Return a value without what stands behind messages: the tables are older than that.
 
-    A timeline that is named stays: in front of a revision, at the end of all else.
+    A timeline that is named stays: in front of a revision, at the end of all else. So does a time that was
+    not measured.
     """
     if isinstance(value, Position):
         return [*value] if value.timeline else value.revision
     if isinstance(value, watchers.FeedReport | orders.RolloutOrder) and not value.timeline:
         value = value[:-1]
+    if isinstance(value, rollouts.OrderDecision) and value.time_measured:
+        value = value[:-1]
     if isinstance(value, list | tuple):
         return [_by_position(each) for each in value]
     return value
 
 
-def _timeless(decode: Callable[[bytes], Any], encode: Callable[[Any], bytes]) -> Codec:
-    """Return the codec of a message that names timelines."""
+def _extended(decode: Callable[[bytes], Any], encode: Callable[[Any], bytes]) -> Codec:
+    """Return the codec of a message that may have more behind it: timelines, or how times are known."""
 
     def read(data: bytes) -> _Message:
         whole = decode(data)
@@ -121,16 +124,16 @@
 MESSAGES = {
     "outliers.datagram": Codec(outliers.decode, outliers.encode),
     "quarantine.datagram": Codec(quarantine.decode, quarantine.encode),
-    "rollouts.datagram": Codec(rollouts.decode, rollouts.encode),
-    "watchers.report": _timeless(watchers.decode_report, watchers.encode_report),
-    "registry.changes": _timeless(
+    "rollouts.datagram": _extended(rollouts.decode, rollouts.encode),
+    "watchers.report": _extended(watchers.decode_report, watchers.encode_report),
+    "registry.changes": _extended(
         lambda data: feed_states.changes_from_wire(cbor2.loads(data)),
         lambda events: cbor2.dumps(feed_states.changes_to_wire(events)),
     ),
-    "registry.whole_feed": _timeless(
+    "registry.whole_feed": _extended(
         feed_states.decode_state, lambda batch: feed_states.encode_state(batch.events[0], batch.position)
     ),
-    "registry.snapshot": _timeless(snapshots.decode_snapshot, _encode_snapshot),
+    "registry.snapshot": _extended(snapshots.decode_snapshot, _encode_snapshot),
     "coordinators.request": Codec(
         lambda data: handed.decode_forwarded(data, "n1-1", 100.0), handed.encode_forwarded
     ),
--- a/tests/platform/test_rollout_records.py
+++ b/tests/platform/test_rollout_records.py
@@ -180,6 +180,28 @@
     with_store(main)
 
 
+def test_a_record_tells_by_the_time_of_day_when_its_order_was_made() -> None:
+    async def main(standin: StoreStandin, store: MetadataStore) -> None:
+        times = iter([1000.7, 1003.0, 1006.2])
+        records = StoredRollouts(store, lambda: next(times))
+        order = RolloutOrder("s1", "v2", 12.0, 5, 5, CANARY, 0.7)
+        told = await records.record(order)
+        assert standin.objects[(KIND, "s1")]["status"]["orderedAtMs"] == 1_000_000
+        assert isinstance(told, RolloutOrder) and told.elapsed_s == 3.0
+        batch = await rollout_feed(store, lambda: next(times)).list()
+        assert isinstance(batch, Batch) and isinstance(batch.events[0], RolloutsReplaced)
+        assert [each.elapsed_s for each in batch.events[0].orders] == [6.2]
+
+    with_store(main)
+
+
+@pytest.mark.parametrize("ordered_at_ms", [1_000_100, None, "soon", 1e400, -(10**300), [1_000_000]])
+def test_a_time_of_day_that_cant_be_right_is_passed_over(ordered_at_ms: Any) -> None:
+    status = {"state": "in_progress", "targetVersion": "v2", "elapsedMs": 700, "orderedAtMs": ordered_at_ms}
+    item = StoredItem("s1", 9, SPEC, made=5, status=status)
+    assert read_order(item, lambda: 1000.0).elapsed_s == 0.7
+
+
 def test_a_record_that_was_overtaken_is_not_written() -> None:
     async def main(standin: StoreStandin, store: MetadataStore) -> None:
         standin.put_status(KIND, "s1", {"state": "rolled_back", "targetVersion": "v2"})
--- a/tests/rollouts/test_decider_failures.py
+++ b/tests/rollouts/test_decider_failures.py
@@ -6,7 +6,9 @@
 
 from yokesill.rollouts.barrier import Barrier
 from yokesill.rollouts.messages import OrderReport, RolloutReport, Sample
+from yokesill.rollouts.order_figures import OrderFigures
 from yokesill.rollouts.orders import RolloutOrder, RolloutState
+from yokesill.rollouts.stages import FEED_S
 
 CANARY, SWITCHING = RolloutState.CANARY, RolloutState.SWITCHING
 COMPLETED, ROLLED_BACK = RolloutState.COMPLETED, RolloutState.ROLLED_BACK
@@ -52,6 +54,12 @@
     return next(name for name in fleet.deciders() if name != first(fleet))
 
 
+def figures_of(fleet: Fleet, name: str) -> tuple[OrderFigures, ...]:
+    """Return how a decider sees its orders; nothing from other nodes."""
+    decider = fleet.nodes[name].decider
+    return decider.figures(fleet.now) if decider.deciding else ()
+
+
 def finals(fleet: Fleet) -> list[set[RolloutState]]:
     return list(fleet.registry.finals.values())
 
@@ -449,6 +457,10 @@
     assert fleet.until(COMPLETED) <= ENDS_S
 
 
+# All nodes are killed 3 s after an order of 12 s was taken up and start 2 s later. The order completed 15.9 s
+# after its making, 3.9 s too late: the record told 0.5 s as the time gone by, and the deciders that started
+# anew began to count there. While nobody runs only the time of day goes on, so a record says by it when its
+# order was made. Seen with real processes as a good version without a final state by its deadline.
 def test_an_order_ends_in_its_time_though_all_nodes_were_killed_and_started_anew() -> None:
     fleet = ordered()
     fleet.until(CANARY)
@@ -459,3 +471,38 @@
     for name in list(fleet.nodes):
         fleet.restart(name)
     assert fleet.until(COMPLETED) <= ENDS_S
+
+
+def test_a_time_of_day_that_is_wrong_changes_no_order_that_somebody_followed() -> None:
+    fleet = ordered()
+    fleet.until(CANARY)
+    fleet.run(3.0)
+    (order,) = fleet.registry.orders.values()
+    fleet.time_of_day_off_s = 8.0
+    fleet.restart(first(fleet))
+    fleet.run(2.0)
+    times = {
+        round(each.elapsed_s, 1) for node in fleet.nodes.values() for each in figures_of(fleet, node.name)
+    }
+    assert max(times) <= fleet.now - ORDERED_AT_S + FEED_S
+    assert fleet.state() is CANARY
+    assert fleet.until(COMPLETED) <= ENDS_S and order.id in fleet.registry.finals
+
+
+def test_an_order_found_long_after_its_time_still_waits_for_what_is_under_way() -> None:
+    fleet = ordered()
+    fleet.until(CANARY)
+    fleet.run(1.0)
+    for node in fleet.nodes.values():
+        node.alive = False
+    fleet.run(30.0)
+    fleet.held_s = 2.5
+    for name in list(fleet.nodes):
+        fleet.restart(name)
+    restarted_at_s = fleet.now
+    fleet.until(SWITCHING)
+    switched_at_s = fleet.now
+    assert fleet.until(COMPLETED) >= switched_at_s + 2.0
+    assert fleet.now <= restarted_at_s + 12.0
+    assert fleet.old_after_completed == 0
+    assert not any(not each[2].new for node in fleet.nodes.values() for each in node.under_way)
--- a/tests/rollouts/test_messages.py
+++ b/tests/rollouts/test_messages.py
@@ -35,6 +35,23 @@
     assert decode(encode(word)) == word
 
 
+def test_how_a_time_is_known_stands_where_older_releases_pass_it_over() -> None:
+    measured = OrderDecision(OrderId("svc", 3, "v2"), RolloutState.CANARY, 0.25, 4.5)
+    read = OrderDecision(OrderId("other", 4, "v2"), RolloutState.CANARY, 0.25, 4.5, time_measured=False)
+    word = RolloutDecisions("n1", True, 1.5, (measured, read))
+    assert decode(encode(word)) == word
+    known_before = RolloutDecisions("n1", True, 1.5, (measured, read._replace(time_measured=True)))
+    assert cbor2.loads(encode(word)) == cbor2.loads(encode(known_before))
+
+
+@pytest.mark.parametrize("behind", [[True], [True, True, True], "no", 1])
+def test_times_that_are_not_told_for_each_order_are_refused(behind: object) -> None:
+    entry_of = OrderDecision(OrderId("svc", 3, "v2"), RolloutState.CANARY, 0.25, 4.5)
+    data = encode(RolloutDecisions("n1", True, 1.5, (entry_of, entry_of))) + cbor2.dumps(behind)
+    with pytest.raises(ValueError, match="how the times"):
+        decode(data)
+
+
 @pytest.mark.parametrize("count", [1, 8, 90])
 @pytest.mark.parametrize("name", ["i", LONG])
 def test_no_report_is_too_large_and_none_loses_a_count(count: int, name: str) -> None:
