yokesill serve: one task sends a node's gossip, so that a stop is told and does not end the node

Callers saw: a planned stop that fell into a tick's sends ended the node at once with exit code 1; queries under way were cut. Seen once in a run of the whole test script (test_whole_path, code 1 instead of 0).

Cause: Gossip.run and announce_leaving both flushed over one socket. A socket lets one task send at a time, the second one's send raises BusyResourceError, which ended the node's task group; the log shows lame_duck and then that traceback.

Change: run alone sends; announce_leaving queues, wakes it and waits for the send, half a second at most. No datagram is lost to it, as a caught exception would have lost the very one that says leaving.

--- a/src/yokesill/cluster/gossip.py
+++ b/src/yokesill/cluster/gossip.py
@@ -31,6 +31,8 @@
 # More rumors than this at once are a node's catching up, known to the others, and not passed on. Chosen, not
 # measured.
 BULK_RUMORS = 8
+# A stop waits no longer than this for its announcement to be sent.
+ANNOUNCE_S = 0.5
 
 
 class Gossip:
@@ -66,6 +68,7 @@
         self._replica = replica
         self._outgoing: list[SendPacket] = []
         self._wake = anyio.Event()
+        self._sent = anyio.Event()
         self._log = get_logger("gossip")
 
     async def run(self) -> None:
@@ -107,9 +110,16 @@
             self.rumors.add(rumor)
 
     async def announce_leaving(self) -> None:
-        """Tell the others at once that this node is leaving."""
+        """Tell the others at once that this node is leaving; return when it is sent.
+
+        ``run`` sends it: a socket lets one task send at a time, and a second one would fail with this
+        datagram of all.
+        """
         self._outgoing.extend(self.detector.leave(anyio.current_time()))
-        await self._flush()
+        sent = self._sent
+        self._wake.set()
+        with anyio.move_on_after(ANNOUNCE_S):
+            await sent.wait()
 
     def merge_rumors(self, packet: Packet, now: float) -> None:
         """Merge what a packet carries."""
@@ -155,6 +165,9 @@
             self.differing_peers.setdefault(packet.sender, now)
 
     async def _flush(self) -> None:
+        """Send what is outgoing; only ``run`` calls it."""
         outgoing, self._outgoing = self._outgoing, []
+        sent, self._sent = self._sent, anyio.Event()
         for send in outgoing:
             await self._transport.send(send.address, self._sealer.seal(encode_packet(send.packet)))
+        sent.set()
