A part of a node that fails by a bug is begun anew and ends no request

What callers would see: any unexpected exception in any part (announcements, a feed, a health check) ended the node's task group, so that every request under way was cut and the process ended, at the worst moment in the seen case, a planned stop.

In tests a part that fails fails the test, unless it injects the failure (marker part_failures); the soak has no_part_failed.

Found by injecting: a connection whose opening failed by a bug kept its place for good (all connections are in use, 503 after 0.5 s each); a decider whose write failed by a bug wrote nothing more of that order.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -5,6 +5,7 @@
 from soak.node_checkers import (
     configuration_in_force,
     never_older,
+    no_part_failed,
     planned_stop_cuts_nothing,
     served_after_herd,
 )
@@ -38,6 +39,7 @@
         planned_stop_cuts_nothing,
         configuration_in_force,
         never_older,
+        no_part_failed,
         served_after_herd,
         only_ordered_versions,
         bad_version_exposure,
--- a/soak/node_checkers.py
+++ b/soak/node_checkers.py
@@ -78,6 +78,18 @@
     return len(asked) - len(failed - running) < ROUTES[ask.route].least_coverage * len(asked)
 
 
+def no_part_failed(record: Record) -> Checked:
+    """No part of a node fails by a bug, whatever is done to it; a supervisor would hide it from callers."""
+
+    def cases() -> Iterator[Case]:
+        for ask in record.asks[:1]:
+            yield ask.asked_s, ""
+        for each in record.part_failures:
+            yield each.at_s, f"{each.node}: {each.part} failed: {each.problem}"
+
+    return judge("no_part_failed", cases())
+
+
 def served_after_herd(record: Record) -> Checked:
     """Once everything was killed and is back, requests are served within the bound."""
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -3,7 +3,7 @@
 import json
 import math
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -103,6 +103,15 @@
     path: str
 
 
+class PartFailure(NamedTuple):
+    """A part of a node that failed and began anew; ``at_s`` is when its log was read."""
+
+    at_s: float
+    node: str
+    part: str
+    problem: str
+
+
 class Record(NamedTuple):
     """Everything that callers, servers, the store and the soak itself saw."""
 
@@ -118,6 +127,7 @@
     started: tuple[Started, ...] = ()
     node_starts: dict[int, tuple[float, ...]] = {}  # noqa: RUF012
     crashes: tuple[Crash, ...] = ()
+    part_failures: tuple[PartFailure, ...] = ()
 
     def disturbed(
         self,
@@ -204,9 +214,18 @@
         started=tuple(_fields(Started, event, at_s=event["t"]) for event in by_kind["started"]),
         node_starts={node: tuple(times) for node, times in starts.items()},
         crashes=tuple(_fields(Crash, event, at_s=event["t"]) for event in by_kind["crashed"]),
+        part_failures=tuple(_part_failures(folder, events[-1]["t"] if events else 0.0)),
     )
 
 
+def _part_failures(folder: Path, at_s: float) -> Iterator[PartFailure]:
+    for path in sorted(folder.glob("node-*.log")):
+        for line in path.read_text(errors="replace").splitlines():
+            if '"part_failed"' in line and line.endswith("}"):
+                told = json.loads(line)
+                yield PartFailure(at_s, path.stem, str(told.get("part")), str(told.get("problem")))
+
+
 def _ask(event: dict[str, Any]) -> Ask:
     ask: Ask = _fields(Ask, event, ended_s=event["t"])
     return ask._replace(parts=tuple(ask.parts))
--- a/src/yokesill/node.py
+++ b/src/yokesill/node.py
@@ -33,6 +33,7 @@
 from yokesill.routing.router import Router
 from yokesill.settings import Settings
 from yokesill.store.base import Store
+from yokesill.supervision import Supervisor
 from yokesill.verdict import Failure, Reason, Verdict
 
 # Before a starting node asks store and peers again. Chosen, not measured.
@@ -59,6 +60,7 @@
         self.store = store
         self.lifecycle = Lifecycle("node")
         self.metrics = Metrics()
+        self.supervisor = Supervisor(self._part_failed)
         self.transport = transport
         self.sealer = Sealer([bytes.fromhex(each) for each in settings.cluster.keys])
         record = MemberRecord(own.address, own.zone, own.region, incarnation, MemberStatus.ALIVE)
@@ -73,7 +75,7 @@
         self.sync = Synchroniser(transport, self.sealer, self.gossip, self.replica, random_source)
         self.watcher = StoreWatcher(store, self.gossip, self.table, random_source)
         self.router = Router(settings.routing.options(own.zone), random_source)
-        self.driver = QueryDriver(self.router, backends, self._announce_leaving_server)
+        self.driver = QueryDriver(self.router, backends, self._announce_leaving_server, self.supervisor)
         self.health = HealthChecker(
             self.router, backends, self.driver, settings.routing.health_interval_seconds
         )
@@ -86,6 +88,7 @@
             self.sealer,
             self._not_accepting,
             lambda: self.isolated,
+            self.supervisor,
         )
         self.leaving_servers = LeavingServers(self.gossip, self._tell_router, self._incarnation_of)
         self.close_listener: Callable[[], Awaitable[None]] = _nothing_to_close
@@ -103,17 +106,18 @@
 
     async def run(self) -> None:
         """Start, pass the barrier and serve; returns once a planned stop is complete."""
+        parts: dict[str, Callable[[], Awaitable[None]]] = {
+            "transport": self.transport.run,
+            "driver": self.driver.run,
+            "keyed_queries": self.queries.owned.run,
+            "gossip": self.gossip.run,
+            "start": self._barrier,
+            "resynchronisation": self._resynchronise_when_wanted,
+            "membership": self._follow_membership,
+        }
         async with anyio.create_task_group() as task_group:
-            for part in (
-                self.transport.run,
-                self.driver.run,
-                self.queries.owned.run,
-                self.gossip.run,
-                self._barrier,
-                self._resynchronise_when_wanted,
-                self._follow_membership,
-            ):
-                task_group.start_soon(part)
+            for name, run in parts.items():
+                task_group.start_soon(self.supervisor.keep_running, name, run)
             await self._stop_wanted.wait()
             await self._drain()
             task_group.cancel_scope.cancel()
@@ -148,9 +152,9 @@
         self._configuration_changed()
         self._enter("synchronised")
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self.sync.run)
-            task_group.start_soon(self.watcher.run)
-            task_group.start_soon(self.health.run)
+            task_group.start_soon(self.supervisor.keep_running, "synchronisation", self.sync.run)
+            task_group.start_soon(self.supervisor.keep_running, "store", self.watcher.run)
+            task_group.start_soon(self.supervisor.keep_running, "health", self.health.run)
 
     async def _learn_machines(self, seeds: list[str]) -> None:
         """Take further seeds from the platform's machine list."""
@@ -165,10 +169,10 @@
         """Lame duck, then drain: nothing in flight is cut off."""
         limits = self.settings.limits
         if self._enter("stop") == "lame_duck":
-            await self.gossip.announce_leaving()
+            await self.supervisor.run_once("gossip", self.gossip.announce_leaving)
             await anyio.sleep(limits.lame_duck_seconds)
             self._enter("announced")
-        await self.close_listener()
+        await self.supervisor.run_once("listener", self.close_listener)
         with anyio.move_on_after(limits.drain_seconds) as bound:
             while self.queries.in_flight or self.router.queries_in_flight:
                 await anyio.sleep(IDLE_CHECK_S)
@@ -181,6 +185,10 @@
             self._log.info("state", node=self.table.own.address, before=before, state=state)
         return state
 
+    def _part_failed(self, part: str) -> None:
+        failures = self.supervisor.failures[part]
+        self.metrics.gauge(f"yokesill_failures_{part}", "How often this part began anew", failures)
+
     def _paused(self) -> None:
         """After a pause the configuration is confirmed before new requests are taken."""
         self._enter("paused")
--- a/src/yokesill/query/driver.py
+++ b/src/yokesill/query/driver.py
@@ -12,7 +12,9 @@
 from yokesill.routing import events as ev
 from yokesill.routing.messages import Attempt, QueryRequest
 from yokesill.routing.router import Router
+from yokesill.supervision import Supervisor
 from yokesill.timers import Timers
+from yokesill.verdict import Failure, Reason, Verdict
 
 FinalAnswer = ev.Answer | ev.Refuse
 
@@ -21,12 +23,17 @@
     """Executes queries; the only caller of ``Router.on_event``."""
 
     def __init__(
-        self, router: Router, backends: BackendClient, announce_leaving: Callable[[ev.AnnounceLeaving], None]
+        self,
+        router: Router,
+        backends: BackendClient,
+        announce_leaving: Callable[[ev.AnnounceLeaving], None],
+        supervisor: Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or Supervisor()
         self._router = router
         self._backends = backends
         self._announce_leaving = announce_leaving
-        self._timers = Timers(self.feed)
+        self._timers = Timers(self.feed, self._supervisor)
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._waiting: dict[str, anyio.Event] = {}
         self._finals: dict[str, FinalAnswer] = {}
@@ -87,6 +94,15 @@
 
     async def _run_attempt(self, attempt: Attempt, scope: anyio.CancelScope) -> None:
         with scope:
-            outcome = await self._backends.call(attempt)
+            outcome = await self._outcome(attempt)
             self._scopes.pop(attempt.attempt_id, None)
-            self.feed(outcome)
+            self._supervisor.call("attempts", self.feed, outcome)
+
+    async def _outcome(self, attempt: Attempt) -> ev.AttemptAnswered | ev.AttemptFailed:
+        """Return how an attempt ended; a bug on its way fails it, and no other one."""
+        try:
+            return await self._backends.call(attempt)
+        except Exception as error:
+            self._supervisor.report("attempts", error)
+            failure = Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, repr(error))
+            return ev.AttemptFailed(attempt.attempt_id, failure)
--- a/src/yokesill/query/owned.py
+++ b/src/yokesill/query/owned.py
@@ -24,6 +24,7 @@
 )
 from yokesill.query.idempotency import IdempotencyTable, Record, RecordKey
 from yokesill.routing.events import Answer, Refuse
+from yokesill.supervision import Supervisor
 from yokesill.verdict import Failure, Reason, Verdict
 
 OWNED_QUERY, RESERVE, SETTLE = "owned-query", "reserve", "settle"
@@ -46,12 +47,20 @@
 class OwnedQueries:
     """Runs keyed requests at most once; ``execute`` runs one that is new."""
 
-    def __init__(self, table: MemberTable, transport: Transport, sealer: Sealer, execute: Execute) -> None:
+    def __init__(
+        self,
+        table: MemberTable,
+        transport: Transport,
+        sealer: Sealer,
+        execute: Execute,
+        supervisor: Supervisor | None = None,
+    ) -> None:
         self.records = IdempotencyTable()
         self._members = table
         self._transport = transport
         self._sealer = sealer
         self._execute = execute
+        self._supervisor = supervisor or Supervisor()
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -126,7 +135,8 @@
         if self._tasks is None:
             raise RuntimeError("the keyed queries' part does not run")
         # Not in the caller's task: it may leave and ask again, and what was sent can't be taken back.
-        self._tasks.start_soon(self._run_new, call, query_id, key, record, backup)
+        arguments = (call, query_id, key, record, backup)
+        self._tasks.start_soon(self._supervisor.run_once, "keyed_queries", self._run_new, *arguments)
         return await self._join(call, record, query_id)
 
     async def _run_new(
--- a/src/yokesill/query/service.py
+++ b/src/yokesill/query/service.py
@@ -22,6 +22,7 @@
 from yokesill.resources.keys import ServiceName
 from yokesill.routing.events import Refuse
 from yokesill.routing.messages import QueryRequest
+from yokesill.supervision import Supervisor
 from yokesill.verdict import Failure, Reason, Verdict
 
 
@@ -42,9 +43,10 @@
         sealer: Sealer,
         not_accepting: Callable[[], str | None],
         isolated: Callable[[], bool],
+        supervisor: Supervisor | None = None,
     ) -> None:
         self.in_flight = 0
-        self.owned = OwnedQueries(members, transport, sealer, self._execute)
+        self.owned = OwnedQueries(members, transport, sealer, self._execute, supervisor)
         self._catalog = catalog
         self._driver = driver
         self._metrics = metrics
--- a/src/yokesill/registry/following.py
+++ b/src/yokesill/registry/following.py
@@ -25,6 +25,7 @@
 from yokesill.registry.watch_link import WatchLink
 from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.serving.settings import GatewaySettings
+from yokesill.supervision import Supervisor
 from yokesill.watchers.timing import WatchTiming
 
 # Pause after a batch of operators' changes: they are few, and their bound counts from the registry's answer.
@@ -61,6 +62,8 @@
         Whether only a few nodes of the zone ask the registry and tell the others.
     source
         Spreads the calls of many nodes over time.
+    supervisor
+        Keeps each feed going whatever becomes of the others.
 
     Notes
     -----
@@ -75,7 +78,9 @@
         whole: Callable[[str], WholeFeed | None],
         few_watchers: bool,
         source: random.Random,
+        supervisor: Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or Supervisor()
         shared = few_watchers and settings.reports is not None and settings.peers is not None
         terms = WatchTiming.within(settings.change_bound_s)
         check_s = terms.check_interval_s if shared else settings.check_interval_s
@@ -118,10 +123,11 @@
     async def run(self) -> None:
         """Keep up until cancelled."""
         async with anyio.create_task_group() as task_group:
-            for follower in self._followers.values():
-                task_group.start_soon(follower.run)
+            keep_running = self._supervisor.keep_running
+            for name, follower in self._followers.items():
+                task_group.start_soon(keep_running, f"feed_{name}", follower.run)
             if self._watch is not None:
-                task_group.start_soon(self._link.run, self._watch, self._watch_alone)
+                task_group.start_soon(keep_running, "watch", self._link.run, self._watch, self._watch_alone)
 
     def lacks(self, event: Event) -> bool:
         """Whether the registry has not answered yet what a peer's event says.
--- a/src/yokesill/serving/builder.py
+++ b/src/yokesill/serving/builder.py
@@ -41,6 +41,7 @@
 from yokesill.serving.rollout_port import create_rollout_link
 from yokesill.serving.settings import GatewaySettings
 from yokesill.serving.state_snapshot import configuration_version, snapshot_of
+from yokesill.supervision import Supervisor
 from yokesill.telemetry.figures import GatewayFigures
 
 
@@ -50,6 +51,7 @@
     life_cycle: LifeCycle
     figures: GatewayFigures
     router: GatewayRouter
+    supervisor: Supervisor
     driver: GatewayDriver
     updates: FeedUpdates
     following: RegistryFollowing
@@ -107,6 +109,7 @@
         life_cycle=life_cycle,
         figures=core.figures,
         router=core.router,
+        supervisor=core.supervisor,
         driver=core.driver,
         updates=registry.updates,
         following=registry.following,
--- a/src/yokesill/serving/driver.py
+++ b/src/yokesill/serving/driver.py
@@ -14,6 +14,7 @@
 from yokesill.gateway import events as ev
 from yokesill.gateway.messages import Attempt, GatewayRequest
 from yokesill.gateway.router import GatewayRouter
+from yokesill.supervision import Supervisor
 from yokesill.timers import Timers
 
 CrashFinding = ev.LossObserved | ev.AnswerObserved | ev.RequestJudged
@@ -47,13 +48,17 @@
     """
 
     def __init__(
-        self, router: GatewayRouter, client: Client, log_event: Callable[[ev.LogEvent], None]
+        self,
+        router: GatewayRouter,
+        client: Client,
+        log_event: Callable[[ev.LogEvent], None],
+        supervisor: Supervisor | None = None,
     ) -> None:
         self.router = router
         self._client = client
         client.connections_changed = lambda instance, count: self.feed(ev.ConnectionsChanged(instance, count))
         self._log_event = log_event
-        self._timers: Timers[ev.TimerFired] = Timers(self.feed)
+        self._timers: Timers[ev.TimerFired] = Timers(self.feed, supervisor)
         self._waiting: dict[str, anyio.Event] = {}
         self._finals: dict[str, ev.FinalAnswer] = {}
         self.observed: Callable[[ev.ServerObserved], None] = lambda _seen: None
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -5,6 +5,8 @@
 """
 
 import random
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 
@@ -52,14 +54,10 @@
         )
         async with anyio.create_task_group() as task_group:
             await task_group.start(node.driver.run)
-            background = (node.following, node.presence, node.findings, node.bootstrap, node.reachability)
-            for component in background:
-                task_group.start_soon(component.run)
-            task_group.start_soon(self._flush_logs)
-            if node.rollouts is not None:
-                task_group.start_soon(node.rollouts.run, self.settings.rollout_datagrams)
+            for name, run in self._background().items():
+                task_group.start_soon(node.supervisor.keep_running, name, run)
             await self._listen()
-            task_group.start_soon(self._become_ready)
+            task_group.start_soon(node.supervisor.keep_running, "readiness", self._become_ready)
             await self._stop_requested.wait()
             await self._drain()
             task_group.cancel_scope.cancel()
@@ -82,6 +80,21 @@
         """Whether readiness probes are answered with 200."""
         return self.life_cycle.is_ready()
 
+    def _background(self) -> dict[str, Callable[[], Awaitable[object]]]:
+        """Return what runs beside the requests, by its name in ``part_failed``."""
+        node = self.node
+        parts: dict[str, Callable[[], Awaitable[object]]] = {
+            "registry": node.following.run,
+            "presence": node.presence.run,
+            "findings": node.findings.run,
+            "bootstrap": node.bootstrap.run,
+            "reachability": node.reachability.run,
+            "logs": self._flush_logs,
+        }
+        if node.rollouts is not None:
+            parts["rollouts"] = partial(node.rollouts.run, self.settings.rollout_datagrams)
+        return parts
+
     async def _listen(self) -> None:
         node, settings = self.node, self.settings
         await node.listener.start(settings.callers, self._dependencies.callers_socket)
--- a/src/yokesill/serving/request_path.py
+++ b/src/yokesill/serving/request_path.py
@@ -27,6 +27,7 @@
 from yokesill.serving.feed_updates import FeedUpdates
 from yokesill.serving.settings import GatewaySettings
 from yokesill.serving.state_snapshot import whole_feed
+from yokesill.supervision import Supervisor
 from yokesill.telemetry.figures import GatewayFigures
 from yokesill.telemetry.observer import Observer
 from yokesill.upstreams.server_client import ServerClient
@@ -42,6 +43,7 @@
     figures: GatewayFigures
     observer: Observer
     router: GatewayRouter
+    supervisor: Supervisor
     client: ServerClient
     driver: GatewayDriver
     key_prefix: str
@@ -70,14 +72,29 @@
     figures = GatewayFigures()
     observer = Observer(get_logger("requests"), figures)
     router = GatewayRouter(options, source, now)
-    client = ServerClient(dependencies.names)
-    driver = GatewayDriver(router, client, observer.log_event)
+    supervisor = Supervisor(partial(_count_failure, figures))
+    client = ServerClient(dependencies.names, supervisor=supervisor)
+    driver = GatewayDriver(router, client, observer.log_event, supervisor)
     key_prefix = f"{settings.node}-{source.getrandbits(32):08x}"
     return Core(
-        settings, dependencies, options, source, figures, observer, router, client, driver, key_prefix
+        settings,
+        dependencies,
+        options,
+        source,
+        figures,
+        observer,
+        router,
+        supervisor,
+        client,
+        driver,
+        key_prefix,
     )
 
 
+def _count_failure(figures: GatewayFigures, _part: str) -> None:
+    figures.decisions["part_failed"] += 1
+
+
 def create_registry(core: Core) -> Registry:
     """Return what keeps the router up to date."""
     dependencies = core.dependencies
@@ -92,6 +109,7 @@
         partial(whole_feed, core.router),
         core.options.switches.few_watchers,
         core.source,
+        core.supervisor,
     )
     return Registry(updates, following, RemoteCoordinators(core.options, core.router.servers))
 
--- a/src/yokesill/serving/rollout_recorder.py
+++ b/src/yokesill/serving/rollout_recorder.py
@@ -9,7 +9,7 @@
 from yokesill.registry.feeds import RolloutRecords
 from yokesill.rollouts.decider import RolloutDecider
 from yokesill.rollouts.orders import RolloutOrder
-from yokesill.verdict import Failure
+from yokesill.verdict import Failure, Reason, Verdict
 
 # A node that failed to write a record leaves deciding to others for so long: four of its reports. Chosen, not
 # measured.
@@ -57,7 +57,13 @@
         tasks.start_soon(self._record, order)
 
     async def _record(self, order: RolloutOrder) -> None:
-        outcome = await self._records.record(order)
+        try:
+            outcome = await self._records.record(order)
+        except BaseException as error:
+            # The decider writes nothing else of this order before it knows how this write ended.
+            failure = Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, repr(error))
+            self._decider.recorded(order, failure, anyio.current_time())
+            raise
         now = anyio.current_time()
         if isinstance(outcome, Failure):
             self._unable_until_s = now + UNABLE_S
--- a/src/yokesill/serving/running.py
+++ b/src/yokesill/serving/running.py
@@ -4,26 +4,30 @@
 """
 
 import signal
+from collections.abc import Callable
+from functools import partial
 
 import anyio
 
 from yokesill.serving.process import GatewayProcess
 from yokesill.serving.reload import SettingsFollower
+from yokesill.supervision import Supervisor
 
 
 async def run_until_stopped(process: GatewayProcess, follower: SettingsFollower) -> None:
     """Run a node: SIGTERM and SIGINT begin its planned stop, SIGHUP reads its settings anew."""
+    supervisor = Supervisor()
     async with anyio.create_task_group() as task_group:
-        task_group.start_soon(follower.run)
-        task_group.start_soon(_follow_signals, process, follower)
+        task_group.start_soon(supervisor.keep_running, "settings", follower.run)
+        task_group.start_soon(_follow_signals, process, partial(supervisor.call, "settings", follower.reload))
         await process.run()
         task_group.cancel_scope.cancel()
 
 
-async def _follow_signals(process: GatewayProcess, follower: SettingsFollower) -> None:
+async def _follow_signals(process: GatewayProcess, reload: Callable[[str], None]) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
-                follower.reload("signal")
+                reload("signal")
             else:
                 process.stop()
--- a/src/yokesill/timers.py
+++ b/src/yokesill/timers.py
@@ -11,14 +11,17 @@
 
 import anyio
 
+from yokesill.supervision import Supervisor
+
 TimerEvent = TypeVar("TimerEvent")
 
 
 class Timers(Generic[TimerEvent]):
-    """Calls ``fire`` with each timer's event when it is due."""
+    """Calls ``fire`` with each timer's event when it is due; one that fails does not stop the others."""
 
-    def __init__(self, fire: Callable[[TimerEvent], None]) -> None:
+    def __init__(self, fire: Callable[[TimerEvent], None], supervisor: Supervisor | None = None) -> None:
         self._fire = fire
+        self._supervisor = supervisor or Supervisor()
         self._heap: list[tuple[float, int, TimerEvent]] = []
         self._sequence = itertools.count()
         self._earlier = anyio.Event()
@@ -42,4 +45,4 @@
     def _fire_due(self, now: float) -> None:
         while self._heap and self._heap[0][0] <= now:
             _, _, event = heapq.heappop(self._heap)
-            self._fire(event)
+            self._supervisor.call("timers", self._fire, event)
--- a/src/yokesill/upstreams/server_client.py
+++ b/src/yokesill/upstreams/server_client.py
@@ -17,6 +17,7 @@
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.gateway.messages import Attempt
 from yokesill.serving.header_names import HeaderNames
+from yokesill.supervision import Supervisor
 from yokesill.timers import Timers
 from yokesill.upstreams.attempt_bytes import encode_attempt, read_reply
 from yokesill.upstreams.attempt_call import VERDICT_OF_STATE, AttemptCall, Done
@@ -42,9 +43,14 @@
         The headers spoken with servers.
     dial
         Opens connections.
+    supervisor
+        Learns of failures within it.
     """
 
-    def __init__(self, names: HeaderNames, dial: Dial = dial_tcp) -> None:
+    def __init__(
+        self, names: HeaderNames, dial: Dial = dial_tcp, supervisor: Supervisor | None = None
+    ) -> None:
+        self._supervisor = supervisor or Supervisor()
         self.connections_opened = 0
         self.connections_changed: Callable[[str, int], None] = lambda _instance, _count: None
         self._names = names
@@ -53,7 +59,7 @@
         self._calls: dict[int, AttemptCall] = {}
         self._table = transition_table("attempt")
         self._sent_state = self._table[("connecting", "connection_ready")]
-        self._timers: Timers[Callable[[], None]] = Timers(lambda due: due())
+        self._timers: Timers[Callable[[], None]] = Timers(lambda due: due(), self._supervisor)
         self._deadlines = Deadlines(self._timers, self._expire)
         self._tasks: TaskGroup | None = None
         self._clock: Clock = anyio.current_time
@@ -125,12 +131,17 @@
             return
         if self._tasks is None:
             raise RuntimeError("the client does not run")
-        self._tasks.start_soon(self._open, call)
+        self._tasks.start_soon(self._supervisor.run_once, "connections", self._open, call)
 
     async def _open(self, call: AttemptCall) -> None:
         """Open a connection for a call; if the call ended meanwhile, the next one gets it."""
         connections, started = call.connections, self._clock()
-        opened = await open_connection(connections, self._dial, call.attempt.deadline_at_s, self._clock)
+        try:
+            opened = await open_connection(connections, self._dial, call.attempt.deadline_at_s, self._clock)
+        except Exception as error:
+            # The call ends, and its place among the connections is free again.
+            self._supervisor.report("connections", error)
+            opened = OpeningFailure(Reason.CONNECT_FAILED, repr(error))
         if isinstance(opened, OpeningFailure):
             connections.drop(None)
             if self._is_live(call):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """Shared fixtures: virtual time, seeded clusters, and the scenario that most tests use."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +13,7 @@
 from simulation.cluster import SimulatedCluster
 
 from yokesill.emulator.scenario import Scenario
+from yokesill.supervision import Supervisor
 
 KNOWN_RED = Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
@@ -108,6 +109,23 @@
     return run_virtual(main, scheduling)
 
 
+@pytest.fixture(autouse=True)
+def _no_part_fails(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Fail a test in which a part of a node failed: a supervisor would hide it."""
+    failed: list[tuple[str, Exception]] = []
+    report = Supervisor.report
+
+    def watched(self: Supervisor, part: str, error: Exception, **details: object) -> None:
+        failed.append((part, error))
+        report(self, part, error, **details)
+
+    monkeypatch.setattr(Supervisor, "report", watched)
+    yield
+    if failed and request.node.get_closest_marker("part_failures") is None:
+        part, error = failed[0]
+        raise AssertionError(f"{len(failed)} failures of parts, the first one of {part}") from error
+
+
 @pytest.fixture
 def outcome() -> dict[str, Any]:
     """What the steps of one scenario hand to each other."""
--- /dev/null
+++ b/tests/serving/test_gateway_parts.py
@@ -0,0 +1,165 @@
+"""A part of a gateway node that fails is begun anew: requests go on, and a stop answers what is under way."""
+
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import anyio
+import pytest
+from test_process import Node, with_node
+
+from yokesill.logs import LogOutput
+from yokesill.registry.follower import FeedFollower
+from yokesill.registry.node_presence import NodePresence
+from yokesill.registry.peer_bootstrap import PeerBootstrap
+from yokesill.serving.findings import Findings
+from yokesill.serving.process import GatewayProcess
+from yokesill.serving.reachability import Reachability
+from yokesill.serving.rollout_recorder import RolloutRecorder
+from yokesill.timers import Timers
+from yokesill.upstreams import server_client
+from yokesill.verdict import Failure, Verdict
+
+LATER_S = 0.1
+PARTS: dict[str, tuple[type, str]] = {
+    "feed_servers": (FeedFollower, "run"),
+    "presence": (NodePresence, "run"),
+    "findings": (Findings, "run"),
+    "reachability": (Reachability, "run"),
+    "logs": (GatewayProcess, "_flush_logs"),
+}
+
+
+class InjectedError(Exception):
+    """A bug in a part."""
+
+
+@pytest.fixture(autouse=True)
+def _no_output(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    monkeypatch.setattr(LogOutput, "write", lambda _self, _line: None)
+    yield
+
+
+def failing(method: Callable[..., Awaitable[None]]) -> Callable[..., Awaitable[None]]:
+    async def broken(self: Any) -> None:
+        with anyio.move_on_after(LATER_S):
+            await method(self)
+        raise InjectedError
+
+    return broken
+
+
+@pytest.mark.part_failures
+@pytest.mark.parametrize("part", PARTS)
+def test_a_stop_answers_what_is_under_way_whichever_part_fails(
+    part: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    owner, name = PARTS[part]
+    monkeypatch.setattr(owner, name, failing(getattr(owner, name)))
+
+    async def main(node: Node) -> None:
+        await node.until(node.ready)
+        await anyio.sleep(2 * LATER_S)
+        assert node.process.node.supervisor.failures[part] >= 1
+        assert node.process.node.figures.decisions["part_failed"] >= 1
+        node.backend.open.clear()
+        answers: list[bytes] = []
+
+        async def ask() -> None:
+            answers.append(await node.ask())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(0.1)
+            node.process.stop()
+            await anyio.sleep(0.2)
+            node.backend.open.set()
+        assert answers[0].startswith(b"HTTP/1.1 200")
+
+    with_node(main)
+
+
+@pytest.mark.part_failures
+def test_a_node_that_fails_to_look_for_others_at_its_start_looks_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(PeerBootstrap, "run", failing(PeerBootstrap.run))
+
+    async def main(node: Node) -> None:
+        with anyio.fail_after(5.0):
+            while node.process.node.supervisor.failures["bootstrap"] < 2:
+                await anyio.sleep(0.02)
+
+    with_node(main, known=False)
+
+
+@pytest.mark.part_failures
+def test_a_connection_that_fails_by_a_bug_fails_its_attempt_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    open_connection, left = server_client.open_connection, 1
+
+    async def broken(*arguments: Any) -> Any:
+        nonlocal left
+        if left:
+            left -= 1
+            raise InjectedError
+        return await open_connection(*arguments)
+
+    monkeypatch.setattr(server_client, "open_connection", broken)
+
+    async def main(node: Node) -> None:
+        await node.until(node.ready)
+        answers = [await node.ask() for _ in range(3)]
+        assert answers[-1].startswith(b"HTTP/1.1 200")
+        assert node.process.node.supervisor.failures == {"connections": 1}
+        assert not node.process.node.router.in_flight
+
+    with_node(main)
+
+
+@pytest.mark.part_failures
+def test_a_timer_that_fails_by_a_bug_stops_no_other() -> None:
+    fired: list[int] = []
+
+    def fire(number: int) -> None:
+        if number == 1:
+            raise InjectedError
+        fired.append(number)
+
+    async def main() -> None:
+        timers: Timers[int] = Timers(fire)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(timers.run)
+            for number in range(3):
+                timers.set(anyio.current_time() + 0.01 * (number + 1), number)
+            await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert fired == [0, 2]
+
+
+class _Decider:
+    def __init__(self) -> None:
+        self.outcomes: list[Any] = []
+
+    def recorded(self, _order: Any, outcome: Any, _now: float) -> None:
+        self.outcomes.append(outcome)
+
+
+class _BrokenRecords:
+    async def record(self, _order: Any) -> Any:
+        raise InjectedError
+
+
+@pytest.mark.part_failures
+def test_a_decider_learns_of_a_write_that_failed_by_a_bug() -> None:
+    """Until it does it writes nothing else of that order."""
+    decider = _Decider()
+    recorder = RolloutRecorder(decider, _BrokenRecords(), lambda: True, lambda: None, None)  # type: ignore[arg-type]
+
+    async def main() -> None:
+        with pytest.raises(InjectedError):
+            await recorder._record(None)  # type: ignore[arg-type]
+
+    anyio.run(main)
+    (outcome,) = decider.outcomes
+    assert isinstance(outcome, Failure) and outcome.verdict is Verdict.MAY_HAVE_RUN
--- a/tests/soak/test_soak_checkers.py
+++ b/tests/soak/test_soak_checkers.py
@@ -1,6 +1,7 @@
 """Each checker passes a sound record and fails on one that was broken in one place."""
 
 from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 from run_record import (
@@ -20,7 +21,7 @@
 
 from soak.checkers import CHECKERS, check
 from soak.layout import DESK
-from soak.record import Crash, Record, Started
+from soak.record import Crash, PartFailure, Record, Started, read_record
 from soak.records import greatest_records
 
 Broken = Callable[[], Record]
@@ -127,9 +128,21 @@
     ("never_older", "a route lacks again", older_again),
     ("never_older", "an older one", shows_an_older_one),
     ("served_after_herd", "nothing served", not_served_after_herd),
+    (
+        "no_part_failed",
+        "a bug",
+        lambda: good()._replace(part_failures=(PartFailure(12.0, "node-0", "feed_servers", "KeyError()"),)),
+    ),
 ]
 
 
+def test_failures_of_parts_are_read_from_nodes_logs(tmp_path: Path) -> None:
+    lines = ['{"event": "started"}', '{"event": "part_failed", "part": "gossip", "problem": "KeyError()"}']
+    (tmp_path / "node-3.log").write_text("\n".join([*lines, '{"event": "part_failed", "pa']))
+    (failure,) = read_record(tmp_path, good().layout, good().bounds).part_failures
+    assert (failure.node, failure.part, failure.problem) == ("node-3", "gossip", "KeyError()")
+
+
 @pytest.mark.parametrize("name", CHECKERS)
 def test_a_sound_record_passes(name: str) -> None:
     assert CHECKERS[name](good()).violations == []
