Soak: requests to an ordered version are judged by the making of the order that was the last one then

The checker kept one order a version, the last, so what was sent on the first was judged by the second's moment. Change: each request is judged by the latest making before it; before the first one nobody ordered, and after a making's roll-back nothing new comes until the next. Stricter than before there: an earlier making's roll-back was forgotten.

--- a/soak/rollout_checkers.py
+++ b/soak/rollout_checkers.py
@@ -45,18 +45,24 @@
 
 
 def only_ordered_versions(record: Record) -> Checked:
-    """A version that nobody ordered gets nothing, and one that was taken back nothing new."""
-    ordered = {order.version: order for order in orders(record)}
+    """A version that nobody ordered gets nothing, and one that was taken back nothing new.
+
+    An order that the store lost is made again for the same version: each request is judged by the making
+    that was the last one then.
+    """
+    ordered: dict[str, list[Order]] = defaultdict(list)
+    for order in orders(record):
+        ordered[order.version].append(order)
     rollback_s = record.bounds.rollback_s
 
     def cases() -> Iterator[Case]:
         for each in record.arrivals:
             if each.version == FIRST_VERSION or each.refused_as_another:
                 continue
-            order = ordered.get(each.version)
-            if order is None or each.at_s < order.at_s:
+            made = [order for order in ordered[each.version] if order.at_s <= each.at_s]
+            if not made:
                 yield each.at_s, f"{each.id} at version {each.version}, which nobody ordered"
-            elif each.at_s > order.final_s(ROLLED_BACK) + rollback_s:
+            elif each.at_s > made[-1].final_s(ROLLED_BACK) + rollback_s:
                 yield each.at_s, f"{each.id} at version {each.version}, which was rolled back"
             else:
                 yield each.at_s, ""
--- a/tests/soak/test_soak_rollout_checkers.py
+++ b/tests/soak/test_soak_rollout_checkers.py
@@ -58,6 +58,33 @@
 ]
 
 
+# A store that came back from an older copy had lost an order, which all nodes obeyed from its making on; its
+# writer made it again 4 s later. Seven requests in between were judged by the second making: "at version s8,
+# which nobody ordered". The checker kept one order a version, the last.
+def made_again(*states: Stored, at_s: float = 58.0) -> Record:
+    """Return a record of an order with some states, which is lost and made again, then completed."""
+    record = ordered(*states)
+    order = next(each for each in record.stored if each.kind == "rollouts")
+    later = (order._replace(at_s=at_s), status(at_s + 2.0, "in_progress"), status(at_s + 8.0, "completed"))
+    return record._replace(stored=(*record.stored, *later))
+
+
+def test_an_order_that_is_made_again_is_judged_from_its_first_making() -> None:
+    record = made_again(status(52.0, "in_progress"))
+    assert [name for name, each in check(record).items() if each.violations] == []
+    early = arrival(49.0, DESK, "early", "i-new", version="s2")
+    assert check(with_arrivals(record, early))["only_ordered_versions"].violations
+
+
+def test_nothing_goes_to_a_version_between_its_end_and_the_next_making() -> None:
+    record = made_again(status(52.0, "rolled_back"), at_s=62.0)
+    between = arrival(61.0, DESK, "between", "i-new", version="s2")
+    assert not check(record)["only_ordered_versions"].violations
+    assert check(with_arrivals(record, between))["only_ordered_versions"].violations
+    after = arrival(63.0, DESK, "after", "i-new", version="s2")
+    assert not check(with_arrivals(record, after))["only_ordered_versions"].violations
+
+
 def test_a_sound_roll_out_passes() -> None:
     record = ordered(status(52.0, "in_progress"), status(66.0, "completed"))
     assert [name for name, each in check(record).items() if each.violations] == []
