A list that lacks a newer server does not bring the one back whose address it took

Cause: the newer server's being listed was taken for its being there. Change: a server stays replaced until its successor's address answers for somebody else, or the successor is forgotten.

--- a/src/yokesill/gateway/servers/server_state.py
+++ b/src/yokesill/gateway/servers/server_state.py
@@ -39,9 +39,9 @@
     """
 
     __slots__ = (
-        "_distances", "_ejection", "_evidence", "_overtaken_s", "_sent", "_shed_until_s", "_stalled",
-        "_state", "_successes", "_table", "_warm_at_s", "connections", "last_sent_at_s", "last_typical_s",
-        "latency", "name_hash", "probation", "record", "removed_at_s", "replaced_by",
+        "_absent", "_distances", "_ejection", "_evidence", "_overtaken_s", "_sent", "_shed_until_s",
+        "_stalled", "_state", "_successes", "_table", "_warm_at_s", "connections", "last_sent_at_s",
+        "last_typical_s", "latency", "name_hash", "probation", "record", "removed_at_s", "replaced_by",
     )  # fmt: skip
 
     def __init__(
@@ -56,6 +56,7 @@
         self.name_hash = name_hash(record.instance)
         self.removed_at_s: float | None = None
         self.replaced_by: ServerState | None = None
+        self._absent = False
         self.last_sent_at_s = float("-inf")
         self.last_typical_s = 0.0
         self.connections = ConnectionBackoff(backs_off)
@@ -87,8 +88,8 @@
 
     @property
     def replaced(self) -> bool:
-        """Whether another server is at its address: one that is there, as far as its own answers say."""
-        return self.replaced_by is not None and not self.replaced_by.leaving
+        """Whether another server took its address over, and nobody else answered there since."""
+        return self.replaced_by is not None and not self.replaced_by._absent
 
     @property
     def round_trip(self) -> float:
@@ -104,7 +105,8 @@
             self._handle("leaving")
 
     def leave(self) -> None:
-        """Give it no new work: its own answer said so."""
+        """Give it no new work: whoever answers at its address said that it is not there."""
+        self._absent = True
         self._handle("leaving")
 
     def cold(self, now: float) -> bool:
--- a/src/yokesill/gateway/servers/server_table.py
+++ b/src/yokesill/gateway/servers/server_table.py
@@ -127,18 +127,20 @@
             self._replace(before, record.instance)
 
     def _replace(self, instance: str, by: str) -> None:
-        """Give nothing more to a server while the one started at its address is there.
+        """Give nothing more to a server since another one was started at its address.
 
         A server that crashed says nothing, so its entry stands for some heartbeats more beside that of the
         server started in its place, longer if the registry comes back from an older copy meanwhile. The new
         one would turn away what is meant for the old one, and each such arrival counts against the budget.
+        A list that lacks the new one changes nothing: it is older, or that one is gone as well.
         """
-        replaced = self._by_instance.get(instance)
+        replaced, newer = self._by_instance.get(instance), self._by_instance[by]
+        newer.replaced_by = None
         if replaced is None:
             return
         if replaced.replaced_by is None:
             self._replaced.append(instance)
-        replaced.replaced_by = self._by_instance[by]
+        replaced.replaced_by = newer
 
     def take_replaced(self) -> list[str]:
         """Return the servers whose addresses others have taken over since the last call."""
@@ -184,8 +186,6 @@
             there = self._at_address[_place(record)]
             if there != record.instance:
                 self._replace(record.instance, there)
-            else:
-                self._by_instance[there].replaced_by = None
         # Only after the whole list: the first of several versions is not yet what serves.
         for service in {record.service for record in records} if self.versions.active else ():
             self._update_versions(service, now)
@@ -202,6 +202,9 @@
             state = self._by_instance.pop(instance)
             if self._at_address.get(_place(state.record)) == instance:
                 del self._at_address[_place(state.record)]
+            for each in self.of_service(state.record.service):
+                if each.replaced_by is state:
+                    each.replaced_by = None
             del self._by_service[state.record.service][instance]
             if self.versions.active:
                 self._update_versions(state.record.service, now)
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -476,6 +476,30 @@
     assert {ask(harness) for _ in range(20)} == {"s1-z1"}
 
 
+def test_a_list_that_lacks_the_newer_server_brings_the_older_one_not_back() -> None:
+    """A node that starts reads a list that may be seconds old after it has heard of newer servers."""
+    harness = RouterHarness(ONE_SHARD)
+    old = server("s1-z1", "s1")
+    new, other = replace(old, instance="s1-new"), server("s1-z2", "s1")
+    harness.feed(ev.ServersReplaced((old, other, new)))
+    harness.feed(ev.ServersReplaced((old, other)))
+    assert {ask(harness) for _ in range(20)} == {"s1-z2"}
+    harness.feed(ev.ServersReplaced((old, other, new)))
+    assert "s1-new" in {ask(harness) for _ in range(20)}
+
+
+def test_a_server_gets_work_again_when_its_successor_is_long_gone() -> None:
+    """An entry by another writer came and went: the server whose address it named was there all the time."""
+    harness = RouterHarness(ONE_SHARD)
+    there = server("s1-z1", "s1")
+    harness.feed(ev.ServersReplaced((there,)))
+    harness.feed(ev.ServerListed(replace(there, instance="s1-nobody")))
+    harness.feed(ev.ServerRemoved("s1-nobody"))
+    harness.advance(30.0)
+    harness.feed(ev.ServerListed(there))
+    assert {ask(harness) for _ in range(20)} == {"s1-z1"}
+
+
 def test_an_entry_whose_server_is_not_there_takes_nobodys_place_for_long() -> None:
     """Entries may also come from another writer, and name an address that is a sound server's."""
     harness = RouterHarness(ONE_SHARD)
