The first sight of a restored registry's timeline ends the waits of all feeds

Callers saw: changes in force late after the registry came back from an older copy; up to 2 of the 3 s went by on a wait that could not be answered. Cause: each feed learned of the timeline by itself, by its own check of its own swallowed wait.

--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -84,7 +84,7 @@
         path = f"/objects/{kind}?watch={revision}&waitMs={int(wait * 1000)}" + ("&stale=1" if stale else "")
         reply = await self._call("GET", path, STALE_TIMEOUT_S if stale else wait + WATCH_MARGIN_S)
         if isinstance(reply, ApiReply) and reply.status == http.GONE:
-            return HistoryLost()
+            return HistoryLost(self._timeline)
         if isinstance(reply, Failure) or reply.status != http.OK:
             return _failure(reply)
         try:
--- a/src/yokesill/registry/feed_catch_up.py
+++ b/src/yokesill/registry/feed_catch_up.py
@@ -71,6 +71,12 @@
         changes = changes_from_wire(report.changes or (), report.timeline)
         return follower.apply_changes(report.start, Batch(report.position, changes))
 
+    def timeline_told(self, report: FeedReport) -> None:
+        """Take a report as news of the registry's timeline, for all feeds of this node."""
+        follower = self._followers.get(report.feed)
+        if follower is not None:
+            follower.timeline_told(report.timeline)
+
     def outdated(self, report: FeedReport) -> bool:
         """Whether the reporter has not noticed yet that the registry came back from an older copy.
 
--- a/src/yokesill/registry/feeds.py
+++ b/src/yokesill/registry/feeds.py
@@ -29,10 +29,10 @@
     problems: tuple[Problem, ...] = ()
 
 
-class HistoryLost:
-    """Changes after the asked position are not kept any more: list again."""
+class HistoryLost(NamedTuple):
+    """Changes after the asked position are not kept any more: list again, on ``timeline`` (0: not told)."""
 
-    __slots__ = ()
+    timeline: int = 0
 
 
 class Feed(abc.ABC):
--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -99,6 +99,7 @@
         self._checks_fail = False
         self._older_than: Position | None = None
         self._timeline_began = anyio.Event()
+        self._waits = False
 
     @property
     def lost(self) -> bool:
@@ -110,6 +111,7 @@
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self._check_waits)
             task_group.start_soon(self._list_settled)
+            task_group.start_soon(self._follow_timeline)
             if not self._watching:
                 await self._read_stale()
             await self._follow()
@@ -161,6 +163,7 @@
         self.calls += 1
         self._called_at_s = anyio.current_time()
         asked_at, listed = self._position, self._lists_next()
+        self._waits = not listed
         with anyio.CancelScope() as self._call_scope:
             outcome = await self._next(listed)
         cancelled = self._call_scope.cancelled_caught
@@ -173,6 +176,7 @@
                 await anyio.sleep(self._gathering_time_s)
         elif isinstance(outcome, HistoryLost):
             self._log.info("registry_history_lost", feed=self._feed_name, position=self.revision)
+            self._reach.timeline_seen(outcome.timeline)
             self._list_next = True
         else:
             self._set_connected(False, f"{outcome.reason}: {outcome.detail}")
@@ -213,6 +217,7 @@
         is never older than what was known when it was asked for, unless the registry itself went back.
         """
         before = self._position
+        self._reach.timeline_seen(batch.position.timeline)
         if not listed and (asked_at is None or batch.position.timeline != asked_at.timeline):
             self._list_next = True
         else:
@@ -246,6 +251,8 @@
             if isinstance(outcome, Failure):
                 pause_s = min(FAILED_CHECK_PAUSE_S, self._check_interval_s)
                 continue
+            timeline = outcome.timeline if isinstance(outcome, HistoryLost) else outcome.position.timeline
+            self._reach.timeline_seen(timeline)
             # A revision of another timeline says nothing of what is known here.
             relisting = isinstance(outcome, HistoryLost) or outcome.position.timeline != position.timeline
             if isinstance(outcome, Batch) and not outcome.events and not relisting:
@@ -257,6 +264,26 @@
                 self._list_next = relisting
                 self._call_scope.cancel()
 
+    def timeline_told(self, timeline: int) -> None:
+        """Note that another node knows the registry on a timeline."""
+        self._reach.timeline_seen(timeline)
+
+    async def _follow_timeline(self) -> None:
+        """List the feed when the registry is known to be on a later timeline: a wait may never be answered.
+
+        Spread over time, since every watcher of every zone learns of it in the same moment.
+        """
+        while True:
+            await self._reach.wait_for_timeline()
+            await anyio.sleep(RETURN_SPREAD_S * self._random.random())
+            known = self._position
+            if not self._watching or known is None or known.timeline >= self._reach.timeline:
+                continue
+            self._list_next = True
+            if self._waits and self._call_scope is not None:
+                self._log.info("registry_wait_outdated", feed=self._feed_name, position=self.revision)
+                self._call_scope.cancel()
+
     async def _list_settled(self) -> None:
         """List the feed once more when a restored registry has settled."""
         while True:
@@ -269,6 +296,7 @@
     def _begin_timeline(self, before: Position, position: Position) -> None:
         """Give up a wait for changes of the timeline before, too."""
         super()._begin_timeline(before, position)
+        self._reach.timeline_seen(position.timeline)
         self._timeline_began.set()
         if self._call_scope is not None:
             self._call_scope.cancel()
--- a/src/yokesill/registry/zone_watch.py
+++ b/src/yokesill/registry/zone_watch.py
@@ -179,6 +179,8 @@
         member = self._members.get(report.node)
         if member is None or member.reports != sender:
             return
+        for each in report.feeds:
+            self._catch_up.timeline_told(each)
         behind = [each for each in report.feeds if not self._catch_up.apply(each)]
         current = report.current and not any(map(self._catch_up.outdated, report.feeds))
         if len(report.feeds) == len(self._followers):
--- a/tests/serving/test_registry_restored.py
+++ b/tests/serving/test_registry_restored.py
@@ -13,6 +13,7 @@
 import pytest
 from zone import BOUND_S, Zone, ZoneNode, in_a_zone
 
+from yokesill.registry.follower import RETURN_SPREAD_S
 from yokesill.registry.restored_lists import SETTLING_S
 from yokesill.watchers.messages import FeedReport, Report, encode_report
 from yokesill.watchers.timing import WATCHERS_PER_ZONE as WATCHERS
@@ -22,6 +23,8 @@
 # How long the registry was away, and until the operator's next change.
 AWAY_S, NEXT_CHANGE_S = 2.6, 4.2
 FEEDS = 3
+# How the lists of all nodes are spread, and a call.
+AT_ONCE_S = RETURN_SPREAD_S + 0.2
 
 
 def test_configurations_are_in_force_in_time_after_the_registry_lost_two_of_them() -> None:
@@ -185,3 +188,30 @@
         assert len(node.fetched) == before
 
     in_a_zone(main)
+
+
+# A node whose calls went unanswered while the registry was restored heard of the later timeline with the
+# first answer; its feeds were listed 0.5 to 2.1 s later, each when its own check found that its wait was
+# swallowed. Of the 3 s in which a change is to be in force, two went by on a wait of the timeline before.
+@pytest.mark.parametrize("seed", range(10))
+def test_the_first_answer_of_a_later_timeline_ends_the_waits_of_all_feeds(seed: int) -> None:
+    async def main(zone: Zone) -> None:
+        await anyio.sleep(random.Random(seed).random())
+        older = zone.standin.copied()
+        zone.standin.mode = "silent"
+        # Waits that stand are answered; those that follow are swallowed.
+        zone.change()
+        await anyio.sleep(1.0)
+        zone.standin.restore(older)
+        zone.standin.mode = "up"
+        (node, *_) = zone.watchers()
+        while not any(timelines(node)):
+            await anyio.sleep(0.01)
+        await anyio.sleep(AT_ONCE_S)
+        assert all(timelines(node))
+
+    in_a_zone(main)
+
+
+def timelines(node: ZoneNode) -> list[int]:
+    return [each.position.timeline if each.position is not None else 0 for each in node.followers.values()]
