--- a/src/yokesill/backends/health.py
+++ b/src/yokesill/backends/health.py
@@ -10,9 +10,9 @@
 from yokesill.routing.events import ServerObserved
 from yokesill.routing.router import Router
 
-# How often it is looked for servers that are due. Chosen, not measured: short against the interval of 5 s.
+# How often it is looked for servers that are due: short against the interval of 5 s.
 CHECK_TICK_S = 0.1
-# Bounds connections and memory when a node starts with thousands of servers. Chosen, not measured.
+# Bounds connections and memory when a node starts with thousands of servers.
 MAXIMUM_CHECKS_AT_ONCE = 16
 
 
--- a/src/yokesill/backends/http_backend.py
+++ b/src/yokesill/backends/http_backend.py
@@ -22,9 +22,9 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 TIMEOUTS = {"timeout": {"connect": 1.0}}
-# A server that takes longer to say how it is counts as failing. Chosen, not measured.
+# A server that takes longer to say how it is counts as failing.
 HEALTH_TIMEOUT_S = 1.0
-# A longer reply is malformed; bounds the memory of a reply. Chosen, not measured.
+# A longer reply is malformed; bounds the memory of a reply.
 MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 VERDICT_OF_STATE = {
     "never_sent": Verdict.NOT_RUN,
--- a/src/yokesill/callers/application.py
+++ b/src/yokesill/callers/application.py
@@ -27,10 +27,10 @@
 # Returns another node's final answer, or the request as this node must run it itself.
 RunElsewhere = Callable[[GatewayRequest], Awaitable[HttpAnswer | GatewayRequest]]
 
-# Bounds what a caller can put into each log line of its request. Chosen, not measured.
+# Bounds what a caller can put into each log line of its request.
 REQUEST_ID_LIMIT_BYTES = 128
 # A request that arrives just before a starting node is ready is answered instead of refused; the wait takes
-# from the request's latency objective. Chosen, not measured.
+# from the request's latency objective.
 FIRST_CONFIGURATION_WAIT_S = 0.12
 
 
--- a/src/yokesill/callers/listener.py
+++ b/src/yokesill/callers/listener.py
@@ -17,7 +17,7 @@
 from yokesill.serving.settings import Address
 
 # In force until a configuration says otherwise: how long a request's head may take, and how long a connection
-# may stay idle. Chosen, not measured.
+# may stay idle.
 DEFAULT_HEADER_TIMEOUT_S = 3.0
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 HEAD_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
--- a/src/yokesill/callers/sockets.py
+++ b/src/yokesill/callers/sockets.py
@@ -6,7 +6,7 @@
 import socket
 import sys
 
-# Callers that connect while a node starts wait in this queue (``platform.start``). Chosen, not measured.
+# Callers that connect while a node starts wait in this queue (``platform.start``).
 BACKLOG = 512
 
 
--- a/src/yokesill/cli/admin_client.py
+++ b/src/yokesill/cli/admin_client.py
@@ -12,7 +12,7 @@
 from yokesill.comm.http_client import HttpClient
 from yokesill.verdict import Failure
 
-# A person waits for the reply; a node bounds its own work far below that. Chosen, not measured.
+# A person waits for the reply; a node bounds its own work far below that.
 CALL_TIMEOUT_S = 10.0
 
 
--- a/src/yokesill/cluster/gossip.py
+++ b/src/yokesill/cluster/gossip.py
@@ -20,16 +20,14 @@
 from yokesill.replication.replica import ConfigurationReplica
 from yokesill.resources.objects import StoredObject
 
-# How often the detector runs. Chosen, not measured: short against its probe interval of a second.
+# How often the detector runs: short against its probe interval of a second.
 TICK_S = 0.1
-# A tick later than this means that the node was paused: it confirms its configuration before it serves on.
-# Chosen, not measured: above what a busy machine delays a tick.
+# A tick later than this means that the node was paused: it confirms its configuration before it serves on;
+# above what a busy machine delays a tick.
 PAUSE_THRESHOLD_S = 1.0
 # Digests that still differ so long after the last change are synchronised; rumors reach every member by then.
-# Chosen, not measured.
 QUIET_BEFORE_SYNC_S = 1.5
-# More rumors than this at once are a node's catching up, known to the others, and not passed on. Chosen, not
-# measured.
+# More rumors than this at once are a node's catching up, known to the others, and not passed on.
 BULK_RUMORS = 8
 # A stop waits no longer than this for its announcement to be sent.
 ANNOUNCE_S = 0.5
--- a/src/yokesill/cluster/sync.py
+++ b/src/yokesill/cluster/sync.py
@@ -20,14 +20,13 @@
 from yokesill.resources.objects import StoredObject
 from yokesill.verdict import Failure, Reason, Verdict
 
-# How long a peer may take to answer; a whole state is some megabytes. Chosen, not measured.
+# How long a peer may take to answer; a whole state is some megabytes.
 SYNC_TIMEOUT_S = 2.0
-# How often peers whose digests differ are synchronised. Chosen, not measured: within the 5 s of a change's
-# bound.
+# How often peers whose digests differ are synchronised: within the 5 s of a change's bound.
 SYNC_INTERVAL_S = 0.5
-# So many peers confirm a starting node's configuration, since one may be behind. Chosen, not measured.
+# So many peers confirm a starting node's configuration, since one may be behind.
 BARRIER_PEERS = 3
-# An operator waits for a pushed change, so less than a synchronisation. Chosen, not measured.
+# An operator waits for a pushed change, so less than a synchronisation.
 PUSH_TIMEOUT_S = 1.0
 # Peers that get a change at once, in different zones first; rumors bring it to the rest.
 PUSH_PEERS = 3
--- a/src/yokesill/cluster/watcher.py
+++ b/src/yokesill/cluster/watcher.py
@@ -18,12 +18,12 @@
 
 # Two, since one may be paused or cut off.
 WATCHERS_A_REGION = 2
-# After a failed call of the store, doubled up to the ceiling. Chosen, not measured.
+# After a failed call of the store, doubled up to the ceiling.
 RETRY_PAUSE_S = 0.5
 RETRY_CEILING_S = 10.0
-# How soon a node notices that it has become a watcher. Chosen, not measured: within a change's bound of 5 s.
+# How soon a node notices that it has become a watcher: within a change's bound of 5 s.
 RANK_CHECK_S = 1.0
-# How soon leaving machines are noticed. Chosen, not measured: a server's own notice is sooner.
+# How soon leaving machines are noticed: a server's own notice is sooner.
 MACHINE_LIST_INTERVAL_S = 1.0
 RANK_SUBJECT = "store-watcher"
 
--- a/src/yokesill/comm/http_client.py
+++ b/src/yokesill/comm/http_client.py
@@ -6,7 +6,7 @@
 
 from yokesill.verdict import Failure, Reason, Verdict
 
-# Bounds the memory that one reply can use. Chosen, not measured.
+# Bounds the memory that one reply can use.
 MAXIMUM_REPLY_BYTES = 64 * 1024 * 1024
 
 
--- a/src/yokesill/comm/http_reply.py
+++ b/src/yokesill/comm/http_reply.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-# Bound the memory that one reply can use. Chosen, not measured.
+# Bound the memory that one reply can use.
 MAXIMUM_HEAD_BYTES = 64 * 1024
 MAXIMUM_BODY_BYTES = 32 * 1024 * 1024
 # Statuses whose replies have no body whatever their headers say (RFC 9112, section 6.3).
--- a/src/yokesill/comm/network.py
+++ b/src/yokesill/comm/network.py
@@ -12,7 +12,7 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 INTERNAL_PATH = "/internal/v1/"
-# To all peers together; further calls wait for one. Chosen, not measured.
+# To all peers together; further calls wait for one.
 MAXIMUM_PEER_CONNECTIONS = 64
 
 
--- a/src/yokesill/coordinators/client.py
+++ b/src/yokesill/coordinators/client.py
@@ -15,8 +15,8 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 COORDINATE_PATH = "/coordinate"
-# Bounds what a dead coordinator costs a request. Chosen, not measured: the hop to another zone is counted
-# as 12 ms until it is measured.
+# Bounds what a dead coordinator costs a request: the hop to another zone is counted as 12 ms until it is
+# measured.
 CONNECT_TIMEOUT_S = 0.04
 # Less than the 15 s after which a coordinator closes an idle connection (``callers.listener``).
 IDLE_LIMIT_S = 8.0
--- a/src/yokesill/coordinators/coordinator.py
+++ b/src/yokesill/coordinators/coordinator.py
@@ -20,10 +20,10 @@
 from yokesill.comm.http_status import BAD_REQUEST, FORBIDDEN, OK, UNAVAILABLE
 from yokesill.coordinators.messages import GatheredAnswer, decode_forwarded, encode_answer
 
-# Bounds the memory that one message can use. Chosen, not measured.
+# Bounds the memory that one message can use.
 MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
 # Beyond either limit this node's processor makes all its requests late; a node whose request is refused
-# gathers it itself. Chosen, not measured: a wide request uses some ten milliseconds of a core.
+# gathers it itself: a wide request uses some ten milliseconds of a core.
 IN_FLIGHT_LIMIT = 12
 LATENESS_LIMIT_S = 0.02
 
--- a/src/yokesill/coordinators/fallback.py
+++ b/src/yokesill/coordinators/fallback.py
@@ -14,8 +14,7 @@
 # The coordinator knows no server of a service, or no configuration. A request that it sent to servers has
 # been counted towards the budget of extra attempts and must not be counted as new again.
 INCOMPLETE_VIEW = frozenset({Reason.NO_REPLICA.value, Reason.NOT_READY.value})
-# Share of the latency objective that a second run needs; with less time left the refusal is final. Chosen,
-# not measured.
+# Share of the latency objective that a second run needs; with less time left the refusal is final.
 RERUN_SHARE = 0.5
 
 
--- a/src/yokesill/coordinators/forwarding.py
+++ b/src/yokesill/coordinators/forwarding.py
@@ -24,7 +24,7 @@
 from yokesill.telemetry.observer import CoordinatedEnding, Observer
 from yokesill.verdict import Failure, Reason, Verdict
 
-# Time kept before the deadline to answer the caller, whatever the coordinator does. Chosen, not measured.
+# Time kept before the deadline to answer the caller, whatever the coordinator does.
 ANSWER_MARGIN_S = 0.012
 # Share of the latency objective within which a coordinator must acknowledge a request: the rest must be
 # enough to gather it here. Also the share within which a second coordinator may be tried.
--- a/src/yokesill/coordinators/remote_coordinators.py
+++ b/src/yokesill/coordinators/remote_coordinators.py
@@ -15,8 +15,8 @@
 from yokesill.peers.capacity_rank import gathering_nodes, strong_nodes
 from yokesill.registry.feeds import NodeContact
 
-# No heartbeat says that a coordinator elsewhere is back: it is tried again after this time. Chosen, not
-# measured; each try of a dead one costs a request ``client.CONNECT_TIMEOUT_S``.
+# No heartbeat says that a coordinator elsewhere is back: it is tried again after this time. Each try of a
+# dead one costs a request ``client.CONNECT_TIMEOUT_S``.
 RETRY_PAUSE_S = 2.0
 # What the hop to another zone is assumed to take until it has been measured.
 FIRST_HOP_S = 0.012
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -23,9 +23,9 @@
 from yokesill.gateway.servers.server_table import ServerTable
 
 # The weight of the newest timer in the node's lateness: it follows a node that turns busy within some five
-# timers. Chosen, not measured.
+# timers.
 LATENESS_WEIGHT = 0.2
-# More than this is a pause rather than a busy node, and counts as this much. Chosen, not measured.
+# More than this is a pause rather than a busy node, and counts as this much.
 LATENESS_CEILING_S = 0.05
 
 
--- a/src/yokesill/gateway/forwarding.py
+++ b/src/yokesill/gateway/forwarding.py
@@ -19,10 +19,10 @@
 # Routes with fewer services are gathered here. Sending to so many over open connections (0.1 ms each, as
 # much to read) takes half a core as long as the hop to a coordinator and back.
 LEAST_SERVICES = 16
-# A coordinator that refused is busy or stopping: others get the requests for so long. Chosen, not measured.
+# A coordinator that refused is busy or stopping: others get the requests for so long.
 REFUSED_PAUSE_S = 0.5
 # After a coordinator of another zone is lost, its whole zone is passed over for so long: it may be
-# partitioned from here. Chosen, not measured.
+# partitioned from here.
 ZONE_LOST_PAUSE_S = 2.0
 # A lost coordinator of another zone is tried again after so long, twice as long each further time: each try
 # of a dead one costs a request 40 ms, and the directory lists the dead for minutes.
@@ -33,7 +33,7 @@
 # 0.9 quantile (``docs/design/shifted-work.md``).
 FIRST_HOP_S = 0.005
 # The weight of the newest hop in its mean, and how many mean deviations are added to it: a coordinator that
-# counts the hop too short answers every request just too late. Chosen, not measured.
+# counts the hop too short answers every request just too late.
 HOP_WEIGHT, HOP_DEVIATIONS = 0.15, 1.5
 
 
--- a/src/yokesill/gateway/options.py
+++ b/src/yokesill/gateway/options.py
@@ -12,8 +12,7 @@
 from yokesill.gateway.servers.cold_starts import ColdStartLimits
 from yokesill.rollouts.orders import RolloutLimits
 
-# Stands in where the settings name no budget: a tenth of the requests and 10 in each 10 s. Chosen, not
-# measured.
+# Stands in where the settings name no budget: a tenth of the requests and 10 in each 10 s.
 DEFAULT_BUDGET = BudgetLimits(ratio=0.1, allowance=10.0, window_s=10.0)
 
 
@@ -70,20 +69,20 @@
         was too short in a run: more answers were late.
     gather_hedge_factor, single_hedge_factor
         After this multiple of the typical latency an attempt of a wide or of another request is late.
-        Chosen, not measured: above the spread of sound servers, and single requests hedge less.
+        Above the spread of sound servers, and single requests hedge less.
     minimum_hedge_delay_s
-        No attempt is late earlier. Chosen, not measured: below, the node's own timers are what is late.
+        No attempt is late earlier: below, the node's own timers are what is late.
     assumed_nodes
-        Shares capacity with so many nodes until they were counted. Chosen, not measured.
+        Shares capacity with so many nodes until they were counted.
     removed_grace_s
         How long a server whose entry vanished may be a last resort: entries also vanish when the registry was
         away. Set from the platform's contract (``serving/settings``).
     connection_share
         The share of the connections that a server can hold which all nodes together use. The rest covers
-        nodes that count others differently for a while. Chosen, not measured.
+        nodes that count others differently for a while.
     zone_round_trip_s, region_round_trip_s
         How much longer a round trip to another zone or region takes, until a connection has shown it.
-        Chosen, not measured: only their order matters, and only for the first attempts.
+        Only their order matters, and only for the first attempts.
     switches
         What is switched off.
     """
--- a/src/yokesill/gateway/partition.py
+++ b/src/yokesill/gateway/partition.py
@@ -22,7 +22,7 @@
 # before a slower decision helps, and a wrong one is taken back before the second miss.
 SILENCE_S = 0.5
 # The node is not ready for so long at most, then ready for as long: the places that are looked at may be
-# unreachable for another reason while servers can be reached. Chosen, not measured.
+# unreachable for another reason while servers can be reached.
 LONGEST_S = 20.0
 # Where no route is wide, a node depends on others if more than this share of the services has servers
 # elsewhere only.
--- a/src/yokesill/gateway/requests/hedging.py
+++ b/src/yokesill/gateway/requests/hedging.py
@@ -32,7 +32,7 @@
 # hedged 0.78 of its shards, and 0.12 with this rule. With nodes that are never busy it buys nothing clear
 # (0.003 of credit either way, bench/overload.py).
 NODE_LATE_SHARE = 0.5
-# With fewer calls than this, a late half is no sign of a late node. Chosen, not measured.
+# With fewer calls than this, a late half is no sign of a late node.
 LEAST_CALLS_TO_COMPARE = 8
 
 
--- a/src/yokesill/gateway/requests/refusal.py
+++ b/src/yokesill/gateway/requests/refusal.py
@@ -21,17 +21,17 @@
 
 from yokesill.verdict import Failure, Reason, Verdict
 
-# Until a node that has just started has read a configuration. Chosen, not measured.
+# Until a node that has just started has read a configuration.
 NOT_READY_RETRY_AFTER_MS = 300
-# Where it is unknown when servers are back. Chosen, not measured.
+# Where it is unknown when servers are back.
 SHED_RETRY_AFTER_MS = 100
 # After a failure servers may have worked for nothing, so longer than after a refusal that cost none of them
-# anything. Chosen, not measured.
+# anything.
 FAILED_RETRY_AFTER_MS = 250
 # Nothing is gained by coming back before somebody has looked at the request or at the servers' software.
 QUARANTINED_RETRY_AFTER_MS = 60_000
 # Callers that were refused in the same moment are spread over a quarter of the time named, for servers that
-# were silent to answer some of them before the next. Chosen, not measured.
+# were silent to answer some of them before the next.
 SPREAD_SHARE = 0.25
 
 
--- a/src/yokesill/gateway/requests/service_call.py
+++ b/src/yokesill/gateway/requests/service_call.py
@@ -17,7 +17,6 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 # An attempt with less time left is not sent: it would cost a server work for an answer that comes too late.
-# Chosen, not measured.
 LEAST_TIME_TO_SEND_S = 0.003
 NEVER = float("inf")
 # Failures after which the request surely never reached a server, so that the next attempt is no extra one.
--- a/src/yokesill/gateway/servers/cold_starts.py
+++ b/src/yokesill/gateway/servers/cold_starts.py
@@ -20,8 +20,8 @@
 # The rates are a second's, in any second.
 WINDOW_S = 1.0
 # The share of the limit that owners may use. The rest covers nodes whose view of who the nodes are differs
-# for a while and so yields other owners, and requests that wait for a connection once allowed and arrive in
-# a later second. Chosen, not measured; the runs of that page kept the limit with it.
+# for a while and so yields other owners, and requests that wait for a connection once allowed and arrive in a
+# later second.
 DEALT_SHARE = 0.5
 
 
--- a/src/yokesill/gateway/servers/connection_backoff.py
+++ b/src/yokesill/gateway/servers/connection_backoff.py
@@ -10,15 +10,14 @@
 the node's clock. Without the mechanism (``heeds_refusals``) the share alone counts.
 """
 
-# The pause after a refused connection, doubling up to the ceiling until an answer comes. Chosen, not
-# measured.
+# The pause after a refused connection, doubling up to the ceiling until an answer comes.
 REFUSAL_PAUSE_S, REFUSAL_PAUSE_CEILING_S = 0.03, 0.24
 # Keeps the doubling finite; the ceiling is reached long before.
 MAX_DOUBLINGS = 8
 # A server is connected to once before it has answered; each answer allows one more, as in slow start. A
 # trial without a bound at the start served fewer requests on days with a loss of power.
 FIRST_CONNECTIONS = 1
-# Growth ends here. Chosen, not measured.
+# Growth ends here.
 MOST_CONNECTIONS = 256
 
 
--- a/src/yokesill/gateway/servers/ejection.py
+++ b/src/yokesill/gateway/servers/ejection.py
@@ -14,16 +14,16 @@
 had no answers to lower the mean (``test_a_pause_does_not_keep_work_away_once_it_is_over``).
 """
 
-# An answer that takes this multiple of its route's typical latency is slow. Chosen, not measured: above the
-# spread of busy servers, below servers that are several times slower.
+# An answer that takes this multiple of its route's typical latency is slow: above the spread of busy servers,
+# below servers that are several times slower.
 SLOW_RATIO = 2.2
 # One slow answer is a pause as often as a slow server; two in a row are not.
 SLOW_STREAK = 2
-# How long slow answers eject, doubling up to the ceiling. Chosen, not measured: short against the seconds
-# for which servers are slow, and a ceiling that lets a server back within seconds of its recovery.
+# How long slow answers eject, doubling up to the ceiling: short against the seconds for which servers are
+# slow, and a ceiling that lets a server back within seconds of its recovery.
 SLOW_EJECTION_S, SLOW_EJECTION_CEILING_S = 0.5, 4.0
 # How long a failure ejects, doubling up to the ceiling: a crashed server's replacement has another instance
-# name, so little is gained by staying away longer. Chosen, not measured.
+# name, so little is gained by staying away longer.
 FAILING_EJECTION_S, FAILING_EJECTION_CEILING_S = 0.5, 2.0
 # Keeps the doubling finite; the ceiling is reached long before.
 MAX_DOUBLINGS = 8
--- a/src/yokesill/gateway/servers/eligibility.py
+++ b/src/yokesill/gateway/servers/eligibility.py
@@ -30,9 +30,8 @@
 
 # A node's subset has so many servers at least: a hedge needs a second one.
 LEAST_SUBSET = 2
-# Servers whose round trips differ by less are equally near, and the nodes' hashes spread over them. Chosen,
-# not measured: twice the tolerance in `selection`, since a subset should stay the same while distances are
-# learned.
+# Servers whose round trips differ by less are equally near, and the nodes' hashes spread over them: twice the
+# tolerance in `selection`, since a subset should stay the same while distances are learned.
 SUBSET_DISTANCE_STEP_S = 0.001
 
 
--- a/src/yokesill/gateway/servers/evidence.py
+++ b/src/yokesill/gateway/servers/evidence.py
@@ -12,13 +12,13 @@
 from yokesill.gateway.events import Action, ServerObserved
 from yokesill.verdict import Failure, Reason
 
-# A timeout counts against a server only after this multiple of its typical latency: a caller with little
-# time left ends its attempts early, which says nothing of the server. Chosen, not measured.
+# A timeout counts against a server only after this multiple of its typical latency: a caller with little time
+# left ends its attempts early, which says nothing of the server.
 TIMEOUT_FACTOR = 4.0
 # A silent attempt is reported after so long, and this multiple of its typical latency. Servers pause for some
 # hundred milliseconds now and then; only what lasts longer is worth a report.
 SILENCE_TO_REPORT_S, SILENCE_TO_REPORT_FACTOR = 0.4, 8.0
-# The attempts under way are looked through so often at most. Chosen, not measured: small against the 0.4 s.
+# The attempts under way are looked through so often at most: small against the 0.4 s.
 SILENCE_CHECK_S = 0.1
 # Failures that say nothing of the server: this node's own limits, and an idle connection that was reset.
 NO_EVIDENCE = frozenset({Reason.OVERLOADED, Reason.CONNECTION_FORGOTTEN})
--- a/src/yokesill/gateway/servers/learned_latencies.py
+++ b/src/yokesill/gateway/servers/learned_latencies.py
@@ -7,17 +7,17 @@
 from collections import deque
 from collections.abc import Callable
 
-# The newest answers of which the median is taken. Chosen, not measured.
+# The newest answers of which the median is taken.
 LATENCY_SAMPLES = 128
-# With fewer answers the first guess stands: a median of a handful is chance. Chosen, not measured.
+# With fewer answers the first guess stands: a median of a handful is chance.
 LATENCY_MIN_SAMPLES = 8
 # The median is taken anew after so many answers: sorting each time would cost more than choosing a server.
 LATENCY_REFRESH_SAMPLES = 8
-# The first guess, as a share of the route's objective. Chosen, not measured: late enough that a node which
-# just started doesn't hedge everything.
+# The first guess, as a share of the route's objective: late enough that a node which just started doesn't
+# hedge everything.
 FIRST_GUESS_SHARE = 0.2
-# The weight of the newest connection in the usual connecting time. Chosen, not measured: follows a change of
-# load within some ten connections.
+# The weight of the newest connection in the usual connecting time: follows a change of load within some ten
+# connections.
 CONNECTING_WEIGHT = 0.2
 
 
--- a/src/yokesill/gateway/servers/recent_outcomes.py
+++ b/src/yokesill/gateway/servers/recent_outcomes.py
@@ -9,10 +9,9 @@
 attempts a shard in place of 1.22 (``tests/gateway/test_shedding.py``, six seeds).
 """
 
-# The weight of the newest answer in the rejected share. Chosen, not measured.
+# The weight of the newest answer in the rejected share.
 REJECTION_WEIGHT = 0.25
 # The rejected share counts half after so long: a server that has recovered is tried again some seconds later.
-# Chosen, not measured.
 REJECTION_HALF_LIFE_S = 4.0
 # Up to this share nothing is charged: one rejection among few answers is a busy moment.
 TOLERATED_SHARE = 0.2
--- a/src/yokesill/gateway/servers/selection.py
+++ b/src/yokesill/gateway/servers/selection.py
@@ -28,8 +28,8 @@
 # saves bytes between zones. With 1.6 there were fewer of these and more new connections, no difference in
 # latency.
 NEAR_EQUAL_FACTOR = 1.15
-# Near equals whose round trips differ by less are equally near, and chance spreads attempts over them.
-# Chosen, not measured: above the jitter of connecting within a zone.
+# Near equals whose round trips differ by less are equally near, and chance spreads attempts over them: above
+# the jitter of connecting within a zone.
 ROUND_TRIP_TOLERANCE_S = 0.0006
 # The share of a slow server's latency between two attempts, for each of its slots. With a share p a
 # server's latency settles at 1 / p of its work: at 0.55 nearly one request a slot is queued there, which
--- a/src/yokesill/gateway/servers/server_latency.py
+++ b/src/yokesill/gateway/servers/server_latency.py
@@ -10,11 +10,11 @@
 from yokesill.gateway.servers.learned_latencies import ConnectingTimes, ZoneDistances
 from yokesill.gateway.servers.recent_outcomes import RecentRejections
 
-# The weight of the newest answer in the slowness: two answers tell a slow server. Chosen, not measured.
+# The weight of the newest answer in the slowness: two answers tell a slow server.
 SLOWNESS_WEIGHT = 0.5
-# A load report counts for so long: a queue of a few requests is worked off by then. Chosen, not measured.
+# A load report counts for so long: a queue of a few requests is worked off by then.
 LOAD_LIFETIME_S = 0.25
-# How many times slower a server is while it is cold, until its load report says more. Chosen, not measured.
+# How many times slower a server is while it is cold, until its load report says more.
 COLD_SLOWNESS = 1.6
 # The least typical latency that slowness is measured against: below, a node's own timers are what is
 # measured.
--- a/src/yokesill/gateway/servers/server_state.py
+++ b/src/yokesill/gateway/servers/server_state.py
@@ -20,7 +20,7 @@
 
 COLD, ACTIVE, EJECTED, LEAVING = "cold", "active", "ejected", "leaving"
 # A server that rejected a request is full: others go first for so long, some of its requests being done by
-# then. Chosen, not measured.
+# then.
 SHED_PAUSE_S = 0.05
 
 
--- a/src/yokesill/gateway/servers/server_table.py
+++ b/src/yokesill/gateway/servers/server_table.py
@@ -16,7 +16,7 @@
 from yokesill.rollouts.versions import ServiceVersions
 
 # A removed server is dropped after so many times the grace in which it is a last resort, so that an entry
-# that comes back finds its state. Chosen, not measured.
+# that comes back finds its state.
 REMOVED_KEPT_GRACES = 2
 
 
--- a/src/yokesill/gateway/servers/server_zones.py
+++ b/src/yokesill/gateway/servers/server_zones.py
@@ -14,14 +14,11 @@
 from yokesill.gateway.servers.eligibility import present
 from yokesill.gateway.servers.server_table import ServerTable
 
-# A node whose zone has servers of more than this share of the services gathers for itself. Chosen, not
-# measured.
+# A node whose zone has servers of more than this share of the services gathers for itself.
 MOST_AT_HOME_SHARE = 0.1
 # A zone with servers of a smaller share of the services is not gone to: it would cross zones for the others.
-# Chosen, not measured.
 LEAST_ELSEWHERE_SHARE = 0.9
-# Zones whose round trips differ by less are equally near, and requests spread over them. Chosen, not
-# measured.
+# Zones whose round trips differ by less are equally near, and requests spread over them.
 ZONE_DISTANCE_TOLERANCE_S = 0.001
 # How long a route's zones are kept: finding them for 90 services takes 0.1 ms of half a core.
 REFRESH_S = 1.0
--- a/src/yokesill/logs.py
+++ b/src/yokesill/logs.py
@@ -15,7 +15,7 @@
 import structlog
 
 Logger = structlog.typing.FilteringBoundLogger
-# Lines that wait for a slow reader: a share of the node's memory. Chosen, not measured.
+# Lines that wait for a slow reader: a share of the node's memory.
 BUFFER_BYTES = 1_048_576
 
 
--- a/src/yokesill/membership/rumors.py
+++ b/src/yokesill/membership/rumors.py
@@ -7,12 +7,12 @@
 from yokesill.membership.records import MemberRecord
 from yokesill.resources.objects import StoredObject
 
-# Each rumor is sent this many times the logarithm of the members. Chosen, not measured: gossip reaches all
-# members with high probability after a few logarithms of rounds.
+# Each rumor is sent this many times the logarithm of the members: gossip reaches all members with high
+# probability after a few logarithms of rounds.
 REPEAT_FACTOR = 3.0
-# Chosen, not measured: with the packet's other fields and the seal below a usual MTU of 1,500 bytes.
+# With the packet's other fields and the seal below a usual MTU of 1,500 bytes.
 PACKET_BYTES = 1200
-# What a rumor's frame takes in a packet. Chosen, not measured.
+# What a rumor's frame takes in a packet.
 RUMOR_OVERHEAD_BYTES = 8
 
 
--- a/src/yokesill/membership/table.py
+++ b/src/yokesill/membership/table.py
@@ -8,7 +8,6 @@
 from yokesill.resources.hashing import rendezvous_weight
 
 # How long a dead member is remembered, so that an old rumor of it is recognised and a healed cut is noticed.
-# Chosen, not measured.
 DEAD_RETENTION_S = 600.0
 
 
--- a/src/yokesill/node.py
+++ b/src/yokesill/node.py
@@ -36,9 +36,9 @@
 from yokesill.supervision import Supervisor
 from yokesill.verdict import Failure, Reason, Verdict
 
-# Before a starting node asks store and peers again. Chosen, not measured.
+# Before a starting node asks store and peers again.
 BARRIER_PAUSE_S = 0.3
-# How soon a draining node notices that it is idle. Chosen, not measured.
+# How soon a draining node notices that it is idle.
 IDLE_CHECK_S = 0.02
 SERVING_STATES = frozenset({"serving", "lame_duck"})
 
--- a/src/yokesill/outliers/detector.py
+++ b/src/yokesill/outliers/detector.py
@@ -12,18 +12,16 @@
 
 # What comes within this time is one observation: all that waited in one pause of a server is late at its end.
 SPACING_S = 0.1
-# A suspicion needs so many observations within the window. Chosen, not measured: a pause gives one, a slow
-# server several.
+# A suspicion needs so many observations within the window: a pause gives one, a slow server several.
 WINDOW_S, OBSERVATIONS_NEEDED = 1.5, 3
 # And no more good answers than this for each observation. One answer in a hundred takes several times as
 # long as usual, so a busy server has three late ones in a window by chance: before this rule and
 # probation a day with six slow servers gave 2,567 suspicions, after it 152.
 GOOD_PER_LATE = 1.0
-# How long the first suspicion lasts, and how it grows while the server is suspected again and again.
-# Chosen, not measured: servers are slow for seconds, and a server that has recovered is idle until a
-# suspicion ends.
+# How long the first suspicion lasts, and how it grows while the server is suspected again and again: servers
+# are slow for seconds, and a server that has recovered is idle until a suspicion ends.
 FIRST_SUSPICION_S, SUSPICION_GROWTH, SUSPICION_CEILING_S = 0.7, 2.0, 3.0
-# For so long after a suspicion fewer observations are enough for the next. Chosen, not measured.
+# For so long after a suspicion fewer observations are enough for the next.
 PROBATION_S, OBSERVATIONS_NEEDED_ON_PROBATION = 2.0, 2
 # Bounds the memory against instance names made up by whoever can send datagrams: five times the target's
 # 3,900 servers.
--- a/src/yokesill/peers/dissemination.py
+++ b/src/yokesill/peers/dissemination.py
@@ -15,7 +15,7 @@
 
 # One of a subject's owners may be gone. A third would add a datagram to each report.
 OWNERS = 2
-# A zone learns a finding although one of its relays is gone. Chosen, not measured.
+# A zone learns a finding although one of its relays is gone.
 RELAYS_PER_ZONE = 2
 # Owners are cached for so many subjects (a large site has some thousand servers); ranking the nodes for one
 # anew costs a hash for each node.
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -14,7 +14,7 @@
 from yokesill.registry.feeds import HistoryLost
 from yokesill.verdict import Failure, Reason, Verdict
 
-# Bound what a silent store costs a call; a watch may take its wait and the margin. Chosen, not measured.
+# Bound what a silent store costs a call; a watch may take its wait and the margin.
 CALL_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 2.0
 STALE_TIMEOUT_S = 1.0
--- a/src/yokesill/quarantine/messages.py
+++ b/src/yokesill/quarantine/messages.py
@@ -10,7 +10,7 @@
 QUARANTINE_KINDS = frozenset({Kind.LOSSES, Kind.ANSWERS, Kind.QUARANTINE_FINDINGS})
 # A fingerprint, a server's and a service's name take some 60 bytes of the 1,200 of a datagram.
 ENTRIES_PER_DATAGRAM = 16
-# Bounds what strangers' bytes may cost in memory; chosen, not measured: names here have some 20 characters.
+# Bounds what strangers' bytes may cost in memory: names here have some 20 characters.
 LONGEST_NAME_CHARS = 128
 
 
--- a/src/yokesill/query/idempotency.py
+++ b/src/yokesill/query/idempotency.py
@@ -13,9 +13,9 @@
 
 from yokesill.routing.events import Answer, Refuse
 
-# How long a repeat is recognised. Chosen, not measured: well beyond the longest deadline of a request.
+# How long a repeat is recognised: well beyond the longest deadline of a request.
 RETENTION_S = 600.0
-# Bounds the memory; beyond it keyed requests are refused as overloaded. Chosen, not measured.
+# Bounds the memory; beyond it keyed requests are refused as overloaded.
 MAXIMUM_RECORDS = 100_000
 
 RecordKey = tuple[str, str, str]
--- a/src/yokesill/query/owned.py
+++ b/src/yokesill/query/owned.py
@@ -28,17 +28,16 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 OWNED_QUERY, RESERVE, SETTLE = "owned-query", "reserve", "settle"
-# How long a backup may take to reserve or settle a key. Chosen, not measured: many round trips, yet short
-# against a request's deadline.
+# How long a backup may take to reserve or settle a key: many round trips, yet short against a request's
+# deadline.
 RESERVE_TIMEOUT_S = 0.5
 # A caller's node waits so much longer than the request's deadline: the owner refuses by then, with a truer
-# verdict than a timeout. Chosen, not measured: above ``JOIN_MARGIN_S``.
+# verdict than a timeout; above ``JOIN_MARGIN_S``.
 FORWARD_MARGIN_S = 1.0
 # A repeat waits so much longer than its deadline for the first request, which may spend RESERVE_TIMEOUT_S
 # more.
 JOIN_MARGIN_S = 0.6
-# When a caller may repeat a refused keyed request: members' changes are noticed within seconds. Chosen, not
-# measured.
+# When a caller may repeat a refused keyed request: members' changes are noticed within seconds.
 RETRY_AFTER_MS = 1000
 
 Execute = Callable[[QueryCall, str], Awaitable[Answer | Refuse]]
--- a/src/yokesill/registry/api_client.py
+++ b/src/yokesill/registry/api_client.py
@@ -17,9 +17,9 @@
 from yokesill.upstreams.wires import StreamConnector
 from yokesill.verdict import Failure, Reason, Verdict
 
-# Bounds what an unreachable address costs a call. Chosen, not measured.
+# Bounds what an unreachable address costs a call.
 CONNECT_TIMEOUT_S = 1.0
-# How long an idle connection is used again. Chosen, not measured.
+# How long an idle connection is used again.
 IDLE_LIMIT_S = 10.0
 # First probe after a second of silence, then one a second, three without an answer end the connection.
 KEEPALIVE_OPTIONS = ((socket.TCP_KEEPIDLE, 1), (socket.TCP_KEEPINTVL, 1), (socket.TCP_KEEPCNT, 3))
--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -19,23 +19,22 @@
 from yokesill.verdict import Failure
 
 # Backoff between cheap calls while the registry doesn't answer: a node notices its return by at most the
-# longest pause too late. Chosen, not measured.
+# longest pause too late.
 FIRST_PAUSE_S = 0.2
 PAUSE_GROWTH = 1.7
 LONGEST_PAUSE_S = 1.2
-# How long the registry holds a call that waits for changes; each wait that ends costs a call. Chosen, not
-# measured.
+# How long the registry holds a call that waits for changes; each wait that ends costs a call.
 CHANGES_WAIT_S = 25.0
 # How often a check looks whether a wait was swallowed; nodes derive theirs from the bound they must keep.
 CHECK_INTERVAL_S = 2.2
-# How long a wait may take to bring changes that a check saw. Chosen, not measured.
+# How long a wait may take to bring changes that a check saw.
 CHECK_GRACE_S = 0.5
-# After a failed check the next one comes sooner: the registry is in trouble. Chosen, not measured.
+# After a failed check the next one comes sooner: the registry is in trouble.
 FAILED_CHECK_PAUSE_S = 0.7
-# Spreads the calls of all nodes at the registry's return. Chosen, not measured.
+# Spreads the calls of all nodes at the registry's return.
 RETURN_SPREAD_S = 0.3
 # How long a follower relies on another one's probes before it probes itself, doubled after each failed probe:
-# a registry that fails for one feed alone holds the others back for a second. Chosen, not measured.
+# a registry that fails for one feed alone holds the others back for a second.
 FIRST_HOLD_S = 1.0
 HOLD_GROWTH = 2.0
 LONGEST_HOLD_S = 8.0
--- a/src/yokesill/registry/following.py
+++ b/src/yokesill/registry/following.py
@@ -29,7 +29,6 @@
 from yokesill.watchers.timing import WatchTiming
 
 # Pause after a batch of operators' changes: they are few, and their bound counts from the registry's answer.
-# Chosen, not measured.
 OPERATORS_GATHERING_S = 0.3
 # Events that replace a whole list, by feed. A configuration isn't one: the router applies the newer version.
 FEEDS_OF_LISTS: dict[type, str] = {
--- a/src/yokesill/registry/node_presence.py
+++ b/src/yokesill/registry/node_presence.py
@@ -16,19 +16,19 @@
 from yokesill.registry.feeds import NodeContact, NodeDirectory, NodeEntry
 from yokesill.verdict import Failure
 
-# Each heartbeat is a write to the registry. Chosen, not measured.
+# Each heartbeat is a write to the registry.
 HEARTBEAT_INTERVAL_S = 120.0
 # Two heartbeats may be lost before a node counts as dead.
 EXPIRY_S = 400.0
 # Pauses before the first readings: at once for a node that starts again, soon after for nodes that start
 # together.
 EARLY_PAUSES_S = (0.0, 2.0, 4.0)
-# Each reading is one cheap call of the registry, a stale list. Chosen, not measured.
+# Each reading is one cheap call of the registry, a stale list.
 READ_INTERVAL_S = 10.0
 # After the registry came back from an older copy all nodes announce themselves again within this time: 154
 # writes a second at 770 nodes.
 ANNOUNCED_AGAIN_S = 5.0
-# Pause before a failed heartbeat is sent again. Chosen, not measured.
+# Pause before a failed heartbeat is sent again.
 RETRY_INTERVAL_S = 1.0
 
 
--- a/src/yokesill/registry/peer_bootstrap.py
+++ b/src/yokesill/registry/peer_bootstrap.py
@@ -20,9 +20,9 @@
 
 # Path of a node's state snapshot; served beside the probes.
 SNAPSHOT_PATH = "/snapshot"
-# Usually the registry answers within this time, and no peer needs to send a snapshot. Chosen, not measured.
+# Usually the registry answers within this time, and no peer needs to send a snapshot.
 REGISTRY_HEAD_START_S = 0.8
-# Bounds a call to one peer, and the pause after all were called. Chosen, not measured.
+# Bounds a call to one peer, and the pause after all were called.
 CALL_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.5
 
--- a/src/yokesill/registry/stream_connection.py
+++ b/src/yokesill/registry/stream_connection.py
@@ -14,7 +14,6 @@
 from yokesill.upstreams.wires import POLLED_EVENTS, READ_BYTES
 
 # A larger request is sent beside reading: the server may answer before it has read it.
-# Chosen, not measured.
 SENT_AT_ONCE_BYTES = 16 * 1024
 
 
--- a/src/yokesill/rollouts/exposure.py
+++ b/src/yokesill/rollouts/exposure.py
@@ -27,8 +27,8 @@
 LAG_S = 1.0
 # Thinning is by chance: two standard deviations of 25 requests, and those that dying nodes never report.
 MARGIN_REQUESTS = 10.0
-# Over how long the rate of requests is measured, and the least time for a figure. Chosen, not measured: eight
-# intervals of reports, and less than one of them.
+# Over how long the rate of requests is measured, and the least time for a figure: eight intervals of reports,
+# and less than one of them.
 RATE_S, LEAST_RATE_S = 4.0, 0.4
 # Reports come by the dozen; the rate needs no more points than this.
 POINT_S = 0.1
--- a/src/yokesill/rollouts/record_writes.py
+++ b/src/yokesill/rollouts/record_writes.py
@@ -15,7 +15,7 @@
 # What another node took back is recorded by that node, unless it can't; its message or the feed comes before
 # this.
 PEER_HALT_STAGGER_S = 0.5
-# Between a write that failed and the next one. Chosen, not measured: longer than a slow write (0.25 s).
+# Between a write that failed and the next one: longer than a slow write (0.25 s).
 RETRY_S = 0.3
 
 
--- a/src/yokesill/rollouts/stages.py
+++ b/src/yokesill/rollouts/stages.py
@@ -30,7 +30,6 @@
 # report pass before the absence of answers says anything.
 UNSEEN_S = 2.0
 # Requests at old servers that don't end delay a good version for so long beyond the deadline, not for ever.
-# Chosen, not measured.
 OVERDUE_S = 6.0
 # Under full load a version is watched for so long: 30 requests at 20 a second, after which one that fails
 # one in ten has shown it more often than not, or one that fails a third under load only.
--- a/src/yokesill/routing/admission.py
+++ b/src/yokesill/routing/admission.py
@@ -13,7 +13,7 @@
 
 # The range of priorities in a policy is 0 to 9 (``resources.documents``).
 HIGHEST_PRIORITY = 9
-# Below this a caller is back before a slot is free. Chosen, not measured.
+# Below this a caller is back before a slot is free.
 MINIMUM_RETRY_AFTER_MS = 50
 
 
--- a/src/yokesill/routing/latency.py
+++ b/src/yokesill/routing/latency.py
@@ -10,10 +10,9 @@
 HIGHEST_MICROSECONDS = 600_000_000
 # Errors of 1% in a hedge's delay don't matter; a third digit would cost ten times the memory.
 SIGNIFICANT_DIGITS = 2
-# Long enough for the quantiles of a class with a few queries a second. Chosen, not measured.
+# Long enough for the quantiles of a class with a few queries a second.
 WINDOW_S = 10.0
-# A quantile is computed at most this often: adding two histograms is dear next to a query. Chosen, not
-# measured.
+# A quantile is computed at most this often: adding two histograms is dear next to a query.
 REFRESH_S = 0.25
 # With fewer samples nothing is known of a 0.95 quantile: one in twenty lies above it.
 MINIMUM_SAMPLES = 20
--- a/src/yokesill/routing/query.py
+++ b/src/yokesill/routing/query.py
@@ -22,11 +22,11 @@
 from yokesill.routing.service import ServiceState
 from yokesill.verdict import Failure, Reason, Verdict
 
-# Retry-After of a refusal that the policy gives none. Chosen, not measured.
+# Retry-After of a refusal that the policy gives none.
 DEFAULT_RETRY_AFTER_MS = 200
 FULL_COVERAGE = 1.0
 # Bounds the work that is discarded while snapshots change; one is not always enough, since what is known of
-# servers that were not asked lately may be old. Chosen, not measured.
+# servers that were not asked lately may be old.
 MAXIMUM_REPLANS = 3
 # The server declined before any work: a retry elsewhere adds no load and costs no budget.
 FREE_RETRY_REASONS = frozenset({Reason.CONNECT_FAILED, Reason.SNAPSHOT_UNAVAILABLE, Reason.BACKEND_LEAVING})
--- a/src/yokesill/routing/router.py
+++ b/src/yokesill/routing/router.py
@@ -21,7 +21,7 @@
 from yokesill.routing.waiting import ShardKey, Waiter
 from yokesill.verdict import Failure, Reason, Verdict
 
-# Of the class's latency; a query that this would make late is refused on arrival. Chosen, not measured.
+# Of the class's latency; a query that this would make late is refused on arrival.
 ADMISSION_QUANTILE = 0.9
 # Failures that count towards a server's ejection; shedding and declining don't.
 SERVER_FAULTS = frozenset(
--- a/src/yokesill/routing/servers.py
+++ b/src/yokesill/routing/servers.py
@@ -14,17 +14,17 @@
 from yokesill.routing.messages import LoadReport, ServerReport, Snapshot
 from yokesill.routing.options import RoutingOptions
 
-# The weight of the newest answer in a server's latency. Chosen, not measured.
+# The weight of the newest answer in a server's latency.
 LATENCY_WEIGHT = 0.2
 # The limit shrinks by this factor, once an interval at most: all answers of one overload come from the same
-# queue. Chosen, not measured.
+# queue.
 LIMIT_DECREASE_FACTOR = 0.7
 DECREASE_INTERVAL_S = 0.1
-# Until a server has answered. Chosen, not measured: that of a fast server, so a new one is tried.
+# Until a server has answered: that of a fast server, so a new one is tried.
 INITIAL_LATENCY_S = 0.005
-# A cold server costs up to this much more than its latency, less as it warms up. Chosen, not measured.
+# A cold server costs up to this much more than its latency, less as it warms up.
 COLD_PENALTY = 3.0
-# After so many answers a server is warm. Chosen, not measured.
+# After so many answers a server is warm.
 WARM_ANSWERS = 20
 
 COLD, ACTIVE, EJECTED, LEAVING = "cold", "active", "ejected", "leaving"
--- a/src/yokesill/routing/service.py
+++ b/src/yokesill/routing/service.py
@@ -11,8 +11,8 @@
 from yokesill.routing.servers import ServerState, ServerTable
 from yokesill.routing.snapshots import choose_snapshot
 
-# The weight of the newest attempt in the share of shed attempts, a fact that policies may read. Chosen, not
-# measured: follows a change within some twenty attempts.
+# The weight of the newest attempt in the share of shed attempts, a fact that policies may read: follows a
+# change within some twenty attempts.
 SHED_WEIGHT = 0.05
 
 
--- a/src/yokesill/routing/waiting.py
+++ b/src/yokesill/routing/waiting.py
@@ -13,8 +13,8 @@
 from yokesill.routing.messages import Snapshot
 
 ShardKey = tuple[ServiceName, str, Snapshot]
-# The weight of the newest interval between two turns in a queue's pace. Chosen, not measured: follows a
-# change of pace within some five turns.
+# The weight of the newest interval between two turns in a queue's pace: follows a change of pace within some
+# five turns.
 INTERVAL_WEIGHT = 0.2
 
 
--- a/src/yokesill/serving/datagrams.py
+++ b/src/yokesill/serving/datagrams.py
@@ -17,8 +17,8 @@
 from yokesill.peers.frame import kind_of
 from yokesill.serving.settings import Address
 
-# What many requests see in one moment goes out together, in a few datagrams. Chosen, not measured: it is
-# short beside the 100 ms within which a detector takes observations for one.
+# What many requests see in one moment goes out together, in a few datagrams: it is short beside the 100 ms
+# within which a detector takes observations for one.
 GATHERING_S = 0.015
 
 Receive = Callable[[bytes, str, float], None]
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -19,9 +19,9 @@
 from yokesill.serving.settings import GatewaySettings
 
 # How long a start or a drain may go on after what it waits for: unnoticed beside a start of 165 ms
-# (bench/startup.py) and a stop of seconds. Chosen, not measured.
+# (bench/startup.py) and a stop of seconds.
 POLL_INTERVAL_S = 0.01
-# How old a line may be when it is written; a killed node loses as much. Chosen, not measured.
+# How old a line may be when it is written; a killed node loses as much.
 LOG_FLUSH_INTERVAL_S = 0.5
 
 
--- a/src/yokesill/serving/quarantine_link.py
+++ b/src/yokesill/serving/quarantine_link.py
@@ -24,8 +24,8 @@
 from yokesill.serving.driver import CrashFinding
 from yokesill.verdict import Failure
 
-# Between two tries to write a record that failed, spread by a half each way. Chosen, not measured: nodes
-# have told each other by then, so only a restart of all of them in this time would lose the quarantine.
+# Between two tries to write a record that failed, spread by a half each way: nodes have told each other by
+# then, so only a restart of all of them in this time would lose the quarantine.
 RECORD_RETRY_S = 0.5
 # A quarantined request runs again after so long: its servers' software may have been repaired meanwhile. If
 # not, it crashes a server of each of its shards and two more each time.
--- a/src/yokesill/serving/reachability.py
+++ b/src/yokesill/serving/reachability.py
@@ -19,8 +19,7 @@
 
 # Ten times the longest way between regions: a place that needs longer can't serve a request in time.
 CONNECT_TIMEOUT_S = 0.25
-# Places of each kind that one check tries after a check that reached none. Chosen, not measured: two nodes,
-# since one may be dead.
+# Places of each kind that one check tries after a check that reached none: two nodes, since one may be dead.
 NODES_TRIED = 2
 SERVERS_TRIED = 1
 
--- a/src/yokesill/serving/reload.py
+++ b/src/yokesill/serving/reload.py
@@ -12,7 +12,7 @@
 from yokesill.logs import get_logger
 from yokesill.serving.settings import GatewaySettings, SettingsProblem
 
-# How late a changed file is noticed without a signal; a check is one system call. Chosen, not measured.
+# How late a changed file is noticed without a signal; a check is one system call.
 CHECK_INTERVAL_S = 2.0
 # Settings whose changes take effect in a running node; ``GatewayProcess.apply_settings`` applies them.
 APPLIED = frozenset({"registry", "seeds", "stop_grace_s", "budget"})
--- a/src/yokesill/serving/rollout_link.py
+++ b/src/yokesill/serving/rollout_link.py
@@ -24,8 +24,7 @@
 
 # A decider looks so often at what was reported meanwhile: a version found bad is left that much sooner.
 DECIDING_INTERVAL_S = 0.1
-# Many orders that change in one moment are announced together. Chosen, not measured: it adds little to the
-# interval above.
+# Many orders that change in one moment are announced together: it adds little to the interval above.
 URGENT_GAP_S = 0.05
 
 Send = Callable[[str, bytes], Awaitable[None]]
--- a/src/yokesill/serving/rollout_recorder.py
+++ b/src/yokesill/serving/rollout_recorder.py
@@ -11,8 +11,7 @@
 from yokesill.rollouts.orders import RolloutOrder
 from yokesill.verdict import Failure, Reason, Verdict
 
-# A node that failed to write a record leaves deciding to others for so long: four of its reports. Chosen, not
-# measured.
+# A node that failed to write a record leaves deciding to others for so long: four of its reports.
 UNABLE_S = 2.0
 
 
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -13,14 +13,13 @@
 from yokesill.gateway.servers.cold_starts import ColdStartLimits
 from yokesill.rollouts.orders import RolloutLimits
 
-# Time kept at the end of a stop for closing and the last log lines. Chosen, not measured.
+# Time kept at the end of a stop for closing and the last log lines.
 STOP_MARGIN_S = 0.4
 # Share of the stop's grace, and the most of it, for which a stopping node still accepts callers: readiness
-# probes notice meanwhile; the rest is for requests in flight. Chosen, not measured.
+# probes notice meanwhile; the rest is for requests in flight.
 WITHDRAW_SHARE = 0.5
 WITHDRAW_LIMIT_S = 3.2
-# Share of the bound on leaving servers, and the most of it, for which changes gather into one call. Chosen,
-# not measured.
+# Share of the bound on leaving servers, and the most of it, for which changes gather into one call.
 GATHERING_SHARE = 0.3
 GATHERING_LIMIT_S = 1.5
 # Share of the bound on recovery after which a swallowed wait is noticed; a check costs a tenth of a call.
@@ -31,7 +30,7 @@
 # figure.
 ENTRIES_BACK_S = 2.0
 # The most of the bound on leaving servers for which a removed one stays a last resort; the rest is for
-# learning of the change and the request's way. Chosen, not measured.
+# learning of the change and the request's way.
 REMOVED_SHARE = 0.6
 
 
--- a/src/yokesill/store/http_store.py
+++ b/src/yokesill/store/http_store.py
@@ -16,10 +16,9 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT, HTTP_UNAVAILABLE = 200, 404, 409, 503
-# How long the store holds a watch without changes: short, so a path that is cut is noticed. Chosen, not
-# measured.
+# How long the store holds a watch without changes: short, so a path that is cut is noticed.
 WATCH_WAIT_S = 2.0
-# Above the wait by the time of a slow call. Chosen, not measured.
+# Above the wait by the time of a slow call.
 WATCH_TIMEOUT_S = 6.0
 
 Parsed = TypeVar("Parsed")
--- a/src/yokesill/upstreams/connection_set.py
+++ b/src/yokesill/upstreams/connection_set.py
@@ -9,9 +9,9 @@
 from yokesill.upstreams.connections import ServerConnection
 
 # Share of the idle time announced by ``Keep-Alive`` for which a connection is used again: the rest is for
-# clocks and a request's way, since the server may close it as a request arrives. Chosen, not measured.
+# clocks and a request's way, since the server may close it as a request arrives.
 IDLE_SHARE = 0.8
-# Idle time of a server that announces none. Chosen, not measured.
+# Idle time of a server that announces none.
 IDLE_DEFAULT_S = 60.0
 
 Waiter = Callable[[ServerConnection | None], None]
--- a/src/yokesill/upstreams/losses.py
+++ b/src/yokesill/upstreams/losses.py
@@ -9,15 +9,13 @@
 from yokesill.upstreams.connections import ResetBeforeReplyError
 from yokesill.verdict import Reason
 
-# A connection that was idle for this time and is reset when used was dropped by its server before. Chosen,
-# not measured.
+# A connection that was idle for this time and is reset when used was dropped by its server before.
 FORGOTTEN_AFTER_IDLE_S = 0.5
 # A reset that the request met on its way comes back within a round trip, which connecting took at least; the
-# margins are for the clocks' ticks. Chosen, not measured.
+# margins are for the clocks' ticks.
 PROMPT_ROUND_TRIPS = 1.5
 PROMPT_MARGIN_S = 0.002
-# A connection without a byte for this time may be silent for good; pauses of servers are shorter. Chosen, not
-# measured.
+# A connection without a byte for this time may be silent for good; pauses of servers are shorter.
 SILENT_AFTER_S = 0.5
 
 
--- a/src/yokesill/upstreams/opening.py
+++ b/src/yokesill/upstreams/opening.py
@@ -14,11 +14,11 @@
 from yokesill.upstreams.wires import Dial
 from yokesill.verdict import Reason
 
-# Bounds what a dead server costs one attempt; its deadline may be sooner. Chosen, not measured.
+# Bounds what a dead server costs one attempt; its deadline may be sooner.
 CONNECT_TIMEOUT_S = 1.0
-# For this time after a refusal new connections are watched before their first use. Chosen, not measured.
+# For this time after a refusal new connections are watched before their first use.
 WATCH_AFTER_REFUSAL_S = 3.0
-# How long a new connection is watched: a reset follows the accept within a round trip. Chosen, not measured.
+# How long a new connection is watched: a reset follows the accept within a round trip.
 SETTLING_S = 0.004
 SETTLING_ROUND_TRIPS = 1.0
 
--- a/src/yokesill/upstreams/server_client.py
+++ b/src/yokesill/upstreams/server_client.py
@@ -30,7 +30,7 @@
 from yokesill.verdict import Failure, Reason, Verdict
 
 # How long an attempt waits for a connection: the server may begin to leave meanwhile and must get no new work
-# after that. Chosen, not measured.
+# after that.
 CONNECTION_WAIT_S = 0.5
 
 
--- a/src/yokesill/watchers/digests.py
+++ b/src/yokesill/watchers/digests.py
@@ -11,7 +11,6 @@
 NOT_COMPARED = 0
 # Between two repairs of a feed, doubled each time that nothing came of it: a repaired node may receive a
 # report on its old view once more, and a registry that answers with holes must not be called in a loop.
-# Chosen, not measured.
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 2.0, 60.0
 
 
--- a/src/yokesill/watchers/timing.py
+++ b/src/yokesill/watchers/timing.py
@@ -10,8 +10,7 @@
 
 # One may be slow or gone. A third would cost as many calls again as are saved by not listing nodes.
 WATCHERS_PER_ZONE = 2
-# A starting node leaves watching to others for so long, eight reports at a bound of 3 s. Chosen, not
-# measured.
+# A starting node leaves watching to others for so long, eight reports at a bound of 3 s.
 SETTLE_S = 2.5
 # A strong node watches in any case, and its zone's wide requests wait for its first report.
 STRONG_SETTLE_S = 0.3
