A follower's call of the registry stands in a module of its own

Seven places asked whether a call was under way and cancelled its scope; OngoingCall does that, and follower keeps to what to ask and when. Result: tests of the zone's watch, the restored registry, availability and platform pass.

--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -15,6 +15,7 @@
 from yokesill.registry.availability import RegistryAvailability
 from yokesill.registry.feed_view import FeedView
 from yokesill.registry.feeds import Batch, Feed, HistoryLost
+from yokesill.registry.ongoing_call import OngoingCall
 from yokesill.registry.restored_lists import SETTLING_S
 from yokesill.verdict import Failure
 
@@ -93,12 +94,10 @@
         self._watching_changed = anyio.Event()
         self._pause_s = FIRST_PAUSE_S
         self._hold_s = FIRST_HOLD_S
-        self._called_at_s = 0.0
-        self._call_scope: anyio.CancelScope | None = None
+        self._ongoing = OngoingCall()
         self._checks_fail = False
         self._older_than: Position | None = None
         self._timeline_began = anyio.Event()
-        self._waits = False
 
     @property
     def lost(self) -> bool:
@@ -124,16 +123,14 @@
         self._watching_changed = anyio.Event()
         if not wanted:
             self._reach.withdraw(self)
-        if not wanted and self._call_scope is not None:
-            self._call_scope.cancel()
+            self._ongoing.cancel()
 
     def list_anew(self) -> bool:
         """List the feed with the next call; ``False`` if this node doesn't reach the registry now."""
         if not self._watching or not self.connected:
             return False
         self._list_next = True
-        if self._call_scope is not None:
-            self._call_scope.cancel()
+        self._ongoing.cancel()
         return True
 
     # --- calls ---
@@ -160,14 +157,9 @@
     async def _call(self) -> None:
         """Call once. A method of its own: no list stays in memory while the next change is waited for."""
         self.calls += 1
-        self._called_at_s = anyio.current_time()
         asked_at, listed = self._position, self._lists_next()
-        self._waits = not listed
-        with anyio.CancelScope() as self._call_scope:
-            outcome = await self._next(listed)
-        cancelled = self._call_scope.cancelled_caught
-        self._call_scope = None
-        if cancelled:
+        outcome = await self._ongoing.run(self._next(listed), waits=not listed)
+        if outcome is None:
             return
         if isinstance(outcome, Batch):
             self._read(outcome, asked_at, listed)
@@ -238,7 +230,7 @@
             await anyio.sleep(pause_s * (0.9 + 0.2 * self._random.random()))
             pause_s = self._check_interval_s
             position = self._position
-            if position is None or not self._waits_long():
+            if position is None or not self._ongoing.lasts(CHECK_GRACE_S):
                 continue
             if self._reach.probed_by_another(self):
                 # Checked at the return, which the probing follower may not see.
@@ -258,10 +250,10 @@
                 self._nothing_new()
                 continue
             await anyio.sleep(CHECK_GRACE_S)
-            if position == self._position and self._call_scope is not None:
+            if position == self._position and self._ongoing.under_way:
                 self._log.info("registry_wait_swallowed", feed=self._feed_name, position=self.revision)
                 self._list_next = relisting
-                self._call_scope.cancel()
+                self._ongoing.cancel()
 
     def timeline_told(self, timeline: int) -> None:
         """Note that another node knows the registry on a timeline."""
@@ -279,9 +271,9 @@
             if not self._watching or known is None or known.timeline >= self._reach.timeline:
                 continue
             self._list_next = True
-            if self._waits and self._call_scope is not None:
+            if self._ongoing.waits and self._ongoing.under_way:
                 self._log.info("registry_wait_outdated", feed=self._feed_name, position=self.revision)
-                self._call_scope.cancel()
+                self._ongoing.cancel()
 
     async def _list_settled(self) -> None:
         """List the feed once more when a restored registry has settled."""
@@ -289,16 +281,15 @@
             await self._timeline_began.wait()
             self._timeline_began = anyio.Event()
             await anyio.sleep(SETTLING_S)
-            if self._watching and self._call_scope is not None:
-                self._call_scope.cancel()
+            if self._watching:
+                self._ongoing.cancel()
 
     def _begin_timeline(self, before: Position, position: Position) -> None:
         """Give up a wait for changes of the timeline before, too."""
         super()._begin_timeline(before, position)
         self._reach.timeline_seen(position.timeline)
         self._timeline_began.set()
-        if self._call_scope is not None:
-            self._call_scope.cancel()
+        self._ongoing.cancel()
 
     def _log_older(self, batch: Batch) -> None:
         """Log that what the registry answered is not applied: once for each position that is known here."""
@@ -318,12 +309,9 @@
         """Note that the registry answers; a wait begun while it was lost is renewed."""
         self._reach.call_answered()
         self._confirm()
-        if not self.connected and self._call_scope is not None:
+        if not self.connected and self._ongoing.under_way:
             self._set_connected(True, "")
-            self._call_scope.cancel()
-
-    def _waits_long(self) -> bool:
-        return self._call_scope is not None and anyio.current_time() - self._called_at_s >= CHECK_GRACE_S
+            self._ongoing.cancel()
 
     async def _answers_cheaply(self) -> bool:
         """Whether the registry answers a cheap call; probes come before any call at full price."""
