--- a/tests/serving/test_gateway_parts.py
+++ b/tests/serving/test_gateway_parts.py
@@ -7,10 +7,12 @@
 import pytest
 from test_process import Node, with_node
 
+from yokesill.gateway.messages import GatewayRequest
 from yokesill.logs import LogOutput
 from yokesill.registry.follower import FeedFollower
 from yokesill.registry.node_presence import NodePresence
 from yokesill.registry.peer_bootstrap import PeerBootstrap
+from yokesill.serving.driver import GatewayDriver
 from yokesill.serving.findings import Findings
 from yokesill.serving.process import GatewayProcess
 from yokesill.serving.reachability import Reachability
@@ -115,6 +117,24 @@
     with_node(main)
 
 
+def test_a_request_whose_handling_fails_by_a_bug_fails_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    execute = GatewayDriver.execute
+
+    async def broken(self: GatewayDriver, request: GatewayRequest) -> Any:
+        if request.path.endswith("/bad"):
+            raise InjectedError
+        return await execute(self, request)
+
+    monkeypatch.setattr(GatewayDriver, "execute", broken)
+
+    async def main(node: Node) -> None:
+        await node.until(node.ready)
+        answers = [await node.ask(f"/one/{path}") for path in ("good", "bad", "good")]
+        assert [each.split(b" ")[1] for each in answers] == [b"200", b"500", b"200"]
+
+    with_node(main)
+
+
 @pytest.mark.part_failures
 def test_a_timer_that_fails_by_a_bug_stops_no_other() -> None:
     fired: list[int] = []
