--- a/review/harness.py
+++ b/review/harness.py
@@ -350,9 +350,8 @@
         self._folder = folder
 
     async def start(self) -> None:
-        """Start the process."""
-        settings = self._folder / f"node-{self.number}.toml"
-        settings.write_text(self._settings())
+        """Start the process, with the settings of this moment."""
+        settings = self.write_settings()
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment |= {"YOKESILL_CONFIG": str(settings), "PYTHONPATH": str(ROOT / "target" / "deps")}
         with (self._folder / f"node-{self.number}.log").open("ab") as output:
@@ -361,6 +360,12 @@
             )
         self._record.write("node_started", node=self.number, pid=self.process.pid)
 
+    def write_settings(self) -> Path:
+        """Write the settings file and return its path."""
+        settings = self._folder / f"node-{self.number}.toml"
+        settings.write_text(self._settings())
+        return settings
+
     async def wait_ready(self) -> None:
         """Wait until the node says that it is ready."""
         end_s = time.monotonic() + READY_TIMEOUT_S
@@ -591,13 +596,19 @@
         self.store.put("servers", instance, "spec", server.entry(0))
         return server
 
+    def create_nodes(self, count: int) -> list[Node]:
+        """Return nodes that are not started yet; the servers' heartbeats start now."""
+        nodes = [Node(self.record, number + 1, self.store.port, self._folder) for number in range(count)]
+        for node in nodes:
+            node.seeds = [each.control for each in nodes[:3]]
+        self._beats = asyncio.create_task(self._beat())
+        return nodes
+
     async def start_nodes(self, count: int) -> None:
         """Start the nodes and wait until they are ready."""
-        self.nodes = [Node(self.record, number + 1, self.store.port, self._folder) for number in range(count)]
+        self.nodes = self.create_nodes(count)
         for node in self.nodes:
-            node.seeds = [each.control for each in self.nodes[:3]]
             await node.start()
-        self._beats = asyncio.create_task(self._beat())
         await asyncio.gather(*(node.wait_ready() for node in self.nodes))
 
     async def _beat(self) -> None:
