--- a/review/harness.py
+++ b/review/harness.py
@@ -15,6 +15,7 @@
 import random
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -27,7 +28,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 HOST = "127.0.0.1"
 ROUTE_HOST = "review.example"
-ZONE = "zone-a"
+ZONE, OTHER_ZONE = "zone-a", "zone-b"
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 TIME_LIMIT_S = 110.0
 HEARTBEAT_S = 1.2
@@ -242,15 +243,17 @@
     usual way, or ``b""`` if it has sent everything itself. ``work`` runs before a usual answer.
     """
 
-    def __init__(self, record: Record, instance: str, service: str) -> None:
+    def __init__(self, record: Record, instance: str, service: str, zone: str = ZONE) -> None:
         self.instance = instance
         self.service = service
+        self.zone = zone
         self.port = 0
         self.work: Callable[[], Awaitable[None]] = _no_work
         self.before: Callable[[Arrival], Awaitable[bytes | None]] = _usual_way
         self.body: Callable[[str, str], bytes] = lambda stamp, _request_id: (stamp + "\n").encode() * 10
         self._record = record
         self._numbers = itertools.count(1)
+        self._writers: set[asyncio.StreamWriter] = set()
         self._listener: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -258,12 +261,20 @@
         self._listener = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._listener.sockets[0].getsockname()[1]
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections, as the end of a process does."""
+        if self._listener is not None:
+            self._listener.close()
+        for writer in list(self._writers):
+            reset(writer)
+        self._record.write("server_crashed", server=self.instance)
+
     def entry(self, beat: int) -> dict[str, Any]:
         """Return the server's entry in the store."""
         return {
             "service": self.service,
             "address": f"{HOST}:{self.port}",
-            "zone": ZONE,
+            "zone": self.zone,
             "configVersion": "s1",
             "capacity": 4,
             "state": "ready",
@@ -292,6 +303,7 @@
         return encode(f"HTTP/1.1 {status} X", headers)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             for number in itertools.count(1):
                 request = await read_message(reader)
@@ -302,6 +314,7 @@
         except (OSError, ValueError, asyncio.IncompleteReadError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, request: Message, number: int, writer: asyncio.StreamWriter) -> bytes:
@@ -325,6 +338,15 @@
         return self.success(request_id, stamp)
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    raw = writer.get_extra_info("socket")
+    if raw is not None:
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def _no_work() -> None:
     await asyncio.sleep(0.01)
 
@@ -416,6 +438,7 @@
 contracts = ["base", "drain", "config", "cost", "retry", "recover", "scatter", "platform"]
 [zones]
 {ZONE} = "region-a"
+{OTHER_ZONE} = "region-a"
 [listenAddrs]
 front = "{HOST}:{self.front}"
 ready = "{HOST}:{self.ready}"
@@ -588,14 +611,23 @@
         self._folder = folder
         self._beats: asyncio.Task[None] | None = None
 
-    async def add_server(self, instance: str, service: str) -> Server:
+    async def add_server(self, instance: str, service: str, zone: str = ZONE) -> Server:
         """Start a server and write its entry."""
-        server = Server(self.record, instance, service)
+        server = await self.start_server(instance, service, zone)
+        self.list_server(server)
+        return server
+
+    async def start_server(self, instance: str, service: str, zone: str = ZONE) -> Server:
+        """Start a server that has no entry yet."""
+        server = Server(self.record, instance, service, zone)
         await server.start()
-        self.servers.append(server)
-        self.store.put("servers", instance, "spec", server.entry(0))
         return server
 
+    def list_server(self, server: Server) -> None:
+        """Write a server's entry, and keep it up to date from now on."""
+        self.servers.append(server)
+        self.store.put("servers", server.instance, "spec", server.entry(0))
+
     def create_nodes(self, count: int) -> list[Node]:
         """Return nodes that are not started yet; the servers' heartbeats start now."""
         nodes = [Node(self.record, number + 1, self.store.port, self._folder) for number in range(count)]
@@ -617,6 +649,13 @@
             for server in self.servers:
                 self.store.put("servers", server.instance, "spec", server.entry(beat))
 
+    def crash(self, server: Server) -> None:
+        """Crash a server; its entry goes after three heartbeats of silence."""
+        server.crash()
+        self.servers.remove(server)
+        loop = asyncio.get_running_loop()
+        loop.call_later(3 * HEARTBEAT_S, self.store.remove, "servers", server.instance)
+
     async def end(self) -> None:
         """End all processes that the case started."""
         if self._beats is not None:
