--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,5 @@
-"""A server's surplus answer, late and in the place of the next one due, says ``Not-Executed`` of another request.
+"""A server's surplus answer, late and in the place of the next one due, says ``Not-Executed`` of another
+request.
 
 Two servers, one node, a route whose requests may run once. Server ``a`` is full for a moment and rejects a
 request: it is sent to ``b``. With the trouble, ``a`` is faulty meanwhile: the rejection is a surplus answer
@@ -12,7 +13,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from harness import Arrival, Case, Client, configuration, route, run_case  # noqa: E402 (after the path is set)
+from harness import Arrival, Case, Client, configuration, route, run_case
 
 PROMISES = (408, 421, 429, 503)
 SERVICE = "question-bank"
--- a/review/harness.py
+++ b/review/harness.py
@@ -1,10 +1,10 @@
 """Shared by the cases' scripts: gateway nodes as processes, and stand-ins of the store, servers and clients.
 
-Uses the standard library only. A node is started by the ``run`` line of ``deploy/system.toml`` with a settings
-file, as the platform does. The stand-ins run in the script's own process, on 127.0.0.1 and free ports, and
-follow ``PROTOCOL.md``: the store lists, watches and writes objects; a server answers with a stamp and the
-request's id, and says ``X-Yokesill-Not-Executed`` where it did not run a request. Every request sent, arrived,
-run and answered goes into ``record.txt``.
+Uses the standard library only. A node is started by the ``run`` line of ``deploy/system.toml`` with a
+settings file, as the platform does. The stand-ins run in the script's own process, on 127.0.0.1 and free
+ports, and follow ``PROTOCOL.md``: the store lists, watches and writes objects; a server answers with a
+stamp and the request's id, and says ``X-Yokesill-Not-Executed`` where it did not run a request. Every
+request sent, arrived, run and answered goes into ``record.txt``.
 """
 
 import asyncio
@@ -128,7 +128,9 @@
         self._listener = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._listener.sockets[0].getsockname()[1]
 
-    def put(self, kind: str, name: str, part: str, value: Any, revision: int | None = None) -> tuple[int, Any]:
+    def put(
+        self, kind: str, name: str, part: str, value: Any, revision: int | None = None
+    ) -> tuple[int, Any]:
         """Set ``spec`` or ``status``; a write that changes nothing raises no revision."""
         old = self._items.get((kind, name))
         if old is None and part == "status":
@@ -186,7 +188,9 @@
         if method == "GET" and not rest:
             if "watch" in query:
                 return await self._watch(kind, int(query["watch"]), int(query.get("waitMs", "0")) / 1000)
-            names = sorted(name for each, name in self._items if each == kind and name > query.get("after", ""))
+            names = sorted(
+                name for each, name in self._items if each == kind and name > query.get("after", "")
+            )
             return 200, {"items": [self._items[(kind, name)] for name in names], "at": self._revision}
         if method == "GET":
             item = self._items.get((kind, rest[0]))
@@ -522,7 +526,12 @@
 
 
 async def call(
-    port: int, method: str, target: str, timeout_s: float, headers: dict[str, str] | None = None, body: bytes = b""
+    port: int,
+    method: str,
+    target: str,
+    timeout_s: float,
+    headers: dict[str, str] | None = None,
+    body: bytes = b"",
 ) -> tuple[int, Message | None]:
     """Make one call on a new connection; the status is 0 if no answer came."""
     try:
@@ -533,7 +542,10 @@
                 if body:
                     writer.write(encode(f"{method} {target} HTTP/1.1", sent, body))
                 else:
-                    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in sent.items())]
+                    lines = [
+                        f"{method} {target} HTTP/1.1",
+                        *(f"{name}: {value}" for name, value in sent.items()),
+                    ]
                     writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n")
                 answer = await read_message(reader)
             finally:
@@ -677,11 +689,15 @@
     with tempfile.TemporaryDirectory(prefix="yokesill-review-") as name:
         case = Case(Path(name), record)
         record.write("case", trouble=case.trouble)
+        task = asyncio.current_task()
+        assert task is not None
+        # A script that is stopped early ends its processes too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(TIME_LIMIT_S):
                 await case.store.start()
                 broken = await play(case)
-        except (CaseNotRunError, TimeoutError) as error:
+        except (CaseNotRunError, TimeoutError, asyncio.CancelledError) as error:
             record.write("not_run", why=repr(error))
             print(f"the case could not run: {error!r}", file=sys.stderr)
             return EXIT_NOT_RUN
@@ -690,11 +706,16 @@
             asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
             await case.end()
             if keep := os.environ.get("KEEP_LOGS"):
-                for log in Path(name).glob("*.log"):
-                    (Path(keep) / log.name).write_bytes(log.read_bytes())
+                _keep_logs(Path(name), Path(keep))
     for each in broken:
         record.write("broken", how=each)
         print(f"BROKEN {each}")
     record.write("result", broken=len(broken))
     print("the rule was broken" if broken else "the rule held")
     return EXIT_BROKEN if broken else EXIT_HELD
+
+
+def _keep_logs(folder: Path, target: Path) -> None:
+    """Copy the nodes' logs, for whoever looks into a run."""
+    for log in folder.glob("*.log"):
+        (target / log.name).write_bytes(log.read_bytes())
--- a/review/more/gone/case.py
+++ b/review/more/gone/case.py
@@ -1,8 +1,9 @@
 """Requests reach servers long after their client got its final answer and closed its connection.
 
-One node; twelve shards; a route that gathers from all of them. While some requests run, a second server of each
-shard joins: two of these are full, the rest are slow, as servers are after their start. With the trouble, the first
-servers crash then, within 20 ms. Each client closes its connection once it has its answer.
+One node; twelve shards; a route that gathers from all of them. While some requests run, a second server of
+each shard joins: two of these are full, the rest are slow, as servers are after their start. With the
+trouble, the first servers crash then, within 20 ms. Each client closes its connection once it has its
+answer.
 """
 
 import asyncio
@@ -10,7 +11,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
-from harness import Arrival, Case, Client, Server, configuration, route, run_case  # noqa: E402
+from harness import Arrival, Case, Client, Server, configuration, route, run_case
 
 SHARDS = [f"candidate-desk-{number}" for number in range(12)]
 FULL = SHARDS[:2]
--- a/review/more/sighup/case.py
+++ b/review/more/sighup/case.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
-from harness import Case, Client, Node, configuration, route, run_case  # noqa: E402 (after the path is set)
+from harness import Case, Client, Node, configuration, route, run_case
 
 SERVICE = "question-bank"
 ROUNDS, ENDS_ALLOWED, MACHINES_ALLOWED = 3, 2, 1
@@ -33,7 +33,9 @@
         if case.trouble:
             change_settings(case, nodes, round_number)
         await asyncio.sleep(RESTART_DELAY_S)
-        starting = [node for node in nodes if node.process is not None and node.process.returncode is not None]
+        starting = [
+            node for node in nodes if node.process is not None and node.process.returncode is not None
+        ]
         for node in starting:
             ends[node.number] += 1
             case.record.write("process_ended", node=node.number, code=node.process.returncode)
