Replies without end are bounded together, by the memory limit of the settings

What callers saw: nodes that ended by themselves (killed above memoryMb) while servers or the store answered without end; 30 requests took 677 MB, the first lists of the store 216 MB, with a limit of 200 MB.

Cause: each reply was bounded alone (32 MB), and nothing bounded all of them; trailers and interim answers were not bounded at all. The settings' limits were not read.

Fix: ReplyMemory counts what unfinished replies hold and discards the largest ones above a share of the limit; a head, trailer or chunk extension without end fails by itself; the registry's answers are 4 MB at most, and more changes than that at once count as lost history, since a list comes in pages. An answer that changes to another protocol is a failed reply, not an exception.

--- a/src/yokesill/comm/http_reply.py
+++ b/src/yokesill/comm/http_reply.py
@@ -6,9 +6,14 @@
 
 import httptools
 
-# Limit the memory that one reply can use.
+from yokesill.comm.reply_memory import ReplyMemory
+
+# Limit the memory that one reply can use; ``ReplyMemory`` limits that of all together.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 32 * 1024 * 1024
+# A reply that grows by more than this without a byte of its body is not one: its head, its trailer, or the
+# extension of a chunk has no end.
+MAX_BYTES_WITHOUT_BODY = MAX_HEAD_BYTES
 # Statuses whose replies have no body, regardless of their headers (RFC 9112, section 6.3).
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -17,26 +22,41 @@
     """The bytes are not a reply, or the reply is truncated or too large."""
 
 
+class ReplyTooLargeError(ReplyError):
+    """The reply is larger than its reader accepts."""
+
+
 class HttpReplyReader:
     """Reader of one reply to one request; httptools calls the ``on_`` methods.
 
     ``surplus`` is set when bytes follow the end of the reply; the connection must not be reused then.
-    ``bodiless`` says that the reply has no body, as in a reply to ``HEAD``.
+    ``bodiless`` says that the reply has no body, as in a reply to ``HEAD``. What the reply holds counts
+    towards ``memory``, which may discard it: it then fails with the next byte or the end of the stream.
     """
 
-    def __init__(self, bodiless: bool = False) -> None:
+    def __init__(
+        self,
+        bodiless: bool = False,
+        memory: ReplyMemory | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
         self.keep_alive = False
         self.complete = False
         self.surplus = False
+        self.held_bytes = 0
+        self._memory = memory
+        self._max_body_bytes = max_body_bytes
+        self._discarded = False
         self._bodiless = bodiless
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._chunks: list[bytes] = []
         self._received = 0
         self._head_bytes = 0
         self._body_bytes = 0
+        self._bytes_without_body = 0
         self._framed = False
         self._head_done = False
 
@@ -53,21 +73,54 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raises ``ReplyError`` when they are malformed or too many."""
         self._received += len(data)
+        if self._discarded:
+            raise ReplyError("the node holds too many bytes of replies")
         if self._parser is None:
             self.surplus = True
             return
+        body_bytes = self._body_bytes
+        self._parse(data)
+        self._bytes_without_body = (
+            0 if self._body_bytes > body_bytes else self._bytes_without_body + len(data)
+        )
+        self._check_size()
+        if self.complete:
+            self._release_parser()
+        elif self._memory is not None:
+            self._memory.hold(self, len(data))
+
+    def _parse(self, data: bytes) -> None:
+        assert self._parser is not None
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            self.release()
+            raise ReplyError("the peer changed to another protocol") from error
         except httptools.HttpParserError as error:
             if not self.complete:
+                self.release()
                 raise ReplyError(f"not a reply: {error}") from error
             self.surplus = True
-        if self._body_bytes > MAX_BODY_BYTES:
-            raise ReplyError("the reply is too large")
-        if self._head_bytes > MAX_HEAD_BYTES or self._head_exceeds_limit():
+
+    def _check_size(self) -> None:
+        """Raise ``ReplyError`` if the reply, or its head or trailer, is too large."""
+        if self._body_bytes > self._max_body_bytes:
+            self.release()
+            raise ReplyTooLargeError("the reply is too large")
+        if max(self._head_bytes, self._bytes_without_body) > MAX_BYTES_WITHOUT_BODY:
+            self.release()
             raise ReplyError("the reply's head is too large")
-        if self.complete:
-            self._release_parser()
+
+    def discard(self) -> None:
+        """Drop what was read; called by ``ReplyMemory``."""
+        self._discarded = True
+        self._release_parser()
+        self.headers = []
+
+    def release(self) -> None:
+        """Stop counting the reply; called when nobody reads on."""
+        if self._memory is not None:
+            self._memory.release(self)
 
     def _release_parser(self) -> None:
         """Drop the parser and the body's chunks.
@@ -77,12 +130,12 @@
         """
         self._parser = None
         self._chunks = []
-
-    def _head_exceeds_limit(self) -> bool:
-        return not self._head_done and self._received > MAX_HEAD_BYTES
+        self.release()
 
     def end_of_stream(self) -> None:
         """Handle an orderly close: it ends a reply without a declared length and truncates any other."""
+        if self._discarded:
+            raise ReplyError("the node holds too many bytes of replies")
         if not self._head_done or self._framed:
             raise ReplyError("the server closed within a reply")
         self._finish()
@@ -95,8 +148,8 @@
             self.surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record one header."""
-        if self.complete:
+        """Record one header; fields of a trailer are dropped."""
+        if self.complete or self._head_done:
             return
         self._head_bytes += len(name) + len(value)
         name = name.lower()
--- a/src/yokesill/coordinators/client.py
+++ b/src/yokesill/coordinators/client.py
@@ -10,6 +10,7 @@
 
 from yokesill.comm.http_reply import HttpReplyReader
 from yokesill.comm.http_status import OK
+from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.coordinators.messages import GatheredAnswer, decode_answer
 from yokesill.upstreams.connections import ServerConnection
 from yokesill.upstreams.wires import Dial, dial_tcp
@@ -26,8 +27,9 @@
 class CoordinatorClient:
     """Calls coordinators over HTTP/1.1 and keeps idle connections for reuse."""
 
-    def __init__(self, dial: Dial = dial_tcp) -> None:
+    def __init__(self, dial: Dial = dial_tcp, memory: ReplyMemory | None = None) -> None:
         self._dial = dial
+        self._memory = memory or ReplyMemory()
         self._idle: dict[str, list[ServerConnection]] = {}
 
     async def send(
@@ -92,7 +94,7 @@
             if now < connection.reusable_until and connection.has_no_unread_data():
                 return connection
             connection.close()
-        connection = ServerConnection(self._on_closed)
+        connection = ServerConnection(self._on_closed, self._memory)
         host, _, port = address.rpartition(":")
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -52,6 +52,8 @@
         ),
         rollouts=_rollout_limits(reader),
         cores=reader.number("limits.cpuShare", 1.0) * reader.number("limits.cpuCores", 1.0),
+        memory_bytes=int(reader.number("limits.memoryMb", 256) * 1_000_000),
+        descriptors=int(reader.number("limits.maxFds", 1024)),
         stop_grace_s=reader.number("bounds.graceS", 6.0),
     )
     return reader.problems or settings
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -85,6 +85,9 @@
         reply = await self._call("GET", path, STALE_TIMEOUT_S if stale else wait + WATCH_MARGIN_S)
         if isinstance(reply, ApiReply) and reply.status == http.GONE:
             return HistoryLost(self._timeline)
+        if isinstance(reply, Failure) and reply.reason is Reason.REPLY_TOO_LARGE:
+            # So many changes at once are no less than a list, which comes in pages.
+            return HistoryLost(self._timeline)
         if isinstance(reply, Failure) or reply.status != http.OK:
             return _failure(reply)
         try:
--- a/src/yokesill/registry/api_client.py
+++ b/src/yokesill/registry/api_client.py
@@ -11,7 +11,7 @@
 import anyio
 import anyio.abc
 
-from yokesill.comm.http_reply import ReplyError
+from yokesill.comm.http_reply import ReplyError, ReplyTooLargeError
 from yokesill.registry.stream_connection import StreamConnection, connect_tcp
 from yokesill.serving.settings import Address
 from yokesill.upstreams.wires import StreamConnector
@@ -103,6 +103,9 @@
             await self._close(connection)
             await self._close_idle()
             return Failure(Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN, f"no answer in {timeout_s:.1f} s")
+        except ReplyTooLargeError as error:
+            await self._close(connection)
+            return Failure(Reason.REPLY_TOO_LARGE, Verdict.MAY_HAVE_RUN, str(error))
         except CONNECTION_ERRORS as error:
             await self._close(connection)
             return Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, repr(error))
--- a/src/yokesill/registry/stream_connection.py
+++ b/src/yokesill/registry/stream_connection.py
@@ -13,6 +13,8 @@
 from yokesill.comm.http_reply import HttpReplyReader, ReplyError
 from yokesill.upstreams.wires import POLLED_EVENTS, READ_BYTES
 
+# An answer of the registry or of another node has one page of objects, one object, or some changes.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
 # A larger request is sent while the reply is read, since the server may answer before it has read all of it.
 MAX_INLINE_SEND_BYTES = 16 * 1024
 
@@ -47,7 +49,7 @@
         since the server would parse the rest of the request as the next one. Raises ``ReplyError``,
         ``OSError`` or an anyio resource error.
         """
-        reader = HttpReplyReader(bodiless)
+        reader = HttpReplyReader(bodiless, max_body_bytes=MAX_REPLY_BYTES)
         if len(request) <= MAX_INLINE_SEND_BYTES:
             await self._stream.send(request)
             await self._read(reader)
--- a/src/yokesill/serving/request_path.py
+++ b/src/yokesill/serving/request_path.py
@@ -12,6 +12,7 @@
 
 from yokesill.callers.application import GatewayApplication
 from yokesill.callers.listener import Listener, create_listener
+from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.coordinators.client import CoordinatorClient
 from yokesill.coordinators.forwarding import Forwarder
 from yokesill.coordinators.remote_coordinators import RemoteCoordinators
@@ -48,6 +49,7 @@
     client: ServerClient
     driver: GatewayDriver
     key_prefix: str
+    memory: ReplyMemory
 
 
 class Registry(NamedTuple):
@@ -74,7 +76,8 @@
     observer = Observer(get_logger("requests"), metrics)
     router = GatewayRouter(options, source, now)
     supervisor = Supervisor(partial(_count_failure, metrics))
-    client = ServerClient(dependencies.names, supervisor=supervisor)
+    memory = ReplyMemory(settings.reply_memory_bytes)
+    client = ServerClient(dependencies.names, supervisor=supervisor, memory=memory)
     driver = GatewayDriver(router, client, observer.log_event, supervisor)
     key_prefix = f"{settings.node}-{source.getrandbits(32):08x}"
     return Core(
@@ -89,6 +92,7 @@
         client,
         driver,
         key_prefix,
+        memory,
     )
 
 
@@ -137,7 +141,7 @@
     if core.options.switches.hands_over:
         forwarder = Forwarder(
             CoordinatorChoice(core.settings.node),
-            CoordinatorClient(),
+            CoordinatorClient(memory=core.memory),
             registry.following.coordinators,
             lambda: core.router.configuration,
             core.observer,
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -32,6 +32,14 @@
 # Maximum share of the bound on leaving servers for which a removed server remains a last resort; the rest is
 # for receiving the change and for sending the request.
 MAX_REMOVED_SHARE = 0.6
+# Shares of the memory limit: unfinished replies of servers and other nodes, requests' bodies, and answers that
+# callers don't take. The rest is for the program, its state and complete replies.
+REPLY_MEMORY_SHARE, BODY_MEMORY_SHARE, UNSENT_MEMORY_SHARE = 0.2, 0.1, 0.15
+# Descriptors that are not for sockets: files keep up to 200, fewer under a small limit.
+MAX_FILE_DESCRIPTORS, FILE_DESCRIPTOR_SHARE = 200, 0.25
+# Shares of the descriptors for sockets: callers' connections, and those of each other listener. The rest is
+# for connections to servers, the registry and other nodes.
+CALLER_DESCRIPTOR_SHARE, SIDE_DESCRIPTOR_SHARE = 0.5, 0.05
 
 
 class Address(NamedTuple):
@@ -71,6 +79,8 @@
     ``recovery_bound_s`` after the registry has recovered; the process is killed ``stop_grace_s`` after the
     request to stop.
 
+    The process is killed when it takes more than ``memory_bytes``, and can't open more than ``descriptors``.
+
     ``cold_starts`` limits the work that all nodes together send to a cold server, ``cores`` is this node's
     share of processors, ``rollouts`` has the limits of roll-outs (``None`` without them), and
     ``switched_off`` names mechanisms that an experiment disables, see ``GatewayOptions``.
@@ -96,6 +106,8 @@
     evacuation_bound_s: float | None = None
     cold_starts: ColdStartLimits = ColdStartLimits()  # noqa: RUF009 (immutable)
     cores: float = 1.0
+    memory_bytes: int = 256 * 1024 * 1024
+    descriptors: int = 1024
     rollouts: RolloutLimits | None = None
     log_level: str = "info"
     switched_off: tuple[str, ...] = ()
@@ -144,6 +156,35 @@
         """How long requests in flight may take after the listener was closed."""
         return max(0.0, self.stop_grace_s - STOP_MARGIN_S - self.withdraw_time_s)
 
+    @property
+    def reply_memory_bytes(self) -> int:
+        """How many bytes unfinished replies may take together."""
+        return int(REPLY_MEMORY_SHARE * self.memory_bytes)
+
+    @property
+    def body_memory_bytes(self) -> int:
+        """How many bytes the bodies of callers' requests may take together."""
+        return int(BODY_MEMORY_SHARE * self.memory_bytes)
+
+    @property
+    def unsent_memory_bytes(self) -> int:
+        """How many bytes answers may take together that callers have not received yet."""
+        return int(UNSENT_MEMORY_SHARE * self.memory_bytes)
+
+    @property
+    def caller_connections(self) -> int:
+        """How many connections of callers may be open."""
+        return self._sockets(CALLER_DESCRIPTOR_SHARE)
+
+    @property
+    def side_connections(self) -> int:
+        """How many connections of each other listener may be open."""
+        return self._sockets(SIDE_DESCRIPTOR_SHARE)
+
+    def _sockets(self, share: float) -> int:
+        files = min(MAX_FILE_DESCRIPTORS, FILE_DESCRIPTOR_SHARE * self.descriptors)
+        return max(2, int(share * (self.descriptors - files)))
+
     def options(self) -> GatewayOptions:
         """Return the options of this node's router.
 
--- a/src/yokesill/upstreams/connections.py
+++ b/src/yokesill/upstreams/connections.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from yokesill.comm.http_reply import HttpReplyReader, ReplyError
+from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.upstreams.wires import ByteTransport, Dial
 
 OnReplyEnd = Callable[[HttpReplyReader | Exception], None]
@@ -33,15 +34,27 @@
 
     ``reusable_until`` is when the server may close it as idle, and ``idle_since`` when it became idle, in
     seconds of the node's clock. ``opened_in_s`` is how long connecting took, which is a round trip.
+    Unfinished replies count towards ``memory``.
     """
 
-    __slots__ = ("_on_lost", "_pending", "_transport", "idle_since", "opened_in_s", "reusable_until")
-
-    def __init__(self, on_lost: Callable[["ServerConnection"], None]) -> None:
+    __slots__ = (
+        "_memory",
+        "_on_lost",
+        "_pending",
+        "_transport",
+        "idle_since",
+        "opened_in_s",
+        "reusable_until",
+    )
+
+    def __init__(
+        self, on_lost: Callable[["ServerConnection"], None], memory: ReplyMemory | None = None
+    ) -> None:
         self.reusable_until = 0.0
         self.opened_in_s = 0.0
         self.idle_since: float | None = None
         self._on_lost = on_lost
+        self._memory = memory
         self._pending: PendingReply | None = None
         self._transport: ByteTransport | None = None
 
@@ -51,12 +64,14 @@
 
     def start(self, request: bytes, bodiless: bool, on_end: OnReplyEnd) -> None:
         """Send a request; ``on_end`` is called once, never before this call returns."""
-        self._pending = PendingReply(HttpReplyReader(bodiless), on_end)
+        self._pending = PendingReply(HttpReplyReader(bodiless, self._memory), on_end)
         if self._transport is not None:
             self._transport.write(request)
 
     def close(self) -> None:
         """Close immediately, without a callback."""
+        if self._pending is not None:
+            self._pending.reader.release()
         self._pending = None
         transport, self._transport = self._transport, None
         if transport is not None:
@@ -124,4 +139,5 @@
 
     def _end(self, pending: PendingReply, outcome: HttpReplyReader | Exception) -> None:
         self._pending = None
+        pending.reader.release()
         pending.on_end(outcome)
--- a/src/yokesill/upstreams/opening.py
+++ b/src/yokesill/upstreams/opening.py
@@ -9,6 +9,7 @@
 import anyio
 
 from yokesill.clock import Clock
+from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.upstreams.connection_set import ServerConnectionPool
 from yokesill.upstreams.connections import ServerConnection
 from yokesill.upstreams.wires import Dial
@@ -31,7 +32,11 @@
 
 
 async def open_connection(
-    connections: ServerConnectionPool, dial: Dial, deadline_at_s: float, clock: Clock
+    connections: ServerConnectionPool,
+    dial: Dial,
+    deadline_at_s: float,
+    clock: Clock,
+    memory: ReplyMemory | None = None,
 ) -> ServerConnection | OpeningFailure:
     """Open a connection to a server.
 
@@ -45,13 +50,15 @@
         When the attempt expires, in seconds of the node's clock.
     clock
         The node's clock.
+    memory
+        Bounds the memory of unfinished replies.
 
     Returns
     -------
     ServerConnection or OpeningFailure
         The reason ``CONNECTION_REFUSED`` means that the server has reached its connection limit.
     """
-    connection = ServerConnection(connections.remove_idle)
+    connection = ServerConnection(connections.remove_idle, memory)
     started = clock()
     timeout_s = min(CONNECT_TIMEOUT_S, deadline_at_s - started)
     try:
--- a/src/yokesill/upstreams/server_client.py
+++ b/src/yokesill/upstreams/server_client.py
@@ -14,6 +14,7 @@
 from yokesill.clock import Clock, running_clock
 from yokesill.comm.http_reply import HttpReplyReader, ReplyError
 from yokesill.comm.http_status import MISDIRECTED
+from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.gateway.messages import Attempt
 from yokesill.serving.header_names import HeaderNames
@@ -45,16 +46,23 @@
         Opens transports to servers.
     supervisor
         Gets the exceptions raised within the client.
+    memory
+        Bounds the memory of unfinished replies.
     """
 
     def __init__(
-        self, names: HeaderNames, dial: Dial = dial_tcp, supervisor: Supervisor | None = None
+        self,
+        names: HeaderNames,
+        dial: Dial = dial_tcp,
+        supervisor: Supervisor | None = None,
+        memory: ReplyMemory | None = None,
     ) -> None:
         self._supervisor = supervisor or Supervisor()
         self.connections_opened = 0
         self.connections_changed: Callable[[str, int], None] = lambda _instance, _count: None
         self._names = names
         self._dial = dial
+        self._memory = memory or ReplyMemory()
         self._pools: dict[str, ServerConnectionPool] = {}
         self._calls: dict[int, AttemptCall] = {}
         self._table = transition_table("attempt")
@@ -137,7 +145,8 @@
         """Open a connection for a call; if the call has ended in the meantime, the next one gets it."""
         connections, started = call.connections, self._clock()
         try:
-            opened = await open_connection(connections, self._dial, call.attempt.deadline_at_s, self._clock)
+            deadline_at_s = call.attempt.deadline_at_s
+            opened = await open_connection(connections, self._dial, deadline_at_s, self._clock, self._memory)
         except Exception as error:
             # Treated as a failed connect, so that the call ends and its reservation is released.
             self._supervisor.report("connections", error)
--- a/src/yokesill/verdict.py
+++ b/src/yokesill/verdict.py
@@ -43,6 +43,7 @@
     BACKEND_LEAVING = "backend_leaving"
     SNAPSHOT_UNAVAILABLE = "snapshot_unavailable"
     MALFORMED_REPLY = "malformed_reply"
+    REPLY_TOO_LARGE = "reply_too_large"
     FOREIGN_REPLY = "foreign_reply"
     BACKEND_ERROR = "backend_error"
     CANCELLED = "cancelled"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import trio._core._run
 import trio.testing
 import yaml
+from node_process import Node, Surroundings, surroundings
 from simulation.cluster import SimulatedCluster
 
 from yokesill.emulator.scenario import Scenario
@@ -133,3 +134,18 @@
 def outcome() -> dict[str, Any]:
     """Values that the steps of one scenario pass to each other."""
     return {}
+
+
+@pytest.fixture
+def around() -> Iterator[Surroundings]:
+    """Provide the surroundings of a real node: a store and two servers."""
+    with surroundings() as provided:
+        yield provided
+
+
+@pytest.fixture
+def node(tmp_path: Path, around: Surroundings) -> Iterator[Node]:
+    """Provide a real node that has not started yet, and end it with the test."""
+    built = Node(tmp_path, around.store)
+    yield built
+    built.kill()
