A malformed entry costs that entry alone, whatever stands in it

A number of any length in a server's Keep-Alive or load held its request until the timeout and lost the connection's place; in a caller's deadline it was answered with 500.

Cause, of one class: a value from outside is converted by something that raises another exception than its reader expects (int of 5,000 digits, float of 400, recursion, an attribute of a number, a port that isdigit but is no decimal).

Fix: lists and changes are read entry by entry (registry/reading), JSON that can't be decoded whole is decoded without its deep values and long numbers (comm/lenient_json), fields have ranges (serving/object_fields), names of servers must fit into a header, addresses are IPv4 and a port, a list without end is refused, numbers of headers are bounded (comm/numbers). What nodes announce of themselves is read in the same way. The message on a duration that is no number names the range now; its test is as strict.

--- a/src/yokesill/callers/application.py
+++ b/src/yokesill/callers/application.py
@@ -13,6 +13,7 @@
 from yokesill.callers.answers import HttpAnswer, to_http
 from yokesill.callers.headers import end_to_end_headers
 from yokesill.comm.http_status import BAD_REQUEST, CONTENT_TOO_LARGE, HEADERS_TOO_LARGE
+from yokesill.comm.numbers import parse_digits
 from yokesill.gateway.documents import RequestLimits
 from yokesill.gateway.messages import GatewayRequest, Headers
 from yokesill.serving.driver import GatewayDriver
@@ -207,6 +208,5 @@
 
 def _timeout_s(value: bytes | None) -> float | None:
     """Parse milliseconds; ``None`` if the caller sent no valid timeout."""
-    if value is None or not value.isdigit():
-        return None
-    return int(value) / 1000
+    number_ms = None if value is None else parse_digits(value)
+    return None if number_ms is None else number_ms / 1000
--- a/src/yokesill/platform/documents.py
+++ b/src/yokesill/platform/documents.py
@@ -17,6 +17,8 @@
 )
 from yokesill.serving.object_fields import (
     ObjectError,
+    parse_endpoint,
+    parse_header_value,
     parse_integer,
     parse_list,
     parse_milliseconds,
@@ -99,17 +101,18 @@
 def read_server(instance: str, spec: Any) -> ServerRecord:
     """Parse a server's entry."""
     place = f"servers.{instance}"
-    host, _, port = read_field(spec, "address", parse_text, place).rpartition(":")
-    if not host or not port.isdigit():
-        raise ObjectError(f"{place}.address: HOST:PORT is needed")
+    host, port = read_field(spec, "address", parse_endpoint, place)
+    slots = parse_integer(spec.get("capacity", 1))
+    if slots < 1:
+        raise ObjectError(f"{place}.capacity: a number of at least 1 is needed")
     return ServerRecord(
-        instance=instance,
+        instance=parse_header_value(instance),
         service=read_field(spec, "service", parse_name, place),
         host=host,
-        port=int(port),
+        port=port,
         zone=parse_name(spec.get("zone", "")),
         # The number of requests that it runs concurrently.
-        slots=parse_integer(spec.get("capacity", 1)),
+        slots=slots,
         leaving=spec.get("state") == "draining",
         warmup_left_s=parse_milliseconds(spec.get("warmupLeftMs", 0)),
         # The version of the server's software; the gateway's configuration has a field of the same name.
--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 
 from yokesill.gateway import events as ev
 from yokesill.platform.documents import read_configuration, read_server
@@ -28,7 +29,7 @@
     QuarantineRecords,
     contact_of,
 )
-from yokesill.serving.object_fields import ObjectError
+from yokesill.registry.reading import read_each
 from yokesill.verdict import Failure
 
 
@@ -98,10 +99,12 @@
     """Return a feed of a kind whose objects consist of their names; ``replaced`` gets all names."""
 
     def changes(view: StoreView) -> Batch:
-        return Batch(view.at, tuple((removed if item.gone else added)(item.name) for item in view.items))
+        events = tuple((removed if item.gone else added)(item.name) for item in view.items)
+        return Batch(view.at, events, view.problems)
 
     def whole(view: StoreView) -> Batch:
-        return Batch(view.at, (replaced(frozenset(item.name for item in view.items if not item.gone)),))
+        names = frozenset(item.name for item in view.items if not item.gone)
+        return Batch(view.at, (replaced(names),), view.problems)
 
     return StoreFeed(name, kind, store, changes, whole)
 
@@ -141,13 +144,13 @@
 
 
 def _configuration_batch(view: StoreView) -> Batch:
-    newest = [item for item in view.items if item.name == CONFIGURATION_NAME and not item.gone]
-    if not newest:
-        return Batch(view.at, ())
-    try:
-        return Batch(view.at, (ev.ConfigurationReceived(read_configuration(newest[-1].spec)),))
-    except ObjectError as error:
-        return Batch(view.at, (), (Problem(f"{CONFIGURATION_KIND}/{CONFIGURATION_NAME}", str(error)),))
+    newest = [item for item in view.items if item.name == CONFIGURATION_NAME and not item.gone][-1:]
+    events, problems = read_each(newest, _configuration_event, partial(_place, CONFIGURATION_KIND))
+    return Batch(view.at, events, view.problems + problems)
+
+
+def _configuration_event(item: StoredItem) -> ev.Event:
+    return ev.ConfigurationReceived(read_configuration(item.spec))
 
 
 def _server_batch(view: StoreView) -> Batch:
@@ -164,15 +167,14 @@
 
 
 def _server_events(view: StoreView) -> tuple[tuple[ev.Event, ...], tuple[Problem, ...]]:
-    events: list[ev.Event] = []
-    problems: list[Problem] = []
     # Only the last change of each server: one that a later change supersedes must not be applied.
-    for item in {item.name: item for item in view.items}.values():
-        try:
-            events.append(_server_event(item))
-        except ObjectError as error:
-            problems.append(Problem(f"{SERVERS_KIND}/{item.name}", str(error)))
-    return tuple(events), tuple(problems)
+    last = {item.name: item for item in view.items}.values()
+    events, problems = read_each(last, _server_event, partial(_place, SERVERS_KIND))
+    return events, view.problems + problems
+
+
+def _place(kind: str, item: StoredItem) -> str:
+    return f"{kind}/{item.name}"
 
 
 def _server_event(item: StoredItem) -> ev.Event:
--- a/src/yokesill/platform/rollouts.py
+++ b/src/yokesill/platform/rollouts.py
@@ -58,7 +58,7 @@
                 if reply.status == NOT_FOUND
                 else item_of(reply.body, timeline=timeline_of(reply) or order.timeline)
             )
-        except (AttributeError, KeyError, TypeError) as error:
+        except (AttributeError, LookupError, TypeError, ValueError) as error:
             detail = f"the record of {order.service}: {error!r}"
             return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, detail)
         current = None if item is None or item.gone else read_order(item, self._unix_clock)
@@ -143,9 +143,10 @@
 def _order_batch(unix_clock: Clock | None, view: StoreView) -> Batch:
     # Only the last change of each order: one that a later change supersedes must not be applied.
     last = {item.name: item for item in view.items}
-    return Batch(view.at, tuple(_order_event(item, unix_clock) for item in last.values()))
+    events = tuple(_order_event(item, unix_clock) for item in last.values())
+    return Batch(view.at, events, view.problems)
 
 
 def _all_orders_batch(unix_clock: Clock | None, view: StoreView) -> Batch:
     orders = tuple(read_order(item, unix_clock) for item in view.items if not item.gone)
-    return Batch(view.at, (RolloutsReplaced(orders),))
+    return Batch(view.at, (RolloutsReplaced(orders),), view.problems)
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -3,21 +3,28 @@
 Only ``stale`` calls are cheap; all others cost the full price, even if they fail.
 """
 
+from functools import partial
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
 from yokesill.comm import http_status as http
+from yokesill.comm.numbers import parse_digits
 from yokesill.logs import get_logger
 from yokesill.platform.names import TIMELINE_HEADER
 from yokesill.positions import Position
 from yokesill.registry.api_client import ApiClient, ApiReply
-from yokesill.registry.feeds import HistoryLost
+from yokesill.registry.feeds import HistoryLost, Problem
+from yokesill.registry.reading import read_each
+from yokesill.serving import object_fields as fields
 from yokesill.verdict import Failure, Reason, Verdict
 
 # Limit the time of a call to an unresponsive store; a watch may take its wait and the margin.
 CALL_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 2.0
 STALE_TIMEOUT_S = 1.0
+# Longer lists are without end: the largest kind holds some 4,000 objects.
+MAX_LISTED = 100_000
+MAX_LOGGED_NAME = 200
 
 
 class StoredItem(NamedTuple):
@@ -37,10 +44,11 @@
 
 
 class StoreView(NamedTuple):
-    """Objects or changes, as of ``at``."""
+    """Objects or changes, as of ``at``, and the problems of those that can't be read."""
 
     at: Position
     items: tuple[StoredItem, ...]
+    problems: tuple[Problem, ...] = ()
 
 
 class MetadataStore:
@@ -54,6 +62,7 @@
     async def list(self, kind: str, stale: bool = False) -> StoreView | Failure:
         """Return a kind's objects from all pages, with the position of the first page."""
         items: list[StoredItem] = []
+        problems: list[Problem] = []
         first_at: Position | None = None
         after = ""
         while True:
@@ -64,18 +73,23 @@
                 return _failure(reply)
             try:
                 timeline = self._timeline
-                page = [item_of(each, timeline=timeline) for each in reply.body["items"]]
-                first_at = first_at or Position(timeline, reply.body["at"])
+                first_at = first_at or Position(timeline, fields.parse_revision(reply.body["at"]))
                 more = bool(reply.body.get("more"))
-            except (KeyError, TypeError) as error:
+                raw_items = fields.parse_list(reply.body["items"])
+                last = _raw_name(raw_items[-1]) if raw_items else ""
+            except fields.READ_ERRORS as error:
                 return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, f"a list of {kind}: {error!r}")
             if timeline != first_at.timeline:
                 # Pages of two timelines don't form a list of either.
                 return Failure(Reason.NOT_READY, Verdict.NOT_RUN, f"restored within a list of {kind}")
-            items.extend(page)
-            if not more or not page:
-                return StoreView(first_at, tuple(items))
-            after = f"after={quote(page[-1].name, safe='')}"
+            read, wrong = read_each(raw_items, partial(item_of, timeline=timeline), partial(_place, kind))
+            items.extend(read)
+            problems.extend(wrong)
+            if not more or not raw_items:
+                return StoreView(first_at, tuple(items), tuple(problems))
+            before, after = after, f"after={quote(last, safe='', errors='replace')}"
+            if after == before or len(items) > MAX_LISTED:
+                return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, f"a list of {kind} without end")
 
     async def watch(
         self, kind: str, revision: int, wait: float, stale: bool = False
@@ -91,11 +105,13 @@
         if isinstance(reply, Failure) or reply.status != http.OK:
             return _failure(reply)
         try:
-            timeline, events = self._timeline, reply.body["events"]
-            items = tuple(item_of(each["object"], bool(each["gone"]), timeline) for each in events)
-            return StoreView(Position(timeline, reply.body["at"]), items)
-        except (KeyError, TypeError) as error:
+            at = Position(self._timeline, fields.parse_revision(reply.body["at"]))
+            events = fields.parse_list(reply.body["events"])
+        except fields.READ_ERRORS as error:
             return Failure(Reason.MALFORMED_REPLY, Verdict.NOT_RUN, f"changes of {kind}: {error!r}")
+        changes = [each if isinstance(each, dict) else {} for each in events]
+        read = partial(_change_of, at.timeline)
+        return StoreView(at, *read_each(changes, read, lambda each: _place(kind, each.get("object"))))
 
     async def put(self, kind: str, name: str, spec: dict[str, Any], replace: bool = True) -> Failure | None:
         """Create an object; an existing one is replaced if ``replace``, and otherwise left as it is."""
@@ -148,19 +164,37 @@
 def timeline_of(reply: ApiReply) -> int:
     """Return the timeline of an answer; 0 if the answer names none."""
     value = next((value for name, value in reply.headers if name == TIMELINE_HEADER), b"")
-    return int(value) if value.isdigit() else 0
+    return parse_digits(value) or 0
 
 
 def item_of(item: Any, gone: bool = False, timeline: int = 0) -> StoredItem:
-    """Parse an object; raise ``KeyError`` or ``TypeError`` if it is malformed."""
-    meta = item["meta"]
-    created = meta.get("made", 0)
-    fields = (
+    """Parse an object; raise one of ``READ_ERRORS`` if it is malformed."""
+    meta = fields.parse_table(item["meta"])
+    name, created = fields.parse_printable(meta["name"]), meta.get("made", 0)
+    return StoredItem(
+        name,
+        fields.parse_revision(meta["revision"]),
+        item.get("spec"),
         gone or bool(meta.get("deleting")),
         created if isinstance(created, int) else 0,
         item.get("status"),
+        timeline,
     )
-    return StoredItem(meta["name"], meta["revision"], item.get("spec"), *fields, timeline)
+
+
+def _change_of(timeline: int, change: dict[str, Any]) -> StoredItem:
+    return item_of(change["object"], bool(change["gone"]), timeline)
+
+
+def _place(kind: str, raw: Any) -> str:
+    return f"{kind}/{_raw_name(raw)[:MAX_LOGGED_NAME]!a}"
+
+
+def _raw_name(raw: Any) -> str:
+    """Return the name of an object that may be malformed; empty if it has none."""
+    meta = raw.get("meta") if isinstance(raw, dict) else None
+    name = meta.get("name") if isinstance(meta, dict) else None
+    return name if isinstance(name, str) else ""
 
 
 def _failure(reply: ApiReply | Failure) -> Failure:
--- a/src/yokesill/registry/api_client.py
+++ b/src/yokesill/registry/api_client.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 from yokesill.comm.http_reply import ReplyError, ReplyTooLargeError
+from yokesill.comm.lenient_json import decode_json
 from yokesill.registry.stream_connection import StreamConnection, connect_tcp
 from yokesill.serving.settings import Address
 from yokesill.upstreams.wires import StreamConnector
@@ -81,7 +82,7 @@
         if isinstance(reply, Failure):
             return reply
         try:
-            content = json.loads(reply.body) if reply.body else None
+            content = decode_json(reply.body) if reply.body else None
             return ApiReply(reply.status, content, reply.headers)
         except ValueError as error:
             return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, repr(error))
--- a/src/yokesill/registry/feeds.py
+++ b/src/yokesill/registry/feeds.py
@@ -11,6 +11,7 @@
 from yokesill.gateway.events import Event
 from yokesill.positions import Position
 from yokesill.rollouts.orders import RevisionConflict, RolloutOrder
+from yokesill.serving.object_fields import ObjectError, parse_endpoint, parse_number
 from yokesill.verdict import Failure
 
 
@@ -84,12 +85,36 @@
 def contact_of(name: str, announced: Any) -> NodeContact:
     """Decode a node's announcement; fields that an older release doesn't send keep their defaults."""
     announced = announced if isinstance(announced, dict) else {}
-    zone, datagrams, reports, peers, rollouts = (
-        str(announced.get(field, "")) for field in ("zone", "datagrams", "reports", "peers", "rollouts")
+    datagrams, reports, peers, rollouts = (
+        _endpoint_or_none(announced.get(field)) for field in ("datagrams", "reports", "peers", "rollouts")
     )
-    cores = announced.get("cores")
-    announced_cores = float(cores) if isinstance(cores, int | float) else 1.0
-    return NodeContact(name, zone, datagrams, reports, peers, announced_cores, rollouts)
+    zone = announced.get("zone", "")
+    return NodeContact(
+        name,
+        zone if isinstance(zone, str) else "",
+        datagrams,
+        reports,
+        peers,
+        _cores(announced.get("cores")),
+        rollouts,
+    )
+
+
+def _endpoint_or_none(value: Any) -> str:
+    """Return an ``IP:PORT``; empty if the value is anything else, so that the node isn't reached that way."""
+    try:
+        parse_endpoint(value)
+    except ObjectError:
+        return ""
+    return str(value)
+
+
+def _cores(value: Any) -> float:
+    try:
+        cores = parse_number(value)
+    except ObjectError:
+        return 1.0
+    return cores if cores > 0.0 else 1.0
 
 
 class NodeEntry(NamedTuple):
--- a/src/yokesill/serving/object_fields.py
+++ b/src/yokesill/serving/object_fields.py
@@ -3,6 +3,7 @@
 The platform's adapter uses it for the objects that operators and servers write. Holds no state.
 """
 
+import socket
 import sys
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -10,10 +11,18 @@
 Value = TypeVar("Value")
 
 
+# Larger numbers are mistakes, and don't fit into every type that a field is converted to.
+MAX_NUMBER = 1e15
+
+
 class ObjectError(ValueError):
     """A field of an object is missing or has a wrong type."""
 
 
+# What reading an object of another writer may raise beside ``ObjectError``: any value may stand in any place.
+READ_ERRORS = (ValueError, TypeError, LookupError, AttributeError, ArithmeticError, RecursionError)
+
+
 def read_field(fields: Any, name: str, read: Callable[[Any], Value], place: str) -> Value:
     """Return a field of a table, parsed by ``read``; ``place`` is the path of the table."""
     if not isinstance(fields, dict):
@@ -47,6 +56,9 @@
     """Return a number as a float."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ObjectError("a number is needed")
+    # The comparison is false for NaN, and doesn't convert a large integer.
+    if not -MAX_NUMBER <= value <= MAX_NUMBER:
+        raise ObjectError(f"a number up to {MAX_NUMBER:g} is needed")
     return float(value)
 
 
@@ -60,6 +72,41 @@
     return parse_number(value) / 1000
 
 
+def parse_endpoint(value: Any) -> tuple[str, int]:
+    """Return the IPv4 address and the port of an ``IP:PORT``."""
+    host, _, port = parse_text(value).rpartition(":")
+    if not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) < 1 << 16:
+        raise ObjectError("IP:PORT is needed, with a port from 1 to 65535")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        raise ObjectError("IP:PORT is needed, with an IPv4 address") from None
+    return host, int(port)
+
+
+def parse_printable(value: Any) -> str:
+    """Return a text without control characters and halves of characters."""
+    text = parse_text(value)
+    if not text.isprintable():
+        raise ObjectError("printable characters are needed")
+    return text
+
+
+def parse_revision(value: Any) -> int:
+    """Return a revision, which is an integer of at least 0."""
+    if type(value) is not int or not 0 <= value <= MAX_NUMBER:
+        raise ObjectError("a revision is needed")
+    return value
+
+
+def parse_header_value(value: Any) -> str:
+    """Return a text that can stand in a header: visible ASCII characters without spaces."""
+    text = parse_text(value)
+    if not text.isascii() or not text.isprintable() or not text or " " in text:
+        raise ObjectError("visible ASCII characters are needed")
+    return text
+
+
 def parse_table(value: Any) -> dict[str, Any]:
     """Return the value if it is a table."""
     if not isinstance(value, dict):
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -32,8 +32,8 @@
 # Maximum share of the bound on leaving servers for which a removed server remains a last resort; the rest is
 # for receiving the change and for sending the request.
 MAX_REMOVED_SHARE = 0.6
-# Shares of the memory limit: unfinished replies of servers and other nodes, requests' bodies, and answers that
-# callers don't take. The rest is for the program, its state and complete replies.
+# Shares of the memory limit: unfinished replies of servers and other nodes, requests' bodies, and answers
+# that callers don't take. The rest is for the program, its state and complete replies.
 REPLY_MEMORY_SHARE, BODY_MEMORY_SHARE, UNSENT_MEMORY_SHARE = 0.2, 0.1, 0.15
 # Descriptors that are not for sockets: files keep up to 200, fewer under a small limit.
 MAX_FILE_DESCRIPTORS, FILE_DESCRIPTOR_SHARE = 200, 0.25
@@ -106,11 +106,11 @@
     evacuation_bound_s: float | None = None
     cold_starts: ColdStartLimits = ColdStartLimits()  # noqa: RUF009 (immutable)
     cores: float = 1.0
-    memory_bytes: int = 256 * 1024 * 1024
-    descriptors: int = 1024
     rollouts: RolloutLimits | None = None
     log_level: str = "info"
     switched_off: tuple[str, ...] = ()
+    memory_bytes: int = 256_000_000
+    descriptors: int = 1024
 
     def changes(self, newer: "GatewaySettings") -> list[str]:
         """Return the names of the fields in which ``newer`` differs."""
--- a/src/yokesill/upstreams/attempt_bytes.py
+++ b/src/yokesill/upstreams/attempt_bytes.py
@@ -9,6 +9,7 @@
 
 from yokesill.comm.http_reply import HttpReplyReader
 from yokesill.comm.http_status import MISDIRECTED, SERVER_ERROR
+from yokesill.comm.numbers import MAX_NUMBER, parse_digits
 from yokesill.gateway.messages import Attempt, GatewayRequest, Load, ServerReply
 from yokesill.serving.header_names import HeaderNames
 from yokesill.verdict import Failure, Reason, Verdict
@@ -84,8 +85,9 @@
     """
     if value is None:
         return None
-    fields: list[Any] = value.split(b",")
-    known = len(fields) in (LOAD_FIELDS, LOAD_FIELDS_WITH_SERVICE_TIME)
-    if not known or not all(field.strip().isdigit() for field in fields):
+    numbers = [parse_digits(field) for field in value.split(b",")]
+    known = len(numbers) in (LOAD_FIELDS, LOAD_FIELDS_WITH_SERVICE_TIME)
+    if not known or any(number is None or number == MAX_NUMBER for number in numbers):
         return None
-    return Load(*(int(field) for field in fields))
+    fields: list[Any] = numbers
+    return Load(*fields)
--- a/src/yokesill/upstreams/connection_set.py
+++ b/src/yokesill/upstreams/connection_set.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+from yokesill.comm.numbers import parse_digits
 from yokesill.upstreams.connections import ServerConnection
 
 # Share of the ``Keep-Alive`` timeout during which a connection is reused. The rest allows for clock
@@ -128,6 +129,7 @@
         return DEFAULT_IDLE_TIMEOUT_S
     for part in keep_alive.split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
-            return int(value) * KEEP_ALIVE_SHARE
+        seconds = parse_digits(value)
+        if name.lower() == b"timeout" and seconds is not None:
+            return seconds * KEEP_ALIVE_SHARE
     return DEFAULT_IDLE_TIMEOUT_S
--- a/tests/platform/test_rollout_records.py
+++ b/tests/platform/test_rollout_records.py
@@ -88,7 +88,7 @@
         ({**SPEC, "targetVersion": None}, "rollouts.s1.targetVersion: a text is needed"),
         ({**SPEC, "durationS": "soon"}, "rollouts.s1.durationS: a number is needed"),
         ({**SPEC, "durationS": 0}, "rollouts.s1.durationS: a time above 0 is needed"),
-        ({**SPEC, "durationS": float("nan")}, "rollouts.s1.durationS: a time above 0 is needed"),
+        ({**SPEC, "durationS": float("nan")}, "rollouts.s1.durationS: a number up to 1e+15 is needed"),
         ({**SPEC, "service": "s2"}, "rollouts.s1.service: is 's2'"),
         ({"targetVersion": "v2", "durationS": 12}, "rollouts.s1.service: is missing"),
     ],
--- a/tests/real_nodes/node_process.py
+++ b/tests/real_nodes/node_process.py
@@ -349,9 +349,16 @@
             time.sleep(POLL_S)
         return self
 
-    def ask(self, path: str = "/read/x", request_id: str = "r1", timeout_s: float = 5.0) -> Answer:
+    def ask(
+        self,
+        path: str = "/read/x",
+        request_id: str = "r1",
+        timeout_s: float = 5.0,
+        deadline_ms: str = "4000",
+    ) -> Answer:
         """Send a caller's request on a new connection."""
-        headers = {"host": ROUTE_HOST, "x-yokesill-request-id": request_id, "x-yokesill-deadline-ms": "4000"}
+        headers = {"host": ROUTE_HOST, "x-yokesill-request-id": request_id}
+        headers["x-yokesill-deadline-ms"] = deadline_ms
         return call(self.front, "GET", path, headers, timeout_s)
 
     def memory_mb(self, field: str = "VmHWM") -> float:
--- /dev/null
+++ b/tests/real_nodes/test_odd_entries.py
@@ -0,0 +1,167 @@
+"""What another writer, or a faulty store, leaves in a list costs that entry alone."""
+
+import json
+import time
+
+import pytest
+from node_process import SERVICE, Node, Reply, Surroundings, message
+
+from yokesill.comm.lenient_json import MAX_DEPTH, decode_json
+
+GOOD = {"service": SERVICE, "address": "127.0.0.1:9", "zone": "zone-a", "capacity": 1, "state": "ready"}
+META = '{"name": "odd", "revision": REVISION, "made": REVISION}'
+
+
+def entry(spec: str, meta: str = META) -> str:
+    """Return the JSON of an object of kind ``servers``."""
+    return f'{{"meta": {meta}, "spec": {spec}, "status": null}}'
+
+
+def with_field(name: str, value: str) -> str:
+    """Return a server's entry in which one field has a value given as JSON."""
+    fields = {each: json.dumps(content) for each, content in GOOD.items()} | {name: value}
+    return entry("{" + ", ".join(f'"{each}": {content}' for each, content in fields.items()) + "}")
+
+
+ODD_ENTRIES = {
+    "nested deep": with_field("x", "[" * 50_000 + "]" * 50_000),
+    "nested deep in its name": entry("{}", '{"name": ' + "[" * 5000 + "]" * 5000 + ', "revision": REVISION}'),
+    "5000 digits": with_field("capacity", "9" * 5000),
+    "400 digits": with_field("capacity", "9" * 400),
+    "endless number": with_field("capacity", "1e999"),
+    "not a number": with_field("warmupLeftMs", "NaN"),
+    "no slots": with_field("capacity", "0"),
+    "text as a number": with_field("capacity", '"four"'),
+    "port out of range": with_field("address", '"127.0.0.1:65536"'),
+    "port of 5000 digits": with_field("address", '"127.0.0.1:' + "9" * 5000 + '"'),
+    "port that is no number": with_field("address", '"127.0.0.1:8\N{SUPERSCRIPT TWO}"'),
+    "name instead of an address": with_field("address", '"server.example:80"'),
+    "surrogate in its service": with_field("service", '"\\ud800"'),
+    "a number for its meta": entry("{}", "5"),
+    "a list for its name": entry("{}", '{"name": [], "revision": REVISION}'),
+    "line break in its name": entry(json.dumps(GOOD), '{"name": "a\\r\\nb: c", "revision": REVISION}'),
+    "surrogate in its name": entry(json.dumps(GOOD), '{"name": "\\udfff", "revision": REVISION}'),
+    "a text for its revision": entry(json.dumps(GOOD), '{"name": "odd", "revision": "x"}'),
+    "no object": "7",
+    "null": "null",
+}
+
+
+def test_odd_entry_costs_that_entry_alone(node: Node, around: Surroundings) -> None:
+    # Guards against: one entry by another writer stopped the feed of servers, and no node got ready again.
+    node.start().wait_until_ready()
+    for odd in ODD_ENTRIES.values():
+        around.store.put_raw("servers", odd)
+    _assert_follows_servers(node, around)
+    node.kill()
+    node.start().wait_until_ready()
+    _assert_follows_servers(node, around)
+    assert node.events("part_failed") == []
+
+
+@pytest.mark.parametrize("kind", ["config", "yokesill-nodes", "yokesill-quarantine"])
+def test_odd_entry_of_another_kind_costs_that_entry_alone(
+    kind: str, node: Node, around: Surroundings
+) -> None:
+    # Guards against: one malformed object failed the part of a node that reads its kind, again and again.
+    for odd in ODD_ENTRIES.values():
+        around.store.put_raw(kind, odd)
+    node.start().wait_until_ready()
+    assert node.ask().status == 200
+    time.sleep(1.0)
+    assert node.events("part_failed") == []
+
+
+def _assert_follows_servers(node: Node, around: Surroundings) -> None:
+    """Assert that a change of a server's entry takes effect, with the odd entries in the list."""
+    first, second = around.servers
+    around.store.put("servers", first.instance, first.entry() | {"state": "draining"})
+    time.sleep(2.5)
+    second.requests.clear()
+    first.requests.clear()
+    assert {node.ask(request_id=f"r{number}").status for number in range(6)} == {200}
+    assert (len(first.requests), len(second.requests) >= 6) == (0, True)
+    around.store.put("servers", first.instance, first.entry())
+
+
+FIRST_ANSWERS = {
+    "nonsense": b"\0\xff\n\n" * 50,
+    "no body": message("HTTP/1.1 200 X", {}),
+    "a page": message("HTTP/1.1 200 X", {}, b"<html>"),
+    "a number": message("HTTP/1.1 200 X", {}, b"5"),
+    "nested deep": message("HTTP/1.1 200 X", {}, b"[" * 100_000 + b"]" * 100_000),
+    "items are a text": message("HTTP/1.1 200 X", {}, b'{"items": "abc", "at": 1}'),
+    "a position of 5000 digits": message("HTTP/1.1 200 X", {}, b'{"items":[],"at":' + b"9" * 5000 + b"}"),
+    "an endless position": message("HTTP/1.1 200 X", {}, b'{"items": [], "at": 1e999}'),
+    "bytes that are no text": message("HTTP/1.1 200 X", {}, b'{"items": ["\xff"], "at": 1}'),
+    "another protocol": b"HTTP/1.1 101 X\r\nupgrade: h2c\r\nconnection: upgrade\r\n\r\nabc",
+    "pages without end": message(
+        "HTTP/1.1 200 X", {}, b'{"items":[{"meta":{"name":"a","revision":1},"spec":{}}],"at":1,"more":true}'
+    ),
+    "a timeline of 5000 digits": message("HTTP/1.1 200 X", {"store-era": "9" * 5000}, b'{"items":[],"at":1}'),
+}
+
+
+def test_first_answers_of_a_faulty_store_fail_no_part(node: Node, around: Surroundings) -> None:
+    # Guards against: every feed failed by an exception and was begun anew after growing pauses.
+    for content in FIRST_ANSWERS.values():
+        around.store.special = lambda _request, content=content: _sender(content)  # type: ignore[misc]
+        node.start()
+        time.sleep(0.7)
+        around.store.special = lambda _request: None
+        node.wait_until_ready()
+        assert node.ask().status == 200
+        node.kill()
+    assert node.events("part_failed") == []
+
+
+def _sender(content: bytes) -> Reply:
+    return lambda connection: connection.sendall(content)
+
+
+HEADERS_WITH_NUMBERS = {
+    "keep-alive": "timeout=" + "9" * 5000,
+    "x-yokesill-server-load": "9" * 5000 + ",1,1",
+    "X-Yokesill-Server-Load": "9" * 400 + ",1,1",
+    "Keep-Alive": "timeout=" + "9" * 400,
+}
+
+
+@pytest.mark.parametrize("name", HEADERS_WITH_NUMBERS)
+def test_number_of_any_length_in_a_servers_header_costs_no_answer(
+    name: str, node: Node, around: Surroundings
+) -> None:
+    # Guards against: the conversion failed within a callback; the request hung until its timeout, and the
+    # place of its connection was lost for good.
+    for server in around.servers:
+        server.special = lambda request, server=server: _sender(  # type: ignore[misc]
+            message(
+                "HTTP/1.1 200 OK",
+                server.head(request) | {name: HEADERS_WITH_NUMBERS[name]},
+                b"0123456789abcdef",
+            )
+        )
+    node.start().wait_until_ready()
+    assert [node.ask().status for _ in range(4)] == [200] * 4
+    assert node.output().count("Error") == 0
+
+
+def test_deadline_of_any_length_is_served(node: Node) -> None:
+    # Guards against: a caller's deadline of 400 digits was answered with 500 and a trace.
+    node.start().wait_until_ready()
+    for digits in (20, 400, 5000):
+        assert node.ask(deadline_ms="9" * digits).status == 200
+
+
+def test_value_nested_too_deep_becomes_null() -> None:
+    deep = "[" * 5000 + "]" * 5000
+    text = f'{{"a": {deep}, "b": "[[\\"[", "c": [[1]]}}'
+    decoded = decode_json(text.encode())
+    assert (decoded["b"], decoded["c"]) == ('[["[', [[1]])
+    value, depth = decoded["a"], 0
+    while value:
+        value, depth = value[0], depth + 1
+    assert depth == MAX_DEPTH - 1
+    for broken in (b"[" * 5000, b'{"a": ' + b"[" * 5000 + b"}", b'"' * 5001):
+        with pytest.raises(ValueError, match=r"."):
+            decode_json(broken)
