Clients without end cost themselves: heads, trailers, pipelines, connections, answers not taken

What callers saw: a node killed above its memory limit (heads, trailers and pipelined requests of 8 clients took 575 to 908 MB in seconds, also on the probes' port; 200 callers that don't read 217 MB), and one that stopped accepting at its limit of descriptors, probes included, for some 10 s. Nonsense behind a request got a 400 in its answer's place.

Cause: nothing bounded what a connection sends outside bodies, nor what waits for its turn, nor the number of connections; maxFds was not read. The parser ends HTTP at the head of an offered upgrade, and its user went on with the body.

--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -101,7 +101,7 @@
         side = ((settings.probes, node.probes), (settings.metrics, node.probes), (settings.peers, node.peers))
         for address, application in side:
             if address is not None:
-                listener = create_listener(application)
+                listener = create_listener(application, settings.side_connections)
                 await listener.start(address)
                 self._side_listeners.append(listener)
         gc_tuning.freeze()
--- a/src/yokesill/serving/request_path.py
+++ b/src/yokesill/serving/request_path.py
@@ -151,7 +151,8 @@
     application = GatewayApplication(
         core.driver, core.dependencies.names, core.observer, core.key_prefix, forwarder
     )
-    listener = create_listener(application)
+    settings = core.settings
+    listener = create_listener(application, settings.caller_connections, settings.unsent_memory_bytes)
     return Callers(application, listener)
 
 
--- a/tests/forms/bindings.py
+++ b/tests/forms/bindings.py
@@ -21,7 +21,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from yokesill import logs, rendezvous, settings as serve_settings
-from yokesill.callers import answers, application as callers, listener, sockets
+from yokesill.callers import answers, application as callers, protocol, sockets
 from yokesill.cli import (
     base,
     gateway as gateway_command,
@@ -609,7 +609,7 @@
     "http.passed_on": _passed_on,
     "http.gathered": _gathered,
     "http.caller": _caller,
-    "http.head_too_slow": lambda: listener.REQUEST_TIMEOUT_RESPONSE,
+    "http.head_too_slow": lambda: protocol.REQUEST_TIMEOUT_RESPONSE,
     "http.server_request": _server_request,
     "http.server_reply": _server_reply,
     "http.probe": _probe,
--- a/tests/real_nodes/test_endless_bytes.py
+++ b/tests/real_nodes/test_endless_bytes.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 import pytest
-from node_process import HOST, ROUTE_HOST, Node, Reply, Request, Surroundings, message
+from node_process import Node, Reply, Surroundings, message
 
 ATTACK_S, SAMPLE_S = 4.0, 0.05
 CONNECTIONS = 8
