Output that nobody takes neither ends nor stops a node

What callers saw: a node started with a closed standard output ended before its first line; one whose standard error nobody reads hung for good after 2,112 lines that uvicorn wrote for nonsense from callers.

Cause: the log needs an open stream; libraries log to standard error and wait. A closed stream's number would also go to the first socket.

An exception that ends a process is a line of log (node_failed), so that logs tell such an end from a kill.

--- a/src/yokesill/callers/sockets.py
+++ b/src/yokesill/callers/sockets.py
@@ -4,7 +4,8 @@
 """
 
 import socket
-import sys
+
+from yokesill.serving.streams import write_error
 
 # Callers that connect while a node starts wait in this queue (``platform.start``).
 BACKLOG = 512
@@ -38,5 +39,5 @@
     try:
         return listen(host, int(port))
     except (OSError, ValueError, OverflowError) as error:
-        print(f"error: callers' address {address!r}: {error}", file=sys.stderr)
+        write_error(f"callers' address {address!r}: {error}")
         return None
--- a/src/yokesill/logs.py
+++ b/src/yokesill/logs.py
@@ -5,6 +5,7 @@
 number follows once the buffer is empty.
 """
 
+import contextlib
 import json
 import logging
 import os
@@ -17,6 +18,8 @@
 Logger = structlog.typing.FilteringBoundLogger
 # Limits the memory that lines for a slow reader take.
 BUFFER_BYTES = 1_048_576
+STANDARD_OUTPUT = 1
+MAX_LIBRARY_MESSAGE = 1000
 
 
 class LogOutput:
@@ -74,6 +77,31 @@
         self._size += len(data)
 
 
+class _LibraryLogHandler(logging.Handler):
+    """Writes the lines of libraries, such as uvicorn and asyncio, to the same output as JSON.
+
+    By default they go to standard error, and wait there for its reader.
+    """
+
+    def __init__(self, output: LogOutput) -> None:
+        super().__init__(logging.WARNING)
+        self._output = output
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line; the innermost exception is named, without its stack."""
+        line = {"event": "library_log", "library": record.name, "level": record.levelname.lower()}
+        line["message"] = record.getMessage()[:MAX_LIBRARY_MESSAGE]
+        if record.exc_info and record.exc_info[1] is not None:
+            line["problem"] = repr(record.exc_info[1])[:MAX_LIBRARY_MESSAGE]
+        self._output.write(json.dumps(line))
+
+
+def _redirect_library_logs(output: LogOutput) -> None:
+    logging.getLogger().addHandler(_LibraryLogHandler(output))
+    # A failure to write a line must not be reported on standard error.
+    logging.raiseExceptions = False
+
+
 class _LineLogger:
     """The logger that structlog passes rendered lines to."""
 
@@ -85,9 +113,11 @@
 def configure(level: str = "info", output: LogOutput | None = None) -> LogOutput:
     """Write lines of at least ``level`` (a ``logging`` level name) to ``output`` or standard output."""
     if output is None:
-        descriptor = sys.stdout.fileno()
-        os.set_blocking(descriptor, False)
+        descriptor = sys.stdout.fileno() if sys.stdout is not None else STANDARD_OUTPUT
+        with contextlib.suppress(OSError):
+            os.set_blocking(descriptor, False)
         output = LogOutput(descriptor)
+        _redirect_library_logs(output)
     sink = output
 
     def make_logger(*_arguments: Any) -> _LineLogger:
--- a/src/yokesill/supervision.py
+++ b/src/yokesill/supervision.py
@@ -6,13 +6,14 @@
 serve (a port that can't be bound, settings that can't be read) are raised before any request is accepted.
 """
 
+import contextlib
 import traceback
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import anyio
 
-from yokesill.logs import get_logger
+from yokesill.logs import LogOutput, get_logger
 
 # The delay before a restart doubles while a part keeps failing: one that can never run costs a log line
 # every ten seconds.
@@ -73,10 +74,26 @@
         """Log and count a part's failure."""
         self.failures[part] += 1
         self._count(part)
-        cause = _first_cause(error)
-        frames = traceback.extract_tb(cause.__traceback__)[-MAX_LOGGED_FRAMES:]
-        where = [f"{each.filename.rpartition('/')[2]}:{each.lineno} {each.name}" for each in frames]
-        self._log.error("part_failed", part=part, problem=repr(cause), where=where, **details)
+        self._log.error("part_failed", part=part, **_describe(error), **details)
+
+
+@contextlib.contextmanager
+def unexpected_end_logged(output: LogOutput) -> Iterator[None]:
+    """Log the exception that ends the process, before the interpreter writes it to standard error."""
+    try:
+        yield
+    except Exception as error:
+        get_logger("gateway").error("node_failed", **_describe(error))
+        output.flush()
+        raise
+
+
+def _describe(error: Exception) -> dict[str, object]:
+    """Return an exception's first cause and the innermost places that it came through."""
+    cause = _first_cause(error)
+    frames = traceback.extract_tb(cause.__traceback__)[-MAX_LOGGED_FRAMES:]
+    where = [f"{each.filename.rpartition('/')[2]}:{each.lineno} {each.name}" for each in frames]
+    return {"problem": repr(cause), "where": where}
 
 
 def _first_cause(error: BaseException) -> BaseException:
