A process waits for what its start lacks for a moment, and holds signals until it handles them

Cause, of one class: the start takes for granted that everything is there at its first try. Handlers were installed only after all imports and removed before the process's end; other exceptions than the reader of settings expects; the port of the metrics ended a node like that of its callers.

Fix: the first lines of the program hold the handled signals back until their handlers are there, and again after; a stop then is a planned stop. Each listener waits for its address by itself, and the node is ready once the callers' is there. Numbers and ports of settings have ranges; the platform's empty fields count as missing. A planned stop goes on without free descriptors.

What remains: signals in the interpreter's own start, some 15 ms before the first line of the program, still have the default reaction.

--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -12,7 +12,13 @@
     del sys.path[0]
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "src"))
 
-from yokesill.platform.start import main  # noqa: E402 (after the path is set)
+from yokesill.serving.signals import hold_signals  # noqa: E402 (after the path is set)
+from yokesill.serving.streams import open_missing_streams  # noqa: E402 (after the path is set)
+
+hold_signals()
+open_missing_streams()
+
+from yokesill.platform.start import main  # noqa: E402 (after signals are held and streams are open)
 
 if __name__ == "__main__":
     raise SystemExit(main(sys.argv[1:]))
--- a/src/yokesill/callers/listener.py
+++ b/src/yokesill/callers/listener.py
@@ -37,7 +37,8 @@
 
     async def start(self, address: Address, listening: socket.socket | None = None) -> None:
         """Bind and listen, or take over a socket that already listens; raises ``OSError``."""
-        self.config.load()
+        if not self.config.loaded:
+            self.config.load()
         self.lifespan = self.config.lifespan_class(self.config)
         if listening is None:
             listening = listen(address.host, address.port)
--- a/src/yokesill/callers/protocol.py
+++ b/src/yokesill/callers/protocol.py
@@ -87,7 +87,12 @@
     def is_idle(self) -> bool:
         """Whether the connection is open, and no request is being read or answered."""
         answered = self.cycle is None or self.cycle.response_complete
-        return answered and not self.transport.is_closing() and not self._after_head and not self._bytes_without_body
+        return (
+            answered
+            and not self.transport.is_closing()
+            and not self._after_head
+            and not self._bytes_without_body
+        )
 
     @property
     def idle_since_s(self) -> float:
--- a/src/yokesill/frontend/server.py
+++ b/src/yokesill/frontend/server.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import anyio
@@ -36,7 +36,7 @@
         Closing a listening socket resets the connections in its accept queue. So a duplicate of the socket
         outlives the close, and the waiting connections are accepted from it and served.
         """
-        duplicates = [each.dup() for server in self.servers for each in server.sockets]
+        duplicates = _duplicates(each for server in self.servers for each in server.sockets)
         for server in self.servers:
             server.close()
         for listener in duplicates:
@@ -64,6 +64,15 @@
             await anyio.sleep(POLL_S)
 
 
+def _duplicates(sockets: Iterable[socket.socket]) -> list[socket.socket]:
+    """Return duplicates of listening sockets, as far as there are descriptors for them."""
+    duplicates = []
+    with contextlib.suppress(OSError):
+        for each in sockets:
+            duplicates.append(each.dup())
+    return duplicates
+
+
 def _accept_waiting(listener: socket.socket) -> list[socket.socket]:
     """Accept all waiting connections of ``listener``, then close it."""
     listener.setblocking(False)
@@ -72,7 +81,8 @@
         while True:
             try:
                 connection, _ = listener.accept()
-            except BlockingIOError:
+            except OSError:
+                # None waits any more, or none can be accepted for want of descriptors.
                 break
             connection.setblocking(False)
             accepted.append(connection)
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -3,7 +3,6 @@
 import os
 import random
 import socket
-import sys
 import time
 from dataclasses import replace
 from pathlib import Path
@@ -22,6 +21,9 @@
 from yokesill.serving.reload import SettingsFollower
 from yokesill.serving.running import run_until_stopped
 from yokesill.serving.settings import GatewaySettings
+from yokesill.serving.settings_wait import wait_for_settings
+from yokesill.serving.streams import write_error
+from yokesill.supervision import unexpected_end_logged
 
 OK, INVALID = 0, 3
 
@@ -32,22 +34,21 @@
     ``listening`` is the socket for callers, if it is already open.
     """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    settings = load_settings(path)
-    if isinstance(settings, list):
-        for problem in settings:
-            print(f"error: {path}: {problem}", file=sys.stderr)
-        return INVALID
+    settings = wait_for_settings(path, load_settings)
+    if not isinstance(settings, GatewaySettings):
+        return OK if settings is None else INVALID
     switched_off = tuple(os.environ.get(SWITCHED_OFF_VARIABLE, "").split())
     try:
         GatewayOptions(settings.zone).without(switched_off)
     except ValueError as error:
-        print(f"error: {SWITCHED_OFF_VARIABLE}: {error}", file=sys.stderr)
+        write_error(f"{SWITCHED_OFF_VARIABLE}: {error}")
         return INVALID
     settings = replace(settings, switched_off=switched_off)
     output = logs.configure(settings.log_level)
     process = GatewayProcess(settings, _dependencies(settings, listening), random.Random(), output)
     follower = SettingsFollower(path, settings, load_settings, process.apply_settings)
-    run_with_boottime_clock(run_until_stopped, process, follower)
+    with unexpected_end_logged(output):
+        run_with_boottime_clock(run_until_stopped, process, follower)
     return OK
 
 
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -19,7 +19,7 @@
     """Parse settings; unknown fields are ignored, as the platform requires."""
     try:
         reader = SettingsReader(tomllib.loads(text))
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
         return [SettingsProblem("(file)", str(error))]
     own_port, reports, rollout_datagrams = _own_addresses(reader)
     settings = GatewaySettings(
@@ -90,6 +90,9 @@
 def load_settings(path: Path) -> GatewaySettings | list[SettingsProblem]:
     """Load the settings file at ``path``; return every error with its place."""
     try:
-        return parse_settings(path.read_text())
+        # With or without a byte order mark.
+        return parse_settings(path.read_text(encoding="utf-8-sig"))
     except OSError as error:
         return [SettingsProblem(str(path), error.strerror or "cannot be read")]
+    except UnicodeDecodeError as error:
+        return [SettingsProblem(str(path), str(error))]
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -16,13 +17,15 @@
 from yokesill.serving.builder import NodeComponents, build_node
 from yokesill.serving.dependencies import Dependencies
 from yokesill.serving.life_cycle import LifeCycle
-from yokesill.serving.settings import GatewaySettings
+from yokesill.serving.settings import Address, GatewaySettings
 
 # How often a start or a drain checks whether it is complete: negligible compared to a start of 165 ms
 # (bench/startup.py) and a stop of seconds.
 POLL_INTERVAL_S = 0.01
 # Maximum age of a log line when it is written; a node that is killed loses the lines of this interval.
 LOG_FLUSH_INTERVAL_S = 0.5
+# Pause before the next attempt to listen on an address that is taken.
+LISTEN_RETRY_PAUSE_S = 0.2
 
 
 class GatewayProcess:
@@ -38,6 +41,7 @@
         self._random = source
         self._output = output
         self._stop_requested = anyio.Event()
+        self._listening = anyio.Event()
         self._side_listeners: list[Listener] = []
         self._log = get_logger("gateway")
         self.life_cycle = LifeCycle(self._log)
@@ -56,7 +60,8 @@
             await task_group.start(node.driver.run)
             for name, run in self._background_tasks().items():
                 task_group.start_soon(node.supervisor.keep_running, name, run)
-            await self._listen()
+            for address, listener, listening in self._listeners():
+                task_group.start_soon(self._listen, address, listener, listening)
             task_group.start_soon(node.supervisor.keep_running, "readiness", self._become_ready)
             await self._stop_requested.wait()
             await self._drain()
@@ -95,19 +100,42 @@
             parts["rollouts"] = partial(node.rollouts.run, self.settings.rollout_datagrams)
         return parts
 
-    async def _listen(self) -> None:
+    def _listeners(self) -> list[tuple[Address, Listener, socket.socket | None]]:
+        """Return the listeners with their addresses; a socket is given where it already listens."""
         node, settings = self.node, self.settings
-        await node.listener.start(settings.callers, self._dependencies.callers_socket)
+        listeners = [(settings.callers, node.listener, self._dependencies.callers_socket)]
         side = ((settings.probes, node.probes), (settings.metrics, node.probes), (settings.peers, node.peers))
         for address, application in side:
             if address is not None:
-                listener = create_listener(application, settings.side_connections)
-                await listener.start(address)
-                self._side_listeners.append(listener)
-        gc_tuning.freeze()
-        self._log.info("started", node=settings.node, callers=str(settings.callers))
+                listeners.append((address, create_listener(application, settings.side_connections), None))
+        self._side_listeners = [listener for _, listener, _ in listeners[1:]]
+        return listeners
+
+    async def _listen(
+        self, address: Address, listener: Listener, listening: socket.socket | None = None
+    ) -> None:
+        """Listen on an address, as soon as it is free.
+
+        An address may still be taken by the process before, or by a stranger's connection: the node waits,
+        where its end would lead to the same start again.
+        """
+        reported = ""
+        while True:
+            try:
+                await listener.start(address, listening)
+                break
+            except (OSError, OverflowError) as error:
+                if repr(error) != reported:
+                    reported = repr(error)
+                    self._log.error("listen_failed", address=str(address), problem=reported)
+            await anyio.sleep(LISTEN_RETRY_PAUSE_S)
+        if listener is self.node.listener:
+            gc_tuning.freeze()
+            self._log.info("started", node=self.settings.node, callers=str(address))
+            self._listening.set()
 
     async def _become_ready(self) -> None:
+        await self._listening.wait()
         while not self.node.updates.synchronised():
             await anyio.sleep(POLL_INTERVAL_S)
         self.node.application.synchronised.set()
@@ -121,7 +149,8 @@
         if self.life_cycle.apply_event("stop") == "withdrawing":
             await anyio.sleep(self.settings.withdraw_time_s)
             self.life_cycle.apply_event("withdrawn")
-        await node.listener.close_listener()
+        if self._listening.is_set():
+            await node.listener.close_listener()
         with anyio.move_on_after(self.settings.drain_time_s) as bound:
             node.listener.close_idle_connections()
             while self._in_flight or node.listener.server_state.connections:
--- a/src/yokesill/serving/running.py
+++ b/src/yokesill/serving/running.py
@@ -11,6 +11,7 @@
 
 from yokesill.serving.process import GatewayProcess
 from yokesill.serving.reload import SettingsFollower
+from yokesill.serving.signals import HANDLED, signals_delivered
 from yokesill.supervision import Supervisor
 
 
@@ -25,7 +26,7 @@
 
 
 async def _follow_signals(process: GatewayProcess, reload: Callable[[str], None]) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with anyio.open_signal_receiver(*HANDLED) as signals, signals_delivered():
         async for number in signals:
             if number == signal.SIGHUP:
                 reload("signal")
--- a/src/yokesill/serving/settings_reader.py
+++ b/src/yokesill/serving/settings_reader.py
@@ -9,6 +9,9 @@
 
 from yokesill.serving.settings import Address, SettingsProblem
 
+# Larger numbers are mistakes: no time, rate or size of a node comes near.
+MAX_NUMBER = 1e12
+
 
 class SettingsReader:
     """Reads fields by their path, such as ``bounds.graceS``, and adds mistakes to ``problems``."""
@@ -36,9 +39,9 @@
         value = self._get(place)
         if value is None:
             return default
-        if isinstance(value, int | float) and not isinstance(value, bool) and value >= 0:
+        if isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value <= MAX_NUMBER:
             return float(value)
-        self._add_problem(place, "a number of at least 0 is needed", value)
+        self._add_problem(place, f"a number from 0 to {MAX_NUMBER:g} is needed", value)
         return default
 
     def address(self, place: str) -> Address:
@@ -48,13 +51,16 @@
     def addresses(self, place: str) -> tuple[Address, ...]:
         """Return a list of addresses; empty if it is missing."""
         value = self._get(place) or []
+        if not isinstance(value, list):
+            self._add_problem(place, "a list of HOST:PORT is needed", value)
+            return ()
         parsed = [self._parse_address(f"{place}.{index}", each) for index, each in enumerate(value)]
         return tuple(each for each in parsed if each is not None)
 
     def optional_address(self, place: str) -> Address | None:
         """Return an address; ``None`` if it is missing."""
         value = self._get(place)
-        return None if value is None else self._parse_address(place, value)
+        return None if value in (None, "") else self._parse_address(place, value)
 
     def text_table(self, place: str) -> dict[str, str]:
         """Return a table of texts; empty if it is missing."""
@@ -69,7 +75,7 @@
     def port_range(self, place: str) -> range:
         """Return the range of ports between a pair, both included; empty if it is missing."""
         value = self._get(place)
-        if value is None:
+        if value in (None, []):
             return range(0)
         pair = value if isinstance(value, list) and len(value) == 2 else []
         if not pair or not all(type(each) is int for each in pair) or not 0 < pair[0] <= pair[1] < 1 << 16:
@@ -79,11 +85,11 @@
 
     def _parse_address(self, place: str, value: Any) -> Address | None:
         host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-        if host and port.isdigit():
+        if host and port.isascii() and port.isdigit() and int(port[:6]) < 1 << 16:
             return Address(host, int(port))
         self._add_problem(place, "HOST:PORT is needed", value)
         return None
 
     def _add_problem(self, place: str, message: str, value: Any) -> None:
-        found = "it is missing" if value is None else f"found {value!r}"
+        found = "it is missing" if value is None else f"found {value!r:.200}"
         self.problems.append(SettingsProblem(place, f"{message}, {found}"))
