The build replaces what another machine or a broken-off build has left

What operators saw: with a target/deps of another Python or machine, or one whose build was broken off, and newer than the list of packages, the build line passed and every start of a node ended with an ImportError.

Cause: the line compared times only, and pip fills the folder in its place.

Fix: deploy/build.py makes the folder beside its place, loads its modules, and moves it there whole with a stamp of machine, Python and list; a folder that is there is kept only with that stamp and if its modules load. An older Python than 3.11 is refused with a message. Sources that can't be compiled are a warning.

Before: exit 1 at each start with a folder of Python 3.13.

--- /dev/null
+++ b/deploy/build.py
@@ -0,0 +1,105 @@
+"""Installs what a node needs into ``target/deps``, so that a folder that is there is also usable.
+
+A folder may have been built on another kind of machine, by another Python or for other requirements, or its
+build may have been broken off. It is therefore made beside its place, tried out, and moved there whole; one
+that is there is kept only if it was made for this machine, Python and list, and its modules load.
+"""
+
+import compileall
+import fcntl
+import hashlib
+import os
+import py_compile
+import shutil
+import subprocess
+import sys
+import sysconfig
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+REQUIREMENTS = ROOT / "requirements-serve.txt"
+MIN_PYTHON = (3, 11)
+STAMP = ".built-for"
+# Modules of the listed packages that a node loads, with their compiled parts.
+MODULES = ("anyio", "cbor2", "httptools", "prometheus_client", "structlog", "uvicorn")
+
+
+def fingerprint():
+    """Return a text that is the same only for this Python, this kind of machine and these requirements."""
+    described = [sysconfig.get_platform(), sys.version, REQUIREMENTS.read_text()]
+    return hashlib.sha256("\n".join(described).encode()).hexdigest()
+
+
+def is_usable(folder):
+    """Return whether the modules in ``folder`` load here, in a process of their own."""
+    environment = {**os.environ, "PYTHONPATH": str(folder)}
+    command = [sys.executable, "-S", "-c", "import " + ", ".join(MODULES)]
+    return subprocess.run(command, env=environment, capture_output=True, check=False).returncode == 0
+
+
+def is_current(folder, wanted):
+    """Return whether ``folder`` was built for ``wanted`` to the end, and can be used."""
+    try:
+        made_for = (folder / STAMP).read_text()
+    except (OSError, ValueError):
+        return False
+    return made_for == wanted and is_usable(folder)
+
+
+def install(folder):
+    """Install the listed packages into ``folder``; raise ``SystemExit`` if that fails."""
+    options = ["--quiet", "--disable-pip-version-check", "--no-deps", "--target", str(folder)]
+    command = [sys.executable, "-m", "pip", "install", *options, "-r", str(REQUIREMENTS)]
+    code = subprocess.run(command, check=False).returncode
+    if code:
+        raise SystemExit(f"error: pip ended with {code}")
+    if not is_usable(folder):
+        raise SystemExit(f"error: the packages in {folder} can't be loaded by {sys.executable}")
+
+
+def remove(path):
+    """Remove a file, a link or a folder, if there is one."""
+    if path.is_dir() and not path.is_symlink():
+        shutil.rmtree(path)
+    elif path.is_symlink() or path.exists():
+        path.unlink()
+
+
+def build(target, install=install):
+    """Make ``target/deps`` current; whatever else stands in its place is replaced."""
+    if target.is_symlink() or not target.is_dir():
+        remove(target)
+    target.mkdir(parents=True, exist_ok=True)
+    with (target / ".build-lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        dependencies, partial = target / "deps", target / "deps.partial"
+        wanted = fingerprint()
+        remove(partial)
+        if is_current(dependencies, wanted):
+            return
+        install(partial)
+        (partial / STAMP).write_text(wanted)
+        remove(dependencies)
+        partial.rename(dependencies)
+
+
+def compile_sources():
+    """Compile the sources by their hash; a node that can't write beside them would do so at each start."""
+    mode = py_compile.PycInvalidationMode.CHECKED_HASH
+    if not compileall.compile_dir(str(ROOT / "src"), quiet=2, invalidation_mode=mode):
+        print("warning: not all sources could be compiled; nodes start more slowly", file=sys.stderr)
+
+
+def main():
+    """Build; return the exit code."""
+    if sys.version_info < MIN_PYTHON:
+        wanted, found = ".".join(map(str, MIN_PYTHON)), sys.version.split()[0]
+        print(f"error: Python {wanted} or newer is needed, this is {found}", file=sys.stderr)
+        return 1
+    build(ROOT / "target")
+    compile_sources()
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
