A rejection of another request tells nothing about this one

Cause: read_reply looked at 421 and Not-Executed before it compared the id, and the connection went back to the pool although the true answer was still due.

A connection is used again only after an answer, or a rejection, of this very request.

--- a/src/yokesill/upstreams/attempt_bytes.py
+++ b/src/yokesill/upstreams/attempt_bytes.py
@@ -55,13 +55,17 @@
         ``Failure`` with ``NOT_RUN`` if the server declined the request; with ``MAY_HAVE_RUN`` if the reply
         belongs to another request or must not be passed on.
     """
+    echoed = headers.get(names.request_id)
+    foreign = Failure(Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN, "the answer names another request")
+    # An answer to another request tells nothing about this one, not even that it did not run.
+    if echoed is not None and echoed.decode("latin-1") != attempt.request.request_id:
+        return foreign
     if reader.status == MISDIRECTED:
         return Failure(Reason.BACKEND_LEAVING, Verdict.NOT_RUN, "another server has its address")
     if names.not_executed in headers:
         return Failure(Reason.SHED, Verdict.NOT_RUN, f"not executed, status {reader.status}")
-    echoed = headers.get(names.request_id)
-    if echoed is None or echoed.decode("latin-1") != attempt.request.request_id:
-        return Failure(Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN, "the answer names another request")
+    if echoed is None:
+        return foreign
     signature = headers.get(names.signature)
     if reader.status < SERVER_ERROR:
         if b"content-encoding" in headers:
--- a/src/yokesill/upstreams/server_client.py
+++ b/src/yokesill/upstreams/server_client.py
@@ -13,7 +13,6 @@
 from yokesill.charts.flat import transition_table
 from yokesill.clock import Clock, running_clock
 from yokesill.comm.http_reply import HttpReplyReader, ReplyError
-from yokesill.comm.http_status import MISDIRECTED
 from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.gateway.messages import Attempt
@@ -195,7 +194,8 @@
         headers = dict(reader.headers)
         reply = read_reply(call.attempt, reader, headers, self._names)
         self._pop_call(call.attempt.number)
-        self._release(call, reader, headers, is_answer=not isinstance(reply, Failure))
+        to_this_request = not isinstance(reply, Failure) or reply.verdict is Verdict.NOT_RUN
+        self._release(call, reader, headers, to_this_request)
         if isinstance(reply, Failure):
             event = "declined" if reply.verdict is Verdict.NOT_RUN else "failed"
             verdict = VERDICT_OF_STATE[self._table[(call.state, event)]]
@@ -205,14 +205,16 @@
             call.done(AttemptAnswered(number, reply, call.connected_in_s, call.sent_at))
 
     def _release(
-        self, call: AttemptCall, reader: HttpReplyReader, headers: dict[bytes, bytes], is_answer: bool
+        self, call: AttemptCall, reader: HttpReplyReader, headers: dict[bytes, bytes], to_this_request: bool
     ) -> None:
-        """Release the connection for reuse after a complete reply to this request, or close it."""
+        """Release the connection for reuse after a complete reply to this request, or close it.
+
+        After a reply to another request, the one to this request is still due on it.
+        """
         connection, call.connection = call.connection, None
         if connection is None:
             return
-        declined = self._names.not_executed in headers or reader.status == MISDIRECTED
-        reusable = (is_answer or declined) and reader.keep_alive and not reader.surplus
+        reusable = to_this_request and reader.keep_alive and not reader.surplus
         if reusable and connection.request_sent():
             idle_s = idle_timeout_s(headers.get(b"keep-alive"))
             connection.idle_since = self._clock()
--- a/tests/serving/test_attempt_bytes.py
+++ b/tests/serving/test_attempt_bytes.py
@@ -7,6 +7,7 @@
 from yokesill.gateway.messages import Attempt, GatewayRequest, Load, ServerReply
 from yokesill.serving.header_names import HeaderNames
 from yokesill.upstreams.attempt_bytes import read_reply
+from yokesill.verdict import Failure, Reason, Verdict
 
 NAMES = HeaderNames()
 REQUEST = GatewayRequest("k", "r1", b"GET", "shop.example", "/x", b"/x", (), b"", 0.0, 1.0)
@@ -39,3 +40,29 @@
     report: bytes, load: Load | None
 ) -> None:
     assert load_of(report) == load
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "reason", "verdict"),
+    [
+        (503, b"{id}: other\r\n{not_executed}: 1", Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN),
+        (421, b"{id}: other", Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN),
+        (421, b"{id}: other\r\n{not_executed}: 1", Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN),
+        (200, b"{id}: other", Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN),
+        (503, b"{id}: r1\r\n{not_executed}: 1", Reason.SHED, Verdict.NOT_RUN),
+        (503, b"{not_executed}: 1", Reason.SHED, Verdict.NOT_RUN),
+        (421, b"x: y", Reason.BACKEND_LEAVING, Verdict.NOT_RUN),
+        (500, b"x: y", Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN),
+    ],
+)
+def test_rejection_of_another_request_does_not_say_that_this_one_did_not_run(
+    status: int, headers: bytes, reason: Reason, verdict: Verdict
+) -> None:
+    # Guards against: a surplus rejection, which names another request, counted as this one's, so that a
+    # request that may run once ran twice or was answered 503 after it ran.
+    named = headers.replace(b"{id}", NAMES.request_id).replace(b"{not_executed}", NAMES.not_executed)
+    reader = HttpReplyReader()
+    reader.feed(b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n%s\r\n\r\n" % (status, named))
+    reply = read_reply(ATTEMPT, reader, dict(reader.headers), NAMES)
+    assert isinstance(reply, Failure)
+    assert (reply.reason, reply.verdict) == (reason, verdict)
