Soak with the limits of the settings; an end that nobody asked for is a violation

What was missing: the soak gave nodes no limits and did not look at processes that end by themselves, and neither logs nor metrics showed memory or descriptors against their limits.

The soak starts each node with its descriptors, kills it above its memory, and records each unasked end with status, reason and last lines (no_unasked_end). Four kinds of their own (--kinds hazards): answers without end, odd entries, signals in series, callers without end. Metrics show memory, descriptors, held replies and both limits. The bodies of all callers are bounded together, too: above a share of the memory a request gets 503 and Retry-After before it is run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,7 +13,7 @@
 from soak.layout import Layout, bounds_for
 from soak.record import read_record
 from soak.run import Soak
-from soak.schedule import KINDS, ROLLOUT_KINDS, plan
+from soak.schedule import HAZARD_KINDS, KINDS, ROLLOUT_KINDS, plan
 
 SEEDS = Path(__file__).with_name("seeds.txt")
 
@@ -45,7 +45,7 @@
     parser.add_argument("--minutes", type=float, default=1.0)
     parser.add_argument("--nodes", type=int, default=6)
     parser.add_argument(
-        "--kinds", help="comma-separated kinds of faults; rollout adds the kinds of roll-outs"
+        "--kinds", help="comma-separated kinds of faults; rollout and hazards add kinds of their own"
     )
     parser.add_argument("--replay", action="store_true", help="first replay the seeds that once failed")
     parser.add_argument(
@@ -56,6 +56,9 @@
     if options.judge:
         return _recheck(options.judge)
     kinds = tuple(KINDS) if options.kinds is None else tuple(options.kinds.split(","))
+    if "hazards" in kinds:
+        others = tuple(kind for kind in kinds if kind != "hazards")
+        kinds = (*(others or KINDS), *HAZARD_KINDS)
     if "rollout" in kinds:
         others = tuple(kind for kind in kinds if kind != "rollout")
         kinds = (*(others or KINDS), *ROLLOUT_KINDS)
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -6,6 +6,7 @@
     configuration_in_force,
     never_older,
     no_part_failed,
+    no_unasked_end,
     planned_stop_cuts_nothing,
     served_after_herd,
 )
@@ -40,6 +41,7 @@
         configuration_in_force,
         never_older,
         no_part_failed,
+        no_unasked_end,
         served_after_herd,
         only_ordered_versions,
         bad_version_exposure,
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -13,6 +13,8 @@
 REPLICAS, DESK_SERVERS, SHARDS_B = 2, 3, 5
 DESK = "desk"
 SERVER_CAPACITY = 4
+# The limits of each node, which the soak enforces as the machines do.
+MEMORY_MB, MAX_DESCRIPTORS = 200, 512
 FIRST_VERSION = "s1"
 # Requests with this text in their path run longer than a node needs to stop accepting callers.
 LONG_PATH_MARKER, LONG_WORK_S = "/long/", 0.8
@@ -182,6 +184,8 @@
 [limits]
 cpuShare = 1.0
 cpuCores = 1
+memoryMb = {MEMORY_MB}
+maxFds = {MAX_DESCRIPTORS}
 [bounds]
 contactMs = {bounds.contact_s * 1000:.0f}
 configApplyMs = {bounds.config_apply_s * 1000:.0f}
--- a/soak/node_checkers.py
+++ b/soak/node_checkers.py
@@ -99,6 +99,19 @@
     return judge("no_part_failed", cases())
 
 
+def no_unasked_end(record: Record) -> Checked:
+    """Under any fault, and within the limits of its settings, no node's process ends by itself."""
+
+    def cases() -> Iterator[Case]:
+        for times in record.node_starts.values():
+            yield from ((at_s, "") for at_s in times)
+        for each in record.unasked_ends:
+            how = f"node {each.node} ended by itself: {each.reason}, status {each.status}"
+            yield each.at_s, f"{how}; last lines: {each.log}"
+
+    return judge("no_unasked_end", cases())
+
+
 def served_after_herd(record: Record) -> Checked:
     """After all nodes were killed and restarted, requests are served within the recovery bound."""
 
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -2,18 +2,31 @@
 
 import asyncio
 import os
+import resource
 import signal
 import sys
 import sysconfig
 from pathlib import Path
 
-from soak.layout import FRONT_PORT, READY_PORT, READY_URL_PATH, Bounds, Layout, settings_text
+from soak.layout import (
+    FRONT_PORT,
+    MAX_DESCRIPTORS,
+    MEMORY_MB,
+    READY_PORT,
+    READY_URL_PATH,
+    Bounds,
+    Layout,
+    settings_text,
+)
+from soak.processes import memory_mb
 from soak.standin import EventLog, call
 from soak.suspendable import SUSPENDED_VARIABLE
 from yokesill.platform.names import SETTINGS_VARIABLE
 
 ROOT = Path(__file__).resolve().parents[1]
 READY_TIMEOUT_S, POLL_S = 20.0, 0.1
+# What of a node's log goes into the record of its end.
+LOGGED_LINES, LOGGED_CHARACTERS = 10, 400
 
 
 class Nodes:
@@ -26,6 +39,9 @@
         self._folder = folder
         self._log = log
         self._suspended_s: dict[int, float] = {}
+        self._ended_by_soak: set[asyncio.subprocess.Process] = set()
+        self._over_memory: set[asyncio.subprocess.Process] = set()
+        self._watchers: set[asyncio.Task[None]] = set()
 
     async def start(self, node: int) -> None:
         """Start a node, and return once it reports ready or the timeout has passed."""
@@ -38,9 +54,18 @@
         front = f"{self._layout.node(node)}:{FRONT_PORT}"
         command = (sys.executable, "-S", "soak/suspendable.py", "deploy/serve.py", front)
         with (self._folder / f"node-{node}.log").open("ab") as output:
-            self.processes[node] = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=environment, stdout=output, stderr=output
+            process = await asyncio.create_subprocess_exec(
+                *command,
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=output,
+                preexec_fn=_limit_descriptors,
             )
+        self.processes[node] = process
+        watcher = asyncio.create_task(self._watch_end(node, process))
+        self._watchers.add(watcher)
+        watcher.add_done_callback(self._watchers.discard)
         self._log.write("node_started", node=node, pid=self.processes[node].pid)
         await self._wait_until_ready(node)
 
@@ -54,6 +79,34 @@
             await asyncio.sleep(POLL_S)
         self._log.write("node_not_ready", node=node)
 
+    async def _watch_end(self, node: int, process: asyncio.subprocess.Process) -> None:
+        """Record an end that nobody asked for, with its status, reason and log; start the node again."""
+        code = await process.wait()
+        if process in self._ended_by_soak:
+            return
+        reason = "memory" if process in self._over_memory else "signal" if code < 0 else "exit"
+        lines = (self._folder / f"node-{node}.log").read_text(errors="replace").splitlines()
+        last_lines = [line[:LOGGED_CHARACTERS] for line in lines[-LOGGED_LINES:]]
+        self._log.write("node_ended_unasked", node=node, status=code, reason=reason, log=last_lines)
+        if self.processes.get(node) is process:
+            await self.start(node)
+
+    def enforce_memory_limit(self) -> None:
+        """Kill each node above its memory limit, as its machine would."""
+        for process in self.processes.values():
+            if process.returncode is None and memory_mb(process.pid) > MEMORY_MB:
+                self._over_memory.add(process)
+                process.kill()
+
+    def holds_signals(self, node: int) -> bool:
+        """Whether the process has reached the program's first lines, or is past them."""
+        try:
+            status = Path(f"/proc/{self.processes[node].pid}/status").read_text()
+        except OSError:
+            return False
+        masks = [line.split()[1] for line in status.splitlines() if line.startswith(("SigBlk:", "SigCgt:"))]
+        return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
     def send(self, node: int, signal_number: signal.Signals) -> None:
         """Send a signal to a node if it is running."""
         process = self.processes[node]
@@ -80,12 +133,14 @@
 
     async def kill(self, node: int) -> None:
         """Kill a node without warning."""
+        self._ended_by_soak.add(self.processes[node])
         self.send(node, signal.SIGKILL)
         code = await self.processes[node].wait()
         self._log.write("node_exited", node=node, code=code)
 
     async def terminate(self, node: int) -> None:
         """Ask a node to stop, and kill it after the grace period."""
+        self._ended_by_soak.add(self.processes[node])
         self.send(node, signal.SIGTERM)
         try:
             async with asyncio.timeout(self._bounds.grace_s):
@@ -98,7 +153,12 @@
 
     async def end_all(self) -> None:
         """Kill all nodes that still run, including paused ones."""
+        self._ended_by_soak.update(self.processes.values())
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
                 await process.wait()
+
+
+def _limit_descriptors() -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
--- a/soak/record.py
+++ b/soak/record.py
@@ -112,6 +112,20 @@
     problem: str
 
 
+class UnaskedEnd(NamedTuple):
+    """The end of a node's process that the soak neither asked for nor caused.
+
+    ``reason`` is ``exit``, ``signal``, or ``memory`` if it was killed above its limit; ``log`` has its last
+    lines.
+    """
+
+    at_s: float
+    node: int
+    status: int
+    reason: str
+    log: list[str]
+
+
 class Record(NamedTuple):
     """All events recorded by the callers, the servers, the store and the soak itself."""
 
@@ -128,6 +142,7 @@
     node_starts: dict[int, tuple[float, ...]] = {}  # noqa: RUF012
     crashes: tuple[Crash, ...] = ()
     part_failures: tuple[PartFailure, ...] = ()
+    unasked_ends: tuple[UnaskedEnd, ...] = ()
 
     def disturbed(
         self,
@@ -214,6 +229,9 @@
         started=tuple(_from_event(Started, event, at_s=event["t"]) for event in by_kind["started"]),
         node_starts={node: tuple(times) for node, times in starts.items()},
         crashes=tuple(_from_event(Crash, event, at_s=event["t"]) for event in by_kind["crashed"]),
+        unasked_ends=tuple(
+            _from_event(UnaskedEnd, event, at_s=event["t"]) for event in by_kind["node_ended_unasked"]
+        ),
         part_failures=tuple(_part_failures(folder, events[-1]["t"] if events else 0.0)),
     )
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,7 @@
 """Runs one soak: starts all processes, applies load, injects faults, and checks the promises meanwhile."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -11,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from soak.checkers import check
-from soak.layout import DESK, OPERATOR_PORT, Layout, bounds_for, configuration
+from soak.layout import DESK, FRONT_PORT, OPERATOR_PORT, Layout, bounds_for, configuration
 from soak.nodes import Nodes
 from soak.processes import Standin, Usage, memory_mb
 from soak.record import fault_fields, read_record
@@ -25,7 +26,11 @@
 OPERATOR_RETRY_S, ORDER_POLL_S = 0.3, 0.2
 BURST_FACTOR = 5.0
 LINK_MODES = ("silent", "one_way", "reset", "delay")
-SERVER_MODES = ("slow", "full", "dark", "fails", "loses_answers", "garbles")
+SERVER_MODES = ("slow", "full", "dark", "fails", "loses_answers", "garbles", "endless")
+# Bytes without end from callers: this many connections, each with this pause between its pieces.
+ENDLESS_CONNECTIONS, ENDLESS_PAUSE_S, SIGNAL_PAUSE_S = 4, 0.002, 0.05
+ENDLESS_PIECE = b"a: b\r\n" * 2000
+SERIES = (signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP, signal.SIGUSR2)
 
 
 class Standins(NamedTuple):
@@ -142,6 +147,13 @@
             standins.callers.send_command(deadly=[number])
             await asyncio.sleep(duration_s)
             standins.callers.send_command(harmless=[number])
+        elif kind == "odd_entry":
+            standins.store.send_command(odd_entry=next(self._ids))
+        elif kind == "front_endless":
+            host = self._layout.node(fault.targets[0])
+            await asyncio.gather(*(_send_endless(host, duration_s) for _ in range(ENDLESS_CONNECTIONS)))
+        elif kind == "node_signals":
+            await self._send_signals(fault.targets[0], duration_s)
         elif kind.startswith("node_") or kind == "herd_kill":
             # Callers that have not noticed a planned stop yet go on sending, here with long-running requests.
             stopping_node = fault.targets[0] if kind == "node_stop" else None
@@ -176,6 +188,13 @@
                 await asyncio.sleep(duration_s)
             await self._nodes.start(node)
 
+    async def _send_signals(self, node: int, seconds: float) -> None:
+        """Send signals in series, also while the node starts or stops."""
+        for number in range(round(seconds / SIGNAL_PAUSE_S)):
+            if self._nodes.holds_signals(node):
+                self._nodes.send(node, SERIES[number % len(SERIES)])
+            await asyncio.sleep(SIGNAL_PAUSE_S)
+
     async def _inject_link_fault(self, network: Standin, fault: Fault, duration_s: float) -> None:
         link = fault.kind.split("_")[0]
         mode = next(mode for mode in LINK_MODES if fault.kind.endswith(mode))
@@ -310,4 +329,23 @@
             processes = [each.process for each in standins] + list(self._nodes.processes.values())
             alive = [each.pid for each in processes if each.returncode is None]
             total_mb = memory_mb(os.getpid()) + sum(memory_mb(pid) for pid in alive)
+            self._nodes.enforce_memory_limit()
             self.usage = self.usage.peak_with(len(alive) + 1, total_mb)
+
+
+async def _send_endless(host: str, seconds: float) -> None:
+    """Send a request whose head has no end, again on a new connection each time that one is closed."""
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        try:
+            _, writer = await asyncio.open_connection(host, FRONT_PORT)
+        except OSError:
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+            continue
+        with contextlib.suppress(OSError):
+            writer.write(b"GET /read/x HTTP/1.1\r\n")
+            while time.monotonic() < end_s:
+                writer.write(ENDLESS_PIECE)
+                await writer.drain()
+                await asyncio.sleep(ENDLESS_PAUSE_S)
+        writer.transport.abort()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -56,7 +56,16 @@
     "rollout_good": ("rollout", 25.0, 25.0),
     "rollout_bad": ("rollout", 25.0, 25.0),
 }
-ALL_KINDS = KINDS | ROLLOUT_KINDS
+# What the bench of the users hardly plays: bytes without end, odd entries, signals in series. They are apart,
+# since the schedule of a seed depends on its kinds.
+HAZARD_KINDS: dict[str, tuple[str, float, float]] = {
+    "server_endless": ("server", 1.0, 4.0),
+    "odd_entry": ("writer", 0.1, 0.1),
+    "node_signals": ("node", 1.0, 4.0),
+    "front_endless": ("front", 1.0, 3.0),
+}
+MIXED_KINDS = KINDS | HAZARD_KINDS
+ALL_KINDS = KINDS | ROLLOUT_KINDS | HAZARD_KINDS
 # These kinds have their own planning functions and overlap with the other faults.
 SEPARATELY_PLANNED = ("server_drain", "store_restored")
 INITIAL_DELAY_S, FINAL_QUIET_S = 4.0, 3.0
@@ -128,7 +137,7 @@
     mixed = [
         kind
         for kind in kinds
-        if kind in KINDS and KINDS[kind][0] != "operator" and kind not in SEPARATELY_PLANNED
+        if kind in MIXED_KINDS and MIXED_KINDS[kind][0] != "operator" and kind not in SEPARATELY_PLANNED
     ]
     faults: list[Fault] = []
     at_s = INITIAL_DELAY_S
@@ -139,7 +148,7 @@
         if not deck:
             deck = rng.sample(mixed, len(mixed))
         kind = deck.pop()
-        target_kind, min_s, max_s = KINDS[kind]
+        target_kind, min_s, max_s = MIXED_KINDS[kind]
         if kind == "herd_kill":
             if at_s + HERD_QUIET_S > end_s or herds > at_s / 90:
                 if not [each for each in deck if each != "herd_kill"] and mixed == ["herd_kill"]:
--- a/soak/server.py
+++ b/soak/server.py
@@ -36,11 +36,16 @@
 )
 
 
+# What a server in mode "endless" sends behind its answer, with a pause between the pieces.
+ENDLESS_PIECE, ENDLESS_PAUSE_S = b"x" * 65536, 0.001
+
+
 class Answer(NamedTuple):
     """The bytes of an answer, and whether the connection is closed after it."""
 
     content: bytes
     close: bool = False
+    endless: bool = False
 
 
 class Server:
@@ -96,6 +101,10 @@
                     return
                 writer.write(answer.content)
                 await writer.drain()
+                while answer.endless:
+                    writer.write(ENDLESS_PIECE)
+                    await writer.drain()
+                    await asyncio.sleep(ENDLESS_PAUSE_S)
                 if answer.close:
                     return
         except (OSError, ValueError, TimeoutError):
@@ -159,6 +168,9 @@
         is_desk = self.service == DESK
         body = single_body(signature) if is_desk else b"".join(records_of(self.service, request_id))
         content = self._signed(200, request_id, signature, body)
+        if self.mode == "endless":
+            self._log_done(signature, 0)
+            return Answer(content.replace(b"content-length", b"x-length"), endless=True)
         garble = self._rng.choice(GARBLE_KINDS) if self.mode == "garbles" else ""
         # A truncated or unreadable answer does not count as an answer, so it is recorded with status 0.
         self._log_done(signature, 0 if garble in ("short", "junk", "other") else 200)
--- a/soak/store.py
+++ b/soak/store.py
@@ -14,11 +14,13 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from soak.layout import OPERATOR_PORT, STORE_PORT
+from soak.layout import DESK, OPERATOR_PORT, STORE_PORT
 from soak.standin import EventLog, HttpMessage, encode_message, follow_commands, read_message, run_standin
 
 PAGE = 500
 HISTORY_S = 20.0
+# Less than the encoder bears.
+ODD_DEPTH = 400
 SLOW_S = 0.6
 # Stale reads are up to 2 s old: their view is refreshed every ``STALE_VIEW_TURNS`` turns of maintenance.
 MAINTENANCE_EVERY_S, STALE_VIEW_TURNS = 0.2, 10
@@ -161,6 +163,24 @@
         self.changed = asyncio.Event()
 
 
+def odd_entry(number: int) -> tuple[str, dict[str, Any]]:
+    """Return the name and the content of a server's entry as another writer may leave it."""
+    nested: Any = []
+    for _ in range(ODD_DEPTH):
+        nested = [nested]
+    good = {"service": DESK, "address": "127.0.0.1:9", "zone": "zone-a", "capacity": 1, "state": "ready"}
+    odd_fields: list[dict[str, Any]] = [
+        {"capacity": 10**400},
+        {"address": "127.0.0.1:65536"},
+        {"address": "127.0.0.1:8\N{SUPERSCRIPT TWO}"},
+        {"capacity": "four"},
+        {"warmupLeftMs": float("inf")},
+        {"zone": nested},
+        {"service": None},
+    ]
+    return f"odd-{number}", good | odd_fields[number % len(odd_fields)]
+
+
 class Store:
     """Serves the objects to the operator and each node, each on its own port, with faults."""
 
@@ -184,6 +204,9 @@
                 # All servers in the copy, also ones that have ended since, get three new heartbeat intervals.
                 self._last_heartbeat_s.clear()
                 self._log.write("store_restored", timeline=self.objects.timeline)
+            case {"odd_entry": number}:
+                name, spec = odd_entry(number)
+                self.objects.put("servers", name, "spec", spec, None)
             case {"forget": "history"}:
                 self.objects.forget_history(time.monotonic())
             case {"forget": "entries"}:
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -92,7 +92,5 @@
     try:
         # With or without a byte order mark.
         return parse_settings(path.read_text(encoding="utf-8-sig"))
-    except OSError as error:
-        return [SettingsProblem(str(path), error.strerror or "cannot be read")]
-    except UnicodeDecodeError as error:
-        return [SettingsProblem(str(path), str(error))]
+    except (OSError, UnicodeDecodeError) as error:
+        return [SettingsProblem(str(path), getattr(error, "strerror", None) or str(error))]
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -24,7 +24,6 @@
 STALE_TIMEOUT_S = 1.0
 # Longer lists are without end: the largest kind holds some 4,000 objects.
 MAX_LISTED = 100_000
-MAX_LOGGED_NAME = 200
 
 
 class StoredItem(NamedTuple):
@@ -187,7 +186,7 @@
 
 
 def _place(kind: str, raw: Any) -> str:
-    return f"{kind}/{_raw_name(raw)[:MAX_LOGGED_NAME]!a}"
+    return f"{kind}/{_raw_name(raw)!a:.200}"
 
 
 def _raw_name(raw: Any) -> str:
--- a/src/yokesill/serving/builder.py
+++ b/src/yokesill/serving/builder.py
@@ -207,7 +207,9 @@
 
     version = partial(configuration_version, router)
     coordinator = CoordinatorApplication(callers.application, is_peer, version, lambda: router.lateness_s)
-    sources = GaugeSources(life_cycle, router, coordinator, core.client, output, following)
+    sources = GaugeSources(
+        life_cycle, router, coordinator, core.client, output, following, core.settings, core.memory
+    )
     probes = ProbeApplication(
         core.dependencies.ready_path,
         life_cycle.is_ready,
--- a/src/yokesill/serving/gauges.py
+++ b/src/yokesill/serving/gauges.py
@@ -4,13 +4,16 @@
 """
 
 import importlib
+import os
 from typing import NamedTuple
 
+from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.coordinators.coordinator import CoordinatorApplication
 from yokesill.gateway.router import GatewayRouter
 from yokesill.logs import LogOutput
 from yokesill.registry.following import RegistryFollowing
 from yokesill.serving.life_cycle import LifeCycle
+from yokesill.serving.settings import GatewaySettings
 from yokesill.serving.state_snapshot import configuration_version
 from yokesill.telemetry.figures import GatewayMetrics
 from yokesill.upstreams.server_client import ServerClient
@@ -26,11 +29,13 @@
     client: ServerClient
     output: LogOutput
     following: RegistryFollowing
+    settings: GatewaySettings
+    reply_memory: ReplyMemory
 
 
 def render_metrics(metrics: GatewayMetrics, sources: GaugeSources) -> bytes:
     """Set the gauges and return all metrics in the text exposition format."""
-    life_cycle, router, coordinator, client, output, following = sources
+    life_cycle, router, coordinator, client, output, following, settings, reply_memory = sources
     gauge = metrics.gauge
     gauge("yokesill_cut_off", "Whether it reaches nothing", life_cycle.state == "cut_off")
     gauge("yokesill_version", "Configuration version", configuration_version(router))
@@ -43,9 +48,32 @@
     gauge("yokesill_log_lines_dropped", "Log lines that did not fit", output.dropped)
     gauge("yokesill_registry_calls", "Calls that follow feeds", following.calls)
     gauge("yokesill_registry_asking", "Whether this node asks it", following.role != WatchRole.FOLLOWING)
+    gauge("yokesill_memory_bytes", "Resident memory", _resident_bytes())
+    gauge("yokesill_memory_limit_bytes", "The process is killed above this", settings.memory_bytes)
+    gauge("yokesill_reply_bytes", "Held by unfinished replies", reply_memory.held_bytes)
+    gauge("yokesill_descriptors", "Open descriptors", _descriptors())
+    gauge("yokesill_descriptors_limit", "Descriptors that may be open", settings.descriptors)
     for feed, revision in following.revisions().items():
         gauge(f"yokesill_registry_{feed}_position", "Known up to here", revision)
     # Imported at the first call: prometheus-client needs memory that a node without a scraper can save.
     exposition = importlib.import_module("yokesill.telemetry.exposition")
     text: bytes = exposition.render(metrics)
     return text
+
+
+def _resident_bytes() -> int:
+    """Return the process's resident memory; 0 if the system doesn't tell."""
+    try:
+        with open("/proc/self/statm") as statm:
+            pages = int(statm.read().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def _descriptors() -> int:
+    """Return the number of open descriptors; 0 if the system doesn't tell."""
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        return 0
--- a/src/yokesill/serving/request_path.py
+++ b/src/yokesill/serving/request_path.py
@@ -11,6 +11,7 @@
 import anyio
 
 from yokesill.callers.application import GatewayApplication
+from yokesill.callers.body_memory import BodyMemory
 from yokesill.callers.listener import Listener, create_listener
 from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.coordinators.client import CoordinatorClient
@@ -137,6 +138,7 @@
 
 def create_callers(core: Core, registry: Registry) -> Callers:
     """Return the components that serve callers."""
+    settings = core.settings
     forwarder = None
     if core.options.switches.hands_over:
         forwarder = Forwarder(
@@ -149,9 +151,13 @@
             partial(_is_suspected, core.router),
         )
     application = GatewayApplication(
-        core.driver, core.dependencies.names, core.observer, core.key_prefix, forwarder
+        core.driver,
+        core.dependencies.names,
+        core.observer,
+        core.key_prefix,
+        forwarder,
+        BodyMemory(settings.body_memory_bytes),
     )
-    settings = core.settings
     listener = create_listener(application, settings.caller_connections, settings.unsent_memory_bytes)
     return Callers(application, listener)
 
--- a/src/yokesill/serving/settings_wait.py
+++ b/src/yokesill/serving/settings_wait.py
@@ -14,6 +14,7 @@
 
 CHECK_INTERVAL_S = 0.1
 MAX_WAIT_S = 10.0
+MAX_CHECKS = round(MAX_WAIT_S / CHECK_INTERVAL_S)
 STOP_SIGNALS = {signal.SIGTERM, signal.SIGINT}
 
 
@@ -30,10 +31,9 @@
         The mistakes if the file stays wrong for ``MAX_WAIT_S``, at once if it is a folder; ``None`` if a held
         signal asks the node to stop.
     """
-    end_s = time.monotonic() + MAX_WAIT_S
+    settings = load(path)
     reported: list[SettingsProblem] = []
-    while True:
-        settings = load(path)
+    for _ in range(MAX_CHECKS):
         if isinstance(settings, GatewaySettings):
             return settings
         if settings != reported:
@@ -42,6 +42,8 @@
                 write_error(f"{path}: {problem}")
         if signal.sigpending() & STOP_SIGNALS:
             return None
-        if path.is_dir() or time.monotonic() >= end_s:
+        if path.is_dir():
             return settings
         time.sleep(CHECK_INTERVAL_S)
+        settings = load(path)
+    return settings
--- a/tests/real_nodes/test_endless_callers.py
+++ b/tests/real_nodes/test_endless_callers.py
@@ -4,10 +4,10 @@
 import socket
 import time
 from collections.abc import Iterator
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 
 import pytest
-from node_process import HOST, ROUTE_HOST, Node, Surroundings, message, read_answer
+from node_process import HOST, ROUTE_HOST, Node, Surroundings, configuration, message, read_answer
 from test_endless_bytes import CHUNK, CONNECTIONS, endless, peak_mb, run_beside, served_again
 
 GET = f"GET /read/x HTTP/1.1\r\nhost: {ROUTE_HOST}\r\nx-yokesill-request-id: r\r\n".encode()
@@ -85,6 +85,28 @@
     assert node.stop() == 0
 
 
+def test_bodies_of_many_callers_keep_the_process_below_its_memory_limit(
+    around: Surroundings, node: Node
+) -> None:
+    # Guards against: the bodies that many callers have begun to send were bounded one by one only.
+    size = 4_000_000
+    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": size, "headerTimeoutMs": 2000, "idleTimeoutMs": 5000}
+    around.store.put("config", "main", configuration() | {"limits": limits, "configVersion": 2})
+    node.start().wait_until_ready()
+    statuses = []
+    with ExitStack() as connections:
+        for _ in range(100):
+            connection = connections.enter_context(socket.create_connection((HOST, node.front), timeout=5.0))
+            with suppress(OSError):
+                connection.sendall(POST + b"content-length: %d\r\n\r\n" % size + b"x" * (size - 1))
+            connection.setblocking(False)
+            with suppress(BlockingIOError, OSError):
+                statuses.append(connection.recv(1000).split()[1])
+        assert node.memory_mb() < node.limits["memoryMb"]
+    assert set(statuses) == {b"503"}
+    assert served_again(node)
+
+
 def test_nonsense_after_a_request_does_not_take_the_place_of_its_answer(node: Node) -> None:
     # Guards against: a 400 for what follows was sent in the place of the answer to the request before.
     node.start().wait_until_ready()
--- a/tests/soak/test_soak_checkers.py
+++ b/tests/soak/test_soak_checkers.py
@@ -1,5 +1,6 @@
 """Each checker passes a valid record and fails on a record that was changed in one place."""
 
+import json
 from collections.abc import Callable
 from pathlib import Path
 
@@ -21,7 +22,7 @@
 
 from soak.checkers import CHECKERS, check
 from soak.layout import DESK
-from soak.record import Crash, PartFailure, Record, Started, read_record
+from soak.record import Crash, PartFailure, Record, Started, UnaskedEnd, read_record
 from soak.records import top_records
 
 Broken = Callable[[], Record]
@@ -133,9 +134,23 @@
         "a bug",
         lambda: good()._replace(part_failures=(PartFailure(12.0, "node-0", "feed_servers", "KeyError()"),)),
     ),
+    (
+        "no_unasked_end",
+        "killed above its memory limit",
+        lambda: good()._replace(unasked_ends=(UnaskedEnd(12.0, 0, -9, "memory", ["a line"]),)),
+    ),
 ]
 
 
+def test_unasked_ends_are_read_with_status_reason_and_log(tmp_path: Path) -> None:
+    ended = {"node": 1, "status": -1, "reason": "signal", "log": ["a line"]}
+    (tmp_path / "events-soak.jsonl").write_text(
+        json.dumps({"t": 5.0, "what": "node_ended_unasked", **ended}) + "\n"
+    )
+    (found,) = read_record(tmp_path, good().layout, good().bounds).unasked_ends
+    assert found == UnaskedEnd(5.0, 1, -1, "signal", ["a line"])
+
+
 def test_part_failures_are_read_from_node_logs(tmp_path: Path) -> None:
     lines = ['{"event": "started"}', '{"event": "part_failed", "part": "gossip", "problem": "KeyError()"}']
     (tmp_path / "node-3.log").write_text("\n".join([*lines, '{"event": "part_failed", "pa']))
