--- a/src/yokesill/frontend/server.py
+++ b/src/yokesill/frontend/server.py
@@ -9,6 +9,8 @@
 import anyio
 import uvicorn
 
+from yokesill.callers.protocol import BoundedProtocol
+
 POLL_S = 0.01
 # Options of every listener of this package: asyncio's event loop, no uvicorn logs, no unneeded headers.
 UVICORN_OPTIONS: dict[str, Any] = {
@@ -95,7 +97,7 @@
         app,
         host=host,
         port=port,
-        http="httptools",
+        http=BoundedProtocol,
         timeout_keep_alive=60,
         backlog=1024,
         **UVICORN_OPTIONS,
