--- a/tests/real_nodes/test_endless_callers.py
+++ b/tests/real_nodes/test_endless_callers.py
@@ -94,13 +94,16 @@
     around.store.put("config", "main", configuration() | {"limits": limits, "configVersion": 2})
     node.start().wait_until_ready()
     statuses = []
+    opened: list[socket.socket] = []
     with ExitStack() as connections:
         for _ in range(100):
             connection = connections.enter_context(socket.create_connection((HOST, node.front), timeout=5.0))
             with suppress(OSError):
                 connection.sendall(POST + b"content-length: %d\r\n\r\n" % size + b"x" * (size - 1))
-            connection.setblocking(False)
-            with suppress(BlockingIOError, OSError):
+            opened.append(connection)
+        for connection in opened:
+            connection.settimeout(0.1)
+            with suppress(OSError):
                 statuses.append(connection.recv(1000).split()[1])
         assert node.memory_mb() < node.limits["memoryMb"]
     assert set(statuses) == {b"503"}
--- a/tests/real_nodes/test_odd_entries.py
+++ b/tests/real_nodes/test_odd_entries.py
@@ -8,6 +8,8 @@
 
 from yokesill.comm.lenient_json import MAX_DEPTH, decode_json
 
+# ``contactMs`` of the settings.
+CONTACT_S = 4.0
 GOOD = {"service": SERVICE, "address": "127.0.0.1:9", "zone": "zone-a", "capacity": 1, "state": "ready"}
 META = '{"name": "odd", "revision": REVISION, "made": REVISION}'
 
@@ -73,7 +75,12 @@
 
 
 def _assert_follows_servers(node: Node, around: Surroundings) -> None:
-    """Assert that a change of a server's entry takes effect, with the odd entries in the list."""
+    """Assert that a change of a server's entry takes effect, with the odd entries in the list.
+
+    A node is bound by changes once it has run for ``contactMs``: before, it may still wait to hear whether
+    another node watches the registry for it.
+    """
+    time.sleep(CONTACT_S)
     first, second = around.servers
     around.store.put("servers", first.instance, first.entry() | {"state": "draining"})
     time.sleep(2.5)
