What follows a running request neither takes its answer's place nor keeps its connection

Cause: the answers to what can't be read were written at once, or their request stayed in the queue; found by reading the change.

Fix: one place rejects what can't be read; with an earlier request unanswered it only ends the connection after it, and drops what was being read.

Evidence: the new test of tests/serving/test_framings.py, four cases: all failed before, all pass; 50 passed.

--- a/src/yokesill/callers/protocol.py
+++ b/src/yokesill/callers/protocol.py
@@ -120,8 +120,9 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes, except those that follow a request which waits for its turn: they are held."""
         self._unset_keepalive_if_required()
-        self._held += data
-        self._parse_held()
+        if not self._ended:
+            self._held += data
+            self._parse_held()
 
     def _parse_held(self) -> None:
         while self._held and not self._ended and not self.transport.is_closing():
@@ -166,14 +167,17 @@
         self.parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
 
     def _reject(self, response: bytes | None) -> None:
-        """Answer bytes that are no request with 400 or ``response``, once earlier requests are answered."""
+        """Answer what can't be read with 400 or ``response``; only close if earlier requests are unanswered.
+
+        The answer would stand in the place of theirs.
+        """
         self._held = b""
-        reading = self._after_head
-        earlier = self.cycle is not None and not self.cycle.response_complete and not reading
-        if earlier or self.pipeline:
-            # The answer would stand in the place of an earlier request's.
+        if self._after_head and self.pipeline:
+            # The request that is being read waits for its turn, and will never be whole.
+            self.pipeline.popleft()
+            self._ended = True
+        elif not self._after_head and not self._all_answered():
             self._ended = True
-            self.flow.pause_reading()
         elif response is None:
             self.send_400_response("Invalid HTTP request received.")
         else:
@@ -223,8 +227,9 @@
 
     def on_response_complete(self) -> None:
         """Go on with the next request, whose bytes may be held."""
+        was_last = not self.pipeline
         super().on_response_complete()
-        if self._ended and not self.pipeline and self._all_answered():
+        if self._ended and was_last:
             self.transport.close()
         elif self._held:
             self.loop.call_soon(self._parse_held)
@@ -246,7 +251,5 @@
 
     def _on_timeout(self) -> None:
         self._timeout_handle = None
-        if self.transport.is_closing():
-            return
-        self.transport.write(REQUEST_TIMEOUT_RESPONSE)
-        self.transport.close()
+        if not self.transport.is_closing():
+            self._reject(REQUEST_TIMEOUT_RESPONSE)
--- a/tests/serving/test_framings.py
+++ b/tests/serving/test_framings.py
@@ -141,3 +141,44 @@
         assert answer.startswith(b"HTTP/1.1 400 ")
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        b"\0\0\0\r\n\r\n",
+        b"GET /half HTTP/1.1\r\nHost: x\r\n",
+        b"POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\nnonsense",
+        b"GET /b HTTP/1.1\r\nHost: x\r\n" + b"a: b\r\n" * 50_000,
+    ],
+)
+def test_what_follows_a_running_request_neither_takes_its_place_nor_keeps_its_connection(
+    second: bytes,
+) -> None:
+    # Guards against: a 400, 408 or 431 for what follows is taken for the running request's answer; a request
+    # that will never be whole keeps its connection for ever.
+    async def main() -> None:
+        application = Recorder()
+        answered = asyncio.Event()
+
+        async def slow(scope: Any, receive: Any, send: Any) -> None:
+            if scope["raw_path"] == b"/first":
+                await answered.wait()
+            await application(scope, receive, send)
+
+        listener = create_listener(slow)
+        listener.set_limits(header_timeout_s=0.1, idle_timeout_s=5.0)
+        await listener.start(Address("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*listener.servers[0].sockets[0].getsockname())
+        writer.write(b"GET /first HTTP/1.1\r\nHost: x\r\n\r\n" + second)
+        await asyncio.sleep(0.4)
+        answered.set()
+        async with asyncio.timeout(3.0):
+            answer = await reader.read()
+        writer.close()
+        await listener.close_listener()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert answer.count(b"HTTP/1.1 ") == 1
+        assert [each.target for each in application.received] == [b"/first"]
+
+    asyncio.run(main())
