Other nodes' connections have a share of the descriptors of their own

At the size aimed at, some hundreds of weak nodes keep idle connections to each strong node; the share for probes would close them for one another. By reading; the shares are chosen, not measured.

--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -104,10 +104,14 @@
         """Return the listeners with their addresses; a socket is given where it already listens."""
         node, settings = self.node, self.settings
         listeners = [(settings.callers, node.listener, self._dependencies.callers_socket)]
-        side = ((settings.probes, node.probes), (settings.metrics, node.probes), (settings.peers, node.peers))
-        for address, application in side:
+        side = (
+            (settings.probes, node.probes, settings.probe_connections),
+            (settings.metrics, node.probes, settings.probe_connections),
+            (settings.peers, node.peers, settings.peer_connections),
+        )
+        for address, application, max_connections in side:
             if address is not None:
-                listeners.append((address, create_listener(application, settings.side_connections), None))
+                listeners.append((address, create_listener(application, max_connections), None))
         self._side_listeners = [listener for _, listener, _ in listeners[1:]]
         return listeners
 
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -37,9 +37,9 @@
 REPLY_MEMORY_SHARE, BODY_MEMORY_SHARE, UNSENT_MEMORY_SHARE = 0.2, 0.1, 0.15
 # Descriptors that are not for sockets: files keep up to 200, fewer under a small limit.
 MAX_FILE_DESCRIPTORS, FILE_DESCRIPTOR_SHARE = 200, 0.25
-# Shares of the descriptors for sockets: callers' connections, and those of each other listener. The rest is
-# for connections to servers, the registry and other nodes.
-CALLER_DESCRIPTOR_SHARE, SIDE_DESCRIPTOR_SHARE = 0.5, 0.05
+# Shares of the descriptors for sockets: connections of callers, of other nodes (which keep idle ones), and of
+# each listener for probes. The rest is for connections to servers, the registry and other nodes.
+CALLER_DESCRIPTOR_SHARE, PEER_DESCRIPTOR_SHARE, PROBE_DESCRIPTOR_SHARE = 0.45, 0.15, 0.03
 
 
 class Address(NamedTuple):
@@ -177,9 +177,14 @@
         return self._sockets(CALLER_DESCRIPTOR_SHARE)
 
     @property
-    def side_connections(self) -> int:
-        """How many connections of each other listener may be open."""
-        return self._sockets(SIDE_DESCRIPTOR_SHARE)
+    def peer_connections(self) -> int:
+        """How many connections of other nodes may be open."""
+        return self._sockets(PEER_DESCRIPTOR_SHARE)
+
+    @property
+    def probe_connections(self) -> int:
+        """How many connections of each listener for probes and metrics may be open."""
+        return self._sockets(PROBE_DESCRIPTOR_SHARE)
 
     def _sockets(self, share: float) -> int:
         files = min(MAX_FILE_DESCRIPTORS, FILE_DESCRIPTOR_SHARE * self.descriptors)
