--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -29,7 +29,10 @@
             if entry[prefix + "find"] not in text:
                 return f"the text to remove is not in {entry[prefix + 'file']}: {entry[prefix + 'find']!r}"
             path.write_text(text.replace(entry[prefix + "find"], entry[prefix + "replace"]))
-        command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", str(TESTS / entry["test"])]
+        # To render its own traces, pytest parses sources, which CPython 3.11 can fail to do after a
+        # RecursionError: pytest then ends with an internal error, and the test's failure is not told.
+        options = ["-p", "no:cacheprovider", "--tb=native"]
+        command = [sys.executable, "-m", "pytest", *options, str(TESTS / entry["test"])]
         environment = {**os.environ, "PYTHONPATH": str(copy)}
         try:
             done = subprocess.run(
