A start and an end tell what is needed afterwards: steps, states waited in, what was taken

What operators saw: a node that never became ready had one line (`started`, at listening) and then nothing; a node that its machine killed left a log that breaks off, like any other kill; how long a start was open to signals, or where it was slow, could not be told at all.

Now: `started` comes when the node is ready and has the milliseconds from the start of the process to signals held, settings read, listening, ready. `listening` stands where `started` stood. `start_waits` names what the wait is for, after 1 s and then after doubling pauses; so does `listen_failed`. `usage` gives memory, descriptors and the longest hold of the loop each 10 s and for each twentieth of the limit above half of it, `stopped` the same.

The wiring of a run moves from `platform/main` to `serving/running`, since nothing of it was the platform's.

Seen to fail before: none of the lines was there (tests/real_nodes/test_told_of_a_start.py).

--- a/bench/startup.py
+++ b/bench/startup.py
@@ -154,7 +154,7 @@
     try:
         async for line in reader:
             entry = json.loads(line)
-            if entry["event"] == "started":
+            if entry["event"] == "listening":
                 mark("listening")
             if entry["event"] == "state":
                 mark("ready")
--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -22,6 +22,10 @@
 )
 _signal.pthread_sigmask(_signal.SIG_BLOCK, HELD)
 
+import time  # noqa: E402 (after signals are held)
+
+SIGNALS_HELD_S = time.clock_gettime(time.CLOCK_BOOTTIME)
+
 import os.path  # noqa: E402 (after signals are held)
 import sys  # noqa: E402 (after signals are held)
 
@@ -32,12 +36,15 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "src"))
 
 from yokesill.serving.signals import hold_signals  # noqa: E402 (after the path is set)
+from yokesill.serving.start_times import StartTimes  # noqa: E402 (after the path is set)
 from yokesill.serving.streams import open_missing_streams  # noqa: E402 (after the path is set)
 
 hold_signals()
 open_missing_streams()
+start_times = StartTimes()
+start_times.reached("signals_held", SIGNALS_HELD_S)
 
 from yokesill.platform.start import main  # noqa: E402 (after signals are held and streams are open)
 
 if __name__ == "__main__":
-    raise SystemExit(main(sys.argv[1:]))
+    raise SystemExit(main(sys.argv[1:], start_times))
--- a/src/yokesill/gateway/context.py
+++ b/src/yokesill/gateway/context.py
@@ -52,7 +52,8 @@
     """Servers, budgets and estimates of a node; ``live`` are all attempts in flight, by number.
 
     ``numbers`` yields the numbers of attempts. ``lateness_s`` is the smoothed delay of this node's own
-    timers, in seconds: a machine that is slow or busy must start to answer earlier. ``answers_by_s`` is when
+    timers, in seconds: a machine that is slow or busy must start to answer earlier; ``longest_lateness_s`` is
+    the longest one. ``answers_by_s`` is when
     every request must have its final answer because the node ends then.
     """
 
@@ -62,6 +63,7 @@
     started_at: float
     configuration: Configuration | None = None
     lateness_s: float = 0.0
+    longest_lateness_s: float = 0.0
     answers_by_s: float = float("inf")
     live: dict[int, LiveAttempt] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
@@ -156,6 +158,7 @@
 
     def observe_lateness(self, late_s: float) -> None:
         """Record the delay with which one timer fired, in seconds."""
+        self.longest_lateness_s = max(self.longest_lateness_s, late_s)
         self.lateness_s += LATENESS_WEIGHT * (min(late_s, MAX_LATENESS_S) - self.lateness_s)
 
     def sent(self, server: ServerState, now: float) -> None:
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -82,6 +82,11 @@
         """The smoothed delay with which this node's own timers fire, in seconds."""
         return self._context.lateness_s
 
+    @property
+    def longest_lateness_s(self) -> float:
+        """The longest delay with which one of this node's own timers fired, in seconds."""
+        return self._context.longest_lateness_s
+
     @property
     def rollouts(self) -> NodeOrders:
         """The roll-outs that this node knows, and their effective states."""
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -1,15 +1,10 @@
 """Runs a gateway node on the platform: loads its settings and builds its feeds and its process."""
 
 import os
-import random
 import socket
 import time
-from dataclasses import replace
 from pathlib import Path
 
-from yokesill import logs
-from yokesill.clock import run_with_boottime_clock
-from yokesill.gateway.options import GatewayOptions
 from yokesill.platform import feeds
 from yokesill.platform.names import HEADER_NAMES, READY_PATH, SETTINGS_VARIABLE, SWITCHED_OFF_VARIABLE
 from yokesill.platform.rollouts import StoredRollouts, rollout_feed
@@ -17,39 +12,22 @@
 from yokesill.platform.store import MetadataStore
 from yokesill.registry.api_client import ApiClient
 from yokesill.serving.dependencies import Dependencies
-from yokesill.serving.process import GatewayProcess
-from yokesill.serving.reload import SettingsFollower
-from yokesill.serving.running import run_until_stopped
+from yokesill.serving.running import SwitchedOff, run_node
 from yokesill.serving.settings import GatewaySettings
-from yokesill.serving.settings_wait import wait_for_settings
-from yokesill.serving.streams import write_error
-from yokesill.supervision import unexpected_end_logged
+from yokesill.serving.start_times import StartTimes
 
-OK, INVALID = 0, 3
 
-
-def run(listening: socket.socket | None = None) -> int:
+def run(listening: socket.socket | None = None, start_times: StartTimes | None = None) -> int:
     """Run a node until SIGTERM or SIGINT; return the exit code.
 
-    ``listening`` is the socket for callers, if it is already open.
+    ``listening`` is the socket for callers, if it is already open; ``start_times`` has the steps of the start
+    until now.
     """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    settings = wait_for_settings(path, load_settings)
-    if not isinstance(settings, GatewaySettings):
-        return OK if settings is None else INVALID
-    switched_off = tuple(os.environ.get(SWITCHED_OFF_VARIABLE, "").split())
-    try:
-        GatewayOptions(settings.zone).without(switched_off)
-    except ValueError as error:
-        write_error(f"{SWITCHED_OFF_VARIABLE}: {error}")
-        return INVALID
-    settings = replace(settings, switched_off=switched_off)
-    output = logs.configure(settings.log_level)
-    process = GatewayProcess(settings, _dependencies(settings, listening), random.Random(), output)
-    follower = SettingsFollower(path, settings, load_settings, process.apply_settings)
-    with unexpected_end_logged(output):
-        run_with_boottime_clock(run_until_stopped, process, follower)
-    return OK
+    switched_off = SwitchedOff(SWITCHED_OFF_VARIABLE, os.environ.get(SWITCHED_OFF_VARIABLE, ""))
+    return run_node(
+        path, load_settings, switched_off, lambda settings: _dependencies(settings, listening), start_times
+    )
 
 
 def _dependencies(settings: GatewaySettings, listening: socket.socket | None) -> Dependencies:
--- a/src/yokesill/platform/start.py
+++ b/src/yokesill/platform/start.py
@@ -8,15 +8,18 @@
 """
 
 from yokesill.callers.sockets import listen_early
+from yokesill.serving.start_times import StartTimes
 
 
-def main(arguments: list[str]) -> int:
+def main(arguments: list[str], start_times: StartTimes) -> int:
     """Run a node until SIGTERM or SIGINT; return the exit code.
 
     Parameters
     ----------
     arguments
         The address for callers as ``HOST:PORT``, if it is known before the settings are read.
+    start_times
+        The steps of the start until now.
     """
     listening = listen_early(arguments[0]) if arguments else None
     from yokesill import gc_tuning, lazy_imports  # noqa: PLC0415 (after the socket is open)
@@ -25,4 +28,4 @@
     lazy_imports.install()
     from yokesill.platform.main import run  # noqa: PLC0415 (after the socket is open)
 
-    return run(listening)
+    return run(listening, start_times)
--- a/src/yokesill/serving/builder.py
+++ b/src/yokesill/serving/builder.py
@@ -16,7 +16,7 @@
 from yokesill.coordinators.coordinator import CoordinatorApplication
 from yokesill.gateway.events import ConfigurationReceived, Event, NodeCountUpdated
 from yokesill.gateway.router import GatewayRouter
-from yokesill.logs import LogOutput
+from yokesill.logs import LogOutput, get_logger
 from yokesill.registry.following import RegistryFollowing
 from yokesill.registry.node_presence import NodePresence
 from yokesill.registry.peer_bootstrap import PeerBootstrap
@@ -43,6 +43,7 @@
 from yokesill.serving.rollout_port import create_rollout_link
 from yokesill.serving.settings import GatewaySettings
 from yokesill.serving.state_snapshot import configuration_version, encode_router_snapshot
+from yokesill.serving.usage import Usage
 from yokesill.supervision import Supervisor
 from yokesill.telemetry.figures import GatewayMetrics
 
@@ -69,6 +70,7 @@
     peers: PeerApplication
     caller_memory: CallerMemory
     report_closed: ReportClosed
+    usage: Usage
 
 
 class _PeerServices(NamedTuple):
@@ -104,11 +106,12 @@
     ValueError
         A name in ``settings.switched_off`` is not the name of a switch.
     """
+    usage = Usage(settings, get_logger("gateway"))
     core = create_core(settings, dependencies, source, now)
     registry = create_registry(core)
     callers = create_callers(core, registry)
     peer_services = _create_peer_services(core, registry, callers, life_cycle)
-    side = _create_side_services(core, registry, callers, peer_services, life_cycle, output)
+    side = _create_side_services(core, registry, callers, peer_services, life_cycle, output, usage)
     return NodeComponents(
         life_cycle=life_cycle,
         metrics=core.metrics,
@@ -122,6 +125,7 @@
         **side._asdict(),
         caller_memory=core.caller_memory,
         report_closed=core.report_closed,
+        usage=usage,
     )
 
 
@@ -205,6 +209,7 @@
     peer_services: _PeerServices,
     life_cycle: LifeCycle,
     output: LogOutput,
+    usage: Usage,
 ) -> _SideServices:
     router, following, rollouts = core.router, registry.following, peer_services.rollouts
 
@@ -223,6 +228,7 @@
         core.settings,
         core.memory,
         core.caller_memory,
+        usage,
     )
     probes = ProbeApplication(
         core.dependencies.ready_path,
--- a/src/yokesill/serving/feed_updates.py
+++ b/src/yokesill/serving/feed_updates.py
@@ -42,15 +42,21 @@
             subscriber(event)
 
     def synchronised(self) -> bool:
-        """Whether a configuration and servers were received, so that requests can be served.
+        """Whether everything was received without which requests can't be served."""
+        return not self.missing()
 
-        The quarantined requests must also have been received, since the first request may be one of them,
-        and so must the roll-out orders: during a roll-out the list of servers alone does not determine which
-        version serves.
+    def missing(self) -> list[str]:
+        """Return what was not received yet of that without which requests can't be served.
+
+        A configuration and servers are needed, and the quarantined requests, since the first request may be
+        one of them. So are the roll-out orders: during a roll-out the list of servers alone does not
+        determine which version serves.
         """
         router = self._driver.router
-        if router.configuration is None or len(router.servers) == 0:
-            return False
-        if self.awaits_quarantine and not router.quarantine.list_known:
-            return False
-        return router.rollouts.synchronised or not self.awaits_rollouts
+        needed = {
+            "configuration": router.configuration is not None,
+            "servers": len(router.servers) > 0,
+            "quarantine": router.quarantine.list_known or not self.awaits_quarantine,
+            "rollouts": router.rollouts.synchronised or not self.awaits_rollouts,
+        }
+        return [name for name, received in needed.items() if not received]
--- a/src/yokesill/serving/gauges.py
+++ b/src/yokesill/serving/gauges.py
@@ -4,7 +4,6 @@
 """
 
 import importlib
-import os
 from typing import NamedTuple
 
 from yokesill.callers.memory import CallerMemory
@@ -16,6 +15,7 @@
 from yokesill.serving.life_cycle import LifeCycle
 from yokesill.serving.settings import GatewaySettings
 from yokesill.serving.state_snapshot import configuration_version
+from yokesill.serving.usage import Usage, open_descriptors, resident_bytes
 from yokesill.telemetry.figures import GatewayMetrics
 from yokesill.upstreams.server_client import ServerClient
 from yokesill.watchers.role import WatchRole
@@ -33,11 +33,12 @@
     settings: GatewaySettings
     reply_memory: ReplyMemory
     caller_memory: CallerMemory
+    usage: Usage
 
 
 def render_metrics(metrics: GatewayMetrics, sources: GaugeSources) -> bytes:
     """Set the gauges and return all metrics in the text exposition format."""
-    life_cycle, router, coordinator, client, output, following, settings, replies, callers = sources
+    life_cycle, router, coordinator, client, output, following, settings, replies, callers, usage = sources
     gauge = metrics.gauge
     gauge("yokesill_cut_off", "Whether it reaches nothing", life_cycle.state == "cut_off")
     gauge("yokesill_version", "Configuration version", configuration_version(router))
@@ -50,35 +51,18 @@
     gauge("yokesill_log_lines_dropped", "Log lines that did not fit", output.dropped)
     gauge("yokesill_registry_calls", "Calls that follow feeds", following.calls)
     gauge("yokesill_registry_asking", "Whether this node asks it", following.role != WatchRole.FOLLOWING)
-    gauge("yokesill_memory_bytes", "Resident memory", _resident_bytes())
+    gauge("yokesill_memory_bytes", "Resident memory", resident_bytes())
     gauge("yokesill_memory_limit_bytes", "The process is killed above this", settings.memory_bytes)
     gauge("yokesill_reply_bytes", "Held by unfinished replies", replies.held_bytes)
     gauge("yokesill_reply_limit_bytes", "Largest replies are discarded above", replies.limit_bytes)
     gauge("yokesill_caller_bytes", "Held for callers on all listeners", callers.held_bytes)
     gauge("yokesill_caller_limit_bytes", "Largest holders are closed above", callers.limit_bytes)
-    gauge("yokesill_descriptors", "Open descriptors", _descriptors())
+    gauge("yokesill_descriptors", "Open descriptors", open_descriptors())
     gauge("yokesill_descriptors_limit", "Descriptors that may be open", settings.descriptors)
+    gauge("yokesill_longest_hold_seconds", "Longest hold of the event loop", usage.longest_hold_s)
     for feed, revision in following.revisions().items():
         gauge(f"yokesill_registry_{feed}_position", "Known up to here", revision)
     # Imported at the first call: prometheus-client needs memory that a node without a scraper can save.
     exposition = importlib.import_module("yokesill.telemetry.exposition")
     text: bytes = exposition.render(metrics)
     return text
-
-
-def _resident_bytes() -> int:
-    """Return the process's resident memory; 0 if the system doesn't tell."""
-    try:
-        with open("/proc/self/statm") as statm:
-            pages = int(statm.read().split()[1])
-    except (OSError, ValueError, IndexError):
-        return 0
-    return pages * os.sysconf("SC_PAGE_SIZE")
-
-
-def _descriptors() -> int:
-    """Return the number of open descriptors; 0 if the system doesn't tell."""
-    try:
-        return len(os.listdir("/proc/self/fd"))
-    except OSError:
-        return 0
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -19,7 +19,9 @@
 from yokesill.serving.builder import NodeComponents, build_node
 from yokesill.serving.dependencies import Dependencies
 from yokesill.serving.life_cycle import LifeCycle
+from yokesill.serving.reminders import Reminder
 from yokesill.serving.settings import Address, GatewaySettings
+from yokesill.serving.start_times import StartTimes
 from yokesill.serving.stop_clock import StopClock
 
 # How often a start or a drain checks whether it is complete: negligible compared to a start of 165 ms
@@ -29,15 +31,25 @@
 LOG_FLUSH_INTERVAL_S = 0.5
 # Pause before the next attempt to listen on an address that is taken.
 LISTEN_RETRY_PAUSE_S = 0.2
+# How long a start may wait for the registry's feeds before that is logged.
+START_REPORT_DELAY_S = 1.0
 
 
 class GatewayProcess:
-    """One node of the gateway; ``node`` is set when ``run`` starts."""
+    """One node of the gateway; ``node`` is set when ``run`` starts.
+
+    ``start_times`` has the steps of the start that were reached before.
+    """
 
     node: NodeComponents
 
     def __init__(
-        self, settings: GatewaySettings, dependencies: Dependencies, source: random.Random, output: LogOutput
+        self,
+        settings: GatewaySettings,
+        dependencies: Dependencies,
+        source: random.Random,
+        output: LogOutput,
+        start_times: StartTimes | None = None,
     ) -> None:
         self.settings = settings
         self._dependencies = dependencies
@@ -48,6 +60,7 @@
         self._listening = anyio.Event()
         self._side_listeners: list[Listener] = []
         self._log = get_logger("gateway")
+        self._start_times = StartTimes() if start_times is None else start_times
         self.life_cycle = LifeCycle(self._log)
 
     async def run(self) -> None:
@@ -70,7 +83,7 @@
             await self._stop_requested.wait()
             await self._drain()
             task_group.cancel_scope.cancel()
-        self._log.info("stopped", node=self.settings.node)
+        self._log.info("stopped", node=self.settings.node, **node.usage.fields())
         self._output.flush()
 
     def stop(self, asked_at_s: float | None = None) -> None:
@@ -136,29 +149,42 @@
         An address may still be taken by the process before, or by a stranger's connection: the node waits,
         where its end would lead to the same start again.
         """
-        reported = ""
+        reminder = Reminder()
         while True:
             try:
                 await listener.start(address, listening)
                 break
             except (OSError, OverflowError) as error:
-                if repr(error) != reported:
-                    reported = repr(error)
-                    self._log.error("listen_failed", address=str(address), problem=reported)
+                problem, now = repr(error), anyio.current_time()
+                if reminder.due(problem, now):
+                    waited_s = round(reminder.waited_s(now), 1)
+                    self._log.error("listen_failed", address=str(address), problem=problem, waited_s=waited_s)
             await anyio.sleep(LISTEN_RETRY_PAUSE_S)
         if listener is self.node.listener:
             gc_tuning.freeze()
-            self._log.info("started", node=self.settings.node, callers=str(address))
+            self._start_times.reached("listening")
+            self._log.info("listening", node=self.settings.node, callers=str(address))
             self._listening.set()
 
     async def _become_ready(self) -> None:
         await self._listening.wait()
-        while not self.node.updates.synchronised():
-            await anyio.sleep(POLL_INTERVAL_S)
+        await self._until_synchronised()
         self.node.application.synchronised.set()
         self.life_cycle.apply_event("learnt")
+        self._start_times.reached("ready")
+        self._log.info("started", node=self.settings.node, **self._start_times.fields())
         gc_tuning.freeze()
 
+    async def _until_synchronised(self) -> None:
+        """Wait until requests can be served; a wait that lasts is logged with what is missing."""
+        reminder, reported_from_s = Reminder(), anyio.current_time() + START_REPORT_DELAY_S
+        while missing := self.node.updates.missing():
+            now = anyio.current_time()
+            if now >= reported_from_s and reminder.due(missing, now):
+                waited_s = round(START_REPORT_DELAY_S + reminder.waited_s(now), 1)
+                self._log.warning("start_waits", waits_for=missing, waited_s=waited_s)
+            await anyio.sleep(POLL_INTERVAL_S)
+
     async def _drain(self) -> None:
         """Report not ready while still accepting requests, then finish the requests in flight."""
         node = self.node
@@ -199,5 +225,8 @@
 
     async def _flush_logs(self) -> None:
         while True:
-            await anyio.sleep(LOG_FLUSH_INTERVAL_S)
+            due_at_s = anyio.current_time() + LOG_FLUSH_INTERVAL_S
+            await anyio.sleep_until(due_at_s)
+            now = anyio.current_time()
+            self.node.usage.observe(now, max(now - due_at_s, self.node.router.longest_lateness_s))
             self._output.flush()
