--- a/soak/site.py
+++ b/soak/site.py
@@ -11,7 +11,7 @@
     """Equal machines of a zone; ``spares`` may join during a day."""
 
     zone: str
-    count: int
+    machines: int
     spares: int
     cpu_share: float
     cores: int
@@ -79,7 +79,7 @@
     at_s: float | None = None
     how: tuple[str, ...] = ()
     share: float | None = None
-    count: int | None = None
+    targets: int | None = None
     factor: float | None = None
     for_s: float | None = None
     gap_s: float | None = None
