Build: a package registry that fails for a moment is asked again

What operators would see: the system doesn't start. One failure of the index or of a package's build ended pip, and with it the build line and each start that waits for it; pip repeats single downloads only.

Now the build tries three times, 5 and 20 s apart, into an empty folder each time, and then ends with pip's code as before. Seen to fail before: the three new cases of tests/real_nodes/test_build.py (the stand-in for pip was `subprocess.run` then; with `run_pip` they can't run on the code before).

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -16,6 +16,7 @@
 import subprocess
 import sys
 import sysconfig
+import time
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -27,6 +28,8 @@
 READ = stat.S_IRUSR | stat.S_IRGRP | stat.S_IROTH
 ENTER = stat.S_IXUSR | stat.S_IXGRP | stat.S_IXOTH
 MAX_WARNINGS = 3
+# Before another attempt to install; pip itself repeats single downloads, but not a failed index or build.
+INSTALL_PAUSES_S = (5.0, 20.0)
 # The options and the environment are those of the ``run`` line.
 TRIAL = ("-S", "deploy/trial.py")
 INHERITED_VARIABLES = ("PATH", "HOME", "LANG")
@@ -81,14 +84,26 @@
 
 
 def install(folder):
-    """Install the listed packages into ``folder``; raise ``SystemExit`` if that fails."""
-    options = ["--quiet", "--disable-pip-version-check", "--no-deps", "--target", str(folder)]
-    command = [sys.executable, "-m", "pip", "install", *options, "-r", str(REQUIREMENTS)]
-    code = subprocess.run(command, check=False).returncode
+    """Install the listed packages into ``folder``; raise ``SystemExit`` if that fails again and again."""
+    code = run_pip(folder)
+    for pause_s in INSTALL_PAUSES_S:
+        if not code:
+            return
+        print(f"warning: pip ended with {code}; another attempt in {pause_s:.0f} s", file=sys.stderr)
+        time.sleep(pause_s)
+        remove(folder)
+        code = run_pip(folder)
     if code:
         raise SystemExit(f"error: pip ended with {code}")
 
 
+def run_pip(folder):
+    """Install the listed packages into ``folder``; return pip's exit code."""
+    options = ["--quiet", "--disable-pip-version-check", "--no-deps", "--target", str(folder)]
+    command = [sys.executable, "-m", "pip", "install", *options, "-r", str(REQUIREMENTS)]
+    return subprocess.run(command, check=False).returncode
+
+
 def remove(path):
     """Remove a file, a link or a folder, if there is one."""
     if path.is_dir() and not path.is_symlink():
--- a/tests/real_nodes/test_build.py
+++ b/tests/real_nodes/test_build.py
@@ -300,3 +300,40 @@
     )
     # A module that is optional, and not there, is named on standard error alone.
     assert loaded <= {*tried.stdout.split(), *imported_modules(tried.stderr)}
+
+
+class Registry:
+    """Stands in for pip, which ends with the next of ``codes`` and leaves a folder each time."""
+
+    def __init__(self, *codes: int) -> None:
+        self.codes = list(codes)
+
+    def run_pip(self, folder: Path) -> int:
+        folder.mkdir()
+        return self.codes.pop(0)
+
+
+@pytest.mark.parametrize("codes", [(1, 0), (1, 1, 0)])
+def test_registry_that_fails_for_a_moment_does_not_end_the_build(
+    codes: tuple[int, ...], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against: one failure of the package registry ended the build, and with it each start.
+    registry = Registry(*codes)
+    monkeypatch.setattr(BUILD, "run_pip", registry.run_pip)
+    monkeypatch.setattr(BUILD, "INSTALL_PAUSES_S", (0.0, 0.0))
+    BUILD.install(tmp_path / "deps")
+    assert not registry.codes
+    assert (tmp_path / "deps").is_dir()
+
+
+def test_registry_that_stays_away_ends_the_build_with_what_failed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against: a build that tries again for longer than it may take.
+    registry = Registry(1, 1, 2, 0)
+    assert sum(BUILD.INSTALL_PAUSES_S) < 60
+    monkeypatch.setattr(BUILD, "run_pip", registry.run_pip)
+    monkeypatch.setattr(BUILD, "INSTALL_PAUSES_S", (0.0, 0.0))
+    with pytest.raises(SystemExit, match="pip ended with 2"):
+        BUILD.install(tmp_path / "deps")
+    assert registry.codes == [0]
