--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -85,7 +85,6 @@
         self.feed_delay_s = 0.3
         self.old_version_delay_s = 0.0
         self.sent_new = self.bad_new = self.old_after_completed = self.new_after_rollback = 0
-        self.bad_seen_at_s: list[float] = []
         self._feed_queue: list[tuple[float, str, RolloutOrder | None]] = []
         self._published: dict[str, RolloutOrder] = {}
         self._ordered_at_s: dict[OrderId, float] = {}
--- a/src/yokesill/gateway/state_updates.py
+++ b/src/yokesill/gateway/state_updates.py
@@ -34,7 +34,6 @@
         context.configuration = configuration
         context.node_shares.set_configuration(configuration)
         context.eligibility.set_configuration(configuration)
-        context.eligibility.set_configuration(configuration)
         context.rollouts.set_configuration(configuration)
         context.forget_unused(current)
         self._cursors.keep({route.name for route in configuration.routes})
