--- a/soak/site.py
+++ b/soak/site.py
@@ -17,6 +17,7 @@
     cores: int
     memory_mb: int
     descriptors: int
+    link_mbps: float = 1000.0
 
 
 class ServiceGroup(NamedTuple):
@@ -120,6 +121,20 @@
     budget_ratio: float
     budget_slack: float
     budget_window_s: float
+    seed_lag_s: float = 3.0
+    address_reuse_s: float = 2.0
+    ack_s: float = 5.0
+    catch_up_s: float = 4.0
+    loss_slack_s: float = 0.2
+    downgrade_slack_s: float = 0.25
+
+
+class Tolerance(NamedTuple):
+    """What a site may lose at once and still keep its rules."""
+
+    machines: int = 0
+    zones: int = 0
+    regions: int = 0
 
 
 class Site(NamedTuple):
@@ -142,3 +157,5 @@
     idle_routes: int
     writes_per_s: float
     reads_per_s: float
+    tolerance: Tolerance = Tolerance()
+    loss_counts: bool = False
