--- a/soak/records.py
+++ b/soak/records.py
@@ -3,12 +3,18 @@
 import hashlib
 
 RECORD_BYTES, RECORDS = 16, 8
+# The records are numbered in a byte.
+MAX_RECORDS = 255
 
 
-def records_of(service: str, request_id: str) -> list[bytes]:
-    """Return a shard's records for a request, unsorted; every replica of the shard returns the same ones."""
+def records_of(service: str, request_id: str, body_bytes: int = 0) -> list[bytes]:
+    """Return a shard's records for a request, unsorted; every replica of the shard returns the same ones.
+
+    There are as many as fit into ``body_bytes``, or ``RECORDS`` if it is 0.
+    """
+    records = min(MAX_RECORDS, body_bytes // RECORD_BYTES) or RECORDS
     seed = f"{service}/{request_id}".encode()
-    return [hashlib.blake2b(seed, digest_size=RECORD_BYTES, salt=bytes([n])).digest() for n in range(RECORDS)]
+    return [hashlib.blake2b(seed, digest_size=RECORD_BYTES, salt=bytes([n])).digest() for n in range(records)]
 
 
 def top_records(services: list[str], request_id: str, top_k: int) -> bytes:
@@ -17,6 +23,7 @@
     return b"".join(sorted(found, reverse=True)[:top_k])
 
 
-def single_body(signature: str) -> bytes:
-    """Return the body of an answer from a single server."""
-    return (signature + "\n").encode() * 20
+def single_body(signature: str, body_bytes: int = 0) -> bytes:
+    """Return the body of an answer from a single server, of about ``body_bytes`` unless it is 0."""
+    line = (signature + "\n").encode()
+    return line * (body_bytes // len(line) or 20)
--- a/soak/server.py
+++ b/soak/server.py
@@ -3,7 +3,9 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from soak.layout import (
@@ -40,6 +42,45 @@
 ENDLESS_PIECE, ENDLESS_PAUSE_S = b"x" * 65536, 0.001
 
 
+class Work(NamedTuple):
+    """What one kind of request asks of a server: the mean of its work, and the size of its answer.
+
+    ``body_bytes`` is 0 for the size that the answers have by themselves.
+    """
+
+    mean_s: float
+    body_bytes: int = 0
+
+
+class ServerTerms(NamedTuple):
+    """The properties of a server.
+
+    ``kinds`` has the work of requests by the first segment of their path, ``work`` that of all others. The
+    server pauses for ``pause_s`` every ``pause_every_s`` (0: never), multiplies its work by ``speed``, and by
+    ``cold_factor`` too in its first ``cold_s``.
+    """
+
+    work: Work
+    shard: bool = True
+    slots: int = SERVER_CAPACITY
+    queue: int = MAX_QUEUED
+    max_connections: int = MAX_CONNECTIONS
+    kinds: Mapping[str, Work] = MappingProxyType({})
+    speed: float = 1.0
+    pause_s: float = 0.0
+    pause_every_s: float = 0.0
+    cold_s: float = 0.0
+    cold_factor: float = 1.0
+    tells_load: bool = True
+
+
+def default_terms(service: str) -> ServerTerms:
+    """Return the properties of a server of the soak's own services."""
+    if service == DESK:
+        return ServerTerms(Work(DESK_WORK_S), shard=False)
+    return ServerTerms(Work(SHARD_WORK_S))
+
+
 class Answer(NamedTuple):
     """The bytes of an answer, and whether the connection is closed after it."""
 
@@ -51,14 +92,26 @@
 class Server:
     """One incarnation of a server at one address.
 
-    ``mode`` is its current fault; ``bad`` tells whether its software version is faulty.
+    ``mode`` is its current fault, which strikes ``fault_share`` of the answers that it may spoil and slows
+    work down by ``slow_factor``; ``bad`` tells whether its software version is faulty.
     """
 
-    def __init__(self, instance: str, service: str, version: str, log: EventLog, rng: random.Random) -> None:
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        version: str,
+        log: EventLog,
+        rng: random.Random,
+        terms: ServerTerms | None = None,
+    ) -> None:
         self.instance = instance
         self.service = service
         self.version = version
+        self.terms = terms or default_terms(service)
         self.mode = "sound"
+        self.slow_factor = SLOW_FACTOR
+        self.fault_share = 1.0
         self.bad = False
         self.leaving = False
         self.on_crash: Callable[[], None] = lambda: None
@@ -66,7 +119,12 @@
         self._rng = rng
         self._running = 0
         self._waiting = 0
-        self._slots = asyncio.Semaphore(SERVER_CAPACITY)
+        self._slots = asyncio.Semaphore(self.terms.slots)
+        self._started_s = time.monotonic()
+        # Servers pause each at a time of its own; most have no pauses and draw no number.
+        self._phase_s = self._started_s - (
+            rng.random() * self.terms.pause_every_s if self.terms.pause_s else 0
+        )
         self._numbers = itertools.count(1)
         self._writers: set[asyncio.StreamWriter] = set()
         self._listener: asyncio.Server | None = None
@@ -85,7 +143,7 @@
         self._log.write("ended", server=self.instance)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._writers) >= MAX_CONNECTIONS:
+        if len(self._writers) >= self.terms.max_connections:
             writer.transport.abort()
             return
         self._writers.add(writer)
@@ -141,7 +199,7 @@
             return 421
         if not request.headers.get(REQUEST_ID):
             return 400
-        return 503 if self.mode == "full" or self._waiting >= MAX_QUEUED else 0
+        return 503 if self.mode == "full" or self._waiting >= self.terms.queue else 0
 
     async def _work(self, request: HttpMessage) -> Answer | None:
         request_id = request.headers[REQUEST_ID]
@@ -152,26 +210,28 @@
             self._log.write("crashed", server=self.instance, path=request.start_line[1])
             self.on_crash()
             return None
-        work_s = (DESK_WORK_S if self.service == DESK else SHARD_WORK_S) * self._rng.lognormvariate(0, 0.4)
-        work_s *= SLOW_FACTOR if self.mode == "slow" else 1.0
+        work = self._work_of(request.start_line[1])
+        if pause_left_s := self._pause_left_s():
+            await asyncio.sleep(pause_left_s)
+        work_s = work.mean_s * self._rng.lognormvariate(0, 0.4) * self.terms.speed
+        work_s *= self.terms.cold_factor if self.warmup_left_s() else 1.0
+        work_s *= self.slow_factor if self.mode == "slow" else 1.0
         work_s += LONG_WORK_S if LONG_PATH_MARKER in request.start_line[1] else 0.0
         remaining_s = int(request.headers.get(DEADLINE, "60000")) / 1000
         await asyncio.sleep(min(work_s, remaining_s))
         failing = self.mode == "fails" and self._rng.random() < FAILING_SHARE
         failing = failing or (self.bad and self._rng.random() < BAD_VERSION_FAILING_SHARE)
         status = 504 if work_s > remaining_s else 500 if failing else 200
-        if self.mode == "loses_answers":
+        if self.mode == "loses_answers" and self._strikes():
             return None
         if status != 200:
             self._log_done(signature, status)
             return Answer(self._signed(status, request_id, signature, b"failed"))
-        is_desk = self.service == DESK
-        body = single_body(signature) if is_desk else b"".join(records_of(self.service, request_id))
-        content = self._signed(200, request_id, signature, body)
+        content = self._signed(200, request_id, signature, self._body(work, request_id, signature))
         if self.mode == "endless":
             self._log_done(signature, 0)
             return Answer(content.replace(b"content-length", b"x-length"), endless=True)
-        garble = self._rng.choice(GARBLE_KINDS) if self.mode == "garbles" else ""
+        garble = self._rng.choice(GARBLE_KINDS) if self.mode == "garbles" and self._strikes() else ""
         # A truncated or unreadable answer does not count as an answer, so it is recorded with status 0.
         self._log_done(signature, 0 if garble in ("short", "junk", "other") else 200)
         answer = self._garble(garble, content)
@@ -179,6 +239,29 @@
             self._last_answer = content
         return answer
 
+    def warmup_left_s(self) -> float:
+        """Return how much longer the server is slow from its start."""
+        return max(0.0, self._started_s + self.terms.cold_s - time.monotonic())
+
+    def _work_of(self, path: str) -> Work:
+        return self.terms.kinds.get(path.split("/", 2)[1], self.terms.work)
+
+    def _pause_left_s(self) -> float:
+        """Return what is left of the current pause, with which each period ends."""
+        if not self.terms.pause_every_s:
+            return 0.0
+        left_s = self.terms.pause_every_s - (time.monotonic() - self._phase_s) % self.terms.pause_every_s
+        return left_s if left_s <= self.terms.pause_s else 0.0
+
+    def _strikes(self) -> bool:
+        """Whether the current fault strikes an answer that it may spoil."""
+        return self.fault_share >= 1.0 or self._rng.random() < self.fault_share
+
+    def _body(self, work: Work, request_id: str, signature: str) -> bytes:
+        if not self.terms.shard:
+            return single_body(signature, work.body_bytes)
+        return b"".join(records_of(self.service, request_id, work.body_bytes))
+
     def _garble(self, garble: str, content: bytes) -> Answer:
         match garble:
             case "short":
@@ -193,7 +276,8 @@
 
     def _signed(self, status: int, request_id: str, signature: str, body: bytes) -> bytes:
         headers = {REQUEST_ID: request_id, SIGNATURE: signature}
-        headers[LOAD] = f"{self._running}, {self._waiting}, {SERVER_CAPACITY}"
+        if self.terms.tells_load:
+            headers[LOAD] = f"{self._running}, {self._waiting}, {self.terms.slots}"
         return self._encode(status, headers, body)
 
     def _encode(self, status: int, headers: dict[str, str], body: bytes = b"") -> bytes:
