--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -85,8 +85,7 @@
         if process in self._ended_by_soak:
             return
         reason = "memory" if process in self._over_memory else "signal" if code < 0 else "exit"
-        lines = (self._folder / f"node-{node}.log").read_text(errors="replace").splitlines()
-        last_lines = [line[:LOGGED_CHARACTERS] for line in lines[-LOGGED_LINES:]]
+        last_lines = read_last_lines(self._folder / f"node-{node}.log")
         self._log.write("node_ended_unasked", node=node, status=code, reason=reason, log=last_lines)
         if self.processes.get(node) is process:
             await self.start(node)
@@ -100,12 +99,7 @@
 
     def holds_signals(self, node: int) -> bool:
         """Whether the process has reached the program's first lines, or is past them."""
-        try:
-            status = Path(f"/proc/{self.processes[node].pid}/status").read_text()
-        except OSError:
-            return False
-        masks = [line.split()[1] for line in status.splitlines() if line.startswith(("SigBlk:", "SigCgt:"))]
-        return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
+        return holds_hangup(self.processes[node].pid)
 
     def send(self, node: int, signal_number: signal.Signals) -> None:
         """Send a signal to a node if it is running."""
@@ -160,5 +154,21 @@
                 await process.wait()
 
 
+def holds_hangup(pid: int) -> bool:
+    """Whether a process blocks or handles SIGHUP, so that one doesn't end it."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+    masks = [line.split()[1] for line in status.splitlines() if line.startswith(("SigBlk:", "SigCgt:"))]
+    return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
+
+def read_last_lines(path: Path) -> list[str]:
+    """Return what of a node's log goes into the record of its end."""
+    lines = path.read_text(errors="replace").splitlines()
+    return [line[:LOGGED_CHARACTERS] for line in lines[-LOGGED_LINES:]]
+
+
 def _limit_descriptors() -> None:
     resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
--- a/soak/store.py
+++ b/soak/store.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import json
+import random
 import sys
 import time
 from functools import partial
@@ -181,12 +182,52 @@
     return f"odd-{number}", good | odd_fields[number % len(odd_fields)]
 
 
+class StoreTerms(NamedTuple):
+    """The properties of the store; a rate of 0 is no bound. The rates are of all nodes together."""
+
+    heartbeat_s: float = HEARTBEAT_S
+    history_s: float = HISTORY_S
+    writes_per_s: float = 0.0
+    reads_per_s: float = 0.0
+
+
+class CallRate:
+    """Bounds the calls in each second by the machine's clock."""
+
+    __slots__ = ("_calls", "_most", "_second")
+
+    def __init__(self, per_s: float) -> None:
+        self._most = per_s
+        self._second = 0
+        self._calls = 0
+
+    def admits(self) -> bool:
+        """Count a call, and return whether it is within the bound."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._calls = second, 0
+        self._calls += 1
+        return not self._most or self._calls <= self._most
+
+
+class Fault(NamedTuple):
+    """What is wrong with the store: its mode, for some nodes or all (``None``), and how strong it is."""
+
+    mode: str = "sound"
+    nodes: frozenset[int] | None = None
+    slow_s: float = SLOW_S
+    share: float = 1.0
+
+
 class Store:
     """Serves the objects to the operator and each node, each on its own port, with faults."""
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, log: EventLog, terms: StoreTerms | None = None) -> None:
+        terms = terms or StoreTerms()
         self.objects = Objects()
-        self.mode = "sound"
+        self.fault = Fault()
+        self._terms = terms
+        self._writes, self._reads = CallRate(terms.writes_per_s), CallRate(terms.reads_per_s)
         self.refused: set[int] = set()
         self.calls = 0
         self._log = log
@@ -196,7 +237,13 @@
         """Start or end a fault."""
         match order:
             case {"mode": mode}:
-                self.mode = mode
+                nodes = order.get("nodes")
+                self.fault = Fault(
+                    mode,
+                    None if nodes is None else frozenset(nodes),
+                    order.get("slow_s", SLOW_S),
+                    order.get("share", 1.0),
+                )
             case {"refuse": nodes}:
                 self.refused = set(nodes)
             case {"restore": True}:
@@ -236,20 +283,38 @@
     async def _serve_one(self, node: int, request: HttpMessage) -> tuple[int, Any] | None:
         """Return the answer; ``None`` closes the connection without an answer."""
         self.calls += 1
-        mode = self.mode
+        mode = self._mode_for(node)
         if node != OPERATOR and node in self.refused:
             return 503, None
         if mode in REFUSALS and (node != OPERATOR or mode == "down"):
             return REFUSALS[mode], None
+        if mode == "reset" and node != OPERATOR:
+            return None
         if mode == "silent" and node != OPERATOR:
             await asyncio.sleep(3600)
         if mode == "slow" and node != OPERATOR:
-            await asyncio.sleep(SLOW_S)
+            await asyncio.sleep(self.fault.slow_s)
+        if node != OPERATOR and not self._admits(request):
+            return REFUSALS["throttled"], None
+        share = self.fault.share
         answer = await self._answer(node, request)
-        if mode == "loses_answers" and node != OPERATOR and request.start_line[0] != "GET":
+        loses = mode == "loses_answers" and (share >= 1.0 or random.random() < share)
+        if loses and node != OPERATOR and (request.start_line[0] != "GET" or share < 1.0):
             return None
         return answer
 
+    def _mode_for(self, node: int) -> str:
+        """Return the mode for a node; a fault of some nodes does not strike the operator."""
+        struck = self.fault.nodes is None or node in self.fault.nodes
+        return self.fault.mode if struck else "sound"
+
+    def _admits(self, request: HttpMessage) -> bool:
+        """Whether the call is within the rate of its kind; stale reads are outside of it."""
+        method, target, _ = request.start_line
+        if method != "GET":
+            return self._writes.admits()
+        return "stale=1" in target or self._reads.admits()
+
     async def _answer(self, node: int, request: HttpMessage) -> tuple[int, Any]:
         method, target, _ = request.start_line
         parts = urlsplit(target)
@@ -295,21 +360,21 @@
             await asyncio.sleep(MAINTENANCE_EVERY_S)
             if turn % STALE_VIEW_TURNS == 0:
                 self.objects.refresh_stale_view()
-            if turn % COPY_TURNS == 0 and self.mode != "down":
+            if turn % COPY_TURNS == 0 and self.fault.mode != "down":
                 self.objects.make_copy()
             now_s = time.monotonic()
-            self.objects.forget_history(now_s - HISTORY_S)
+            self.objects.forget_history(now_s - self._terms.history_s)
             for _, name in [key for key in self.objects.items if key[0] == "servers"]:
                 if (
                     now_s - self._last_heartbeat_s.setdefault(name, now_s)
-                    > MAX_MISSED_HEARTBEATS * HEARTBEAT_S
+                    > MAX_MISSED_HEARTBEATS * self._terms.heartbeat_s
                 ):
                     self.objects.remove("servers", name)
 
 
-async def run(host: str, nodes: int, log_path: Path) -> None:
+async def run(host: str, nodes: int, log_path: Path, terms: StoreTerms) -> None:
     """Listen for the operator and each node, and apply commands until standard input ends."""
-    store = Store(EventLog(log_path))
+    store = Store(EventLog(log_path), terms)
     for node in range(OPERATOR, nodes):
         port = OPERATOR_PORT if node == OPERATOR else STORE_PORT + node
         await asyncio.start_server(partial(store.serve, node), host, port)
@@ -321,4 +386,5 @@
 
 
 if __name__ == "__main__":
-    run_standin(run(sys.argv[1], int(sys.argv[2]), Path(sys.argv[3])))
+    store_terms = StoreTerms(*json.loads(sys.argv[4])) if sys.argv[4:] else StoreTerms()
+    run_standin(run(sys.argv[1], int(sys.argv[2]), Path(sys.argv[3]), store_terms))
