--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from soak.record import read_record
 from soak.run import Soak
 from soak.schedule import HAZARD_KINDS, KINDS, ROLLOUT_KINDS, plan
+from soak.site_run import DayTerms, play_day
 
 SEEDS = Path(__file__).with_name("seeds.txt")
 
@@ -52,6 +53,12 @@
         "--folder", type=Path, help="folder for logs and reports; default: a new temporary folder"
     )
     parser.add_argument("--judge", type=Path, help="check the logs in the folder of an earlier run again")
+    parser.add_argument("--site", type=Path, help="play days of this users' sheet instead")
+    parser.add_argument("--days", type=int, default=1, help="days of the sheet, with a seed each")
+    parser.add_argument("--load", type=float, default=1.0, help="the share of the sheet's traffic")
+    parser.add_argument(
+        "--seconds", type=float, default=0.0, help="length of a day's traffic, if not the sheet's"
+    )
     options = parser.parse_args(arguments)
     if options.judge:
         return _recheck(options.judge)
@@ -64,10 +71,22 @@
         kinds = (*(others or KINDS), *ROLLOUT_KINDS)
     folder = options.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     seed = random.SystemRandom().randrange(1 << 40) if options.seed is None else options.seed
+    if options.site:
+        return _play_site(options.site, seed, options.days, DayTerms(options.load, options.seconds), folder)
     runs = [*(read_seeds(SEEDS.read_text()) if options.replay else ()), (seed, options.minutes)]
     return max(_run(each, minutes, options.nodes, kinds, folder) for each, minutes in runs)
 
 
+def _play_site(sheet: Path, first_seed: int, days: int, terms: DayTerms, parent: Path) -> int:
+    outcomes = []
+    for seed in range(first_seed, first_seed + days):
+        folder = parent / f"{sheet.stem}-{seed}-{time.time():.0f}"
+        folder.mkdir(parents=True)
+        outcomes.append(asyncio.run(play_day(sheet, seed, folder, terms)))
+        print(f"{sheet.stem}, seed {seed}: {outcomes[-1].line()}", flush=True)
+    return int(any(each.failed for each in outcomes))
+
+
 def _recheck(folder: Path) -> int:
     run_info = json.loads((folder / "report.json").read_text())
     nodes = run_info["nodes"]
--- a/soak/site_day.py
+++ b/soak/site_day.py
@@ -51,10 +51,13 @@
         """The final fault."""
 
 
+BringAbout = Callable[["SiteDay", Any], Awaitable[None]]
+
+
 class SiteDay:
     """One day of the sheet at ``sheet``; its logs go into ``folder``.
 
-    ``load`` is the share of the sheet's traffic that is sent, and ``bring_about`` plays a planned trouble.
+    ``load`` is the share of the sheet's traffic that is sent.
     """
 
     def __init__(
@@ -65,7 +68,6 @@
         seed: int,
         folder: Path,
         load: float = 1.0,
-        bring_about: Callable[["SiteDay", Any], Awaitable[None]] | None = None,
     ) -> None:
         self.layout = layout
         self.day = day
@@ -76,7 +78,6 @@
         self._rng = random.Random(seed)
         self._folder = folder
         self._load = load
-        self._bring_about = bring_about
         self._nodes = SiteNodes(layout, folder, self.log, self._rng)
         self._standins: dict[str, Standin] = {}
         self._sampler: asyncio.Task[None] | None = None
@@ -106,9 +107,9 @@
         await asyncio.sleep(self._rng.uniform(0.0, START_SPREAD_S))
         await self._nodes.start(number, first=True)
 
-    async def play(self, plan: Plan) -> None:
+    async def play(self, plan: Plan, bring_about: BringAbout) -> None:
         """Send traffic and bring each planned trouble about at its time, with the final fault at the end."""
-        troubles = [asyncio.create_task(self._play_trouble(each)) for each in plan.troubles]
+        troubles = [asyncio.create_task(self._play_trouble(each, bring_about)) for each in plan.troubles]
         await _sleep_until(self._traffic_s)
         await self._start_callers()
         self.log.write("day_begin", day=self.day.name, seed=self._seed, load=self._load)
@@ -119,14 +120,13 @@
         await self._finish(troubles)
         self.log.write("day_end")
 
-    async def _play_trouble(self, planned: Planned) -> None:
+    async def _play_trouble(self, planned: Planned, bring_about: BringAbout) -> None:
         await _sleep_until(self._traffic_s + planned.at_s)
-        if self._bring_about is not None:
-            try:
-                await self._bring_about(self, planned)
-            except Exception as error:  # a trouble that fails must not end the day, but must be seen
-                self.log.write("trouble_failed", trouble=repr(planned), error=repr(error))
-                traceback.print_exc(file=sys.stderr)
+        try:
+            await bring_about(self, planned)
+        except Exception as error:  # a trouble that fails must not end the day, but must be seen
+            self.log.write("trouble_failed", trouble=repr(planned), error=repr(error))
+            traceback.print_exc(file=sys.stderr)
 
     async def _strike_all(self, final: FinalFault) -> None:
         """Kill all nodes right after the store has taken a configuration, and start them again together."""
@@ -209,7 +209,7 @@
         self.callers_command(version=self.operator.state.version)
 
     async def reshard(self, delay_s: float) -> None:
-        """Start the servers of the next cut of the index, name them after ``delay_s``, and drain the others."""
+        """Start the next cut of the index, name its servers after ``delay_s``, and drain the others."""
         self.servers_command(start_groups=sorted(self.operator.next_groups()))
         await asyncio.sleep(delay_s)
         left, _ = await self.operator.cut_index()
--- a/soak/site_nodes.py
+++ b/soak/site_nodes.py
@@ -15,7 +15,7 @@
 from soak.layout import CONTROL_PORT, FRONT_PORT, READY_PORT, READY_URL_PATH
 from soak.nodes import ROOT, holds_hangup, read_last_lines
 from soak.site_layout import NODE_BLOCK, SiteLayout, SiteNode
-from soak.site_settings import Fields, settings_fields, toml_text
+from soak.site_settings import Fields, changed_fields, settings_fields, toml_text
 from soak.standin import EventLog, call
 from yokesill.platform.names import SETTINGS_VARIABLE
 
@@ -149,7 +149,8 @@
         """Replace the settings file in one step."""
         path = self._settings_path(number)
         new_path = path.with_suffix(".new")
-        new_path.write_text(toml_text(self._settings[number] | self._changes.get(number, {})))
+        fields = changed_fields(self._settings[number], self._changes.get(number, {}))
+        new_path.write_text(toml_text(fields))
         new_path.replace(path)
 
     def _settings_path(self, number: int) -> Path:
@@ -227,7 +228,7 @@
         if current is None or not current.running:
             return
         held = holds_hangup(current.process.pid)
-        if not held:
+        if not held and signal_number not in (signal.SIGSTOP, signal.SIGCONT):
             current.signals_in_start.append(signal_number.name)
         current.process.send_signal(signal_number)
         self._log.write("node_signal", node=number, signal=signal_number.name, held=held)
--- /dev/null
+++ b/soak/site_run.py
@@ -0,0 +1,98 @@
+"""Plays days of a users' sheet one after the other, each in a folder of its own."""
+
+import json
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from soak.sheet import read_sheet
+from soak.site import Day, FinalFault, Site
+from soak.site_day import Planned, SiteDay
+from soak.site_layout import SiteLayout
+
+# What days of a sheet without days of its own are called.
+DEFAULT_DAY_NAME = "day"
+STANDINS = ("store", "network", "servers", "callers")
+
+
+class DayTerms(NamedTuple):
+    """How days are played: the share of the sheet's traffic, and its length (0: as the sheet says)."""
+
+    load: float = 1.0
+    seconds: float = 0.0
+
+
+class DayOutcome(NamedTuple):
+    """What came of a day; ``problems`` are of the soak itself, such as a stand-in's errors."""
+
+    folder: Path
+    answers: int
+    successes: int
+    unasked_ends: int
+    not_ready: int
+    problems: tuple[str, ...]
+
+    @property
+    def failed(self) -> bool:
+        """Whether a process ended by itself, a node did not start, or the soak itself had a problem."""
+        return bool(self.unasked_ends or self.not_ready or self.problems)
+
+    def line(self) -> str:
+        """Return a day's line for the terminal."""
+        served = f"{self.successes} of {self.answers} requests served"
+        ends = f"{self.unasked_ends} unasked ends, {self.not_ready} nodes not ready"
+        return "; ".join((served, ends, *self.problems, str(self.folder)))
+
+
+def day_of(site: Site, seed: int) -> Day:
+    """Return the day of the sheet whose traffic a seed takes."""
+    if site.days:
+        return site.days[seed % len(site.days)]
+    return Day(DEFAULT_DAY_NAME, seed, site.traffic, (), None)
+
+
+class QuietPlan(NamedTuple):
+    """A day without troubles but for the final fault of the sheet's day."""
+
+    seconds: float
+    final: FinalFault | None
+    troubles: tuple[Planned, ...] = ()
+
+
+async def play_day(sheet: Path, seed: int, folder: Path, terms: DayTerms) -> DayOutcome:
+    """Play the day of a seed, with its logs in ``folder``."""
+    site = read_sheet(sheet)
+    layout = SiteLayout(site)
+    day = SiteDay(layout, sheet, day_of(site, seed), seed, folder, terms.load)
+    plan = QuietPlan(terms.seconds or site.day_s, day.day.final)
+    try:
+        await day.start()
+        await day.play(plan, _nothing)
+    finally:
+        await day.end()
+    return outcome_of(folder)
+
+
+async def _nothing(day: SiteDay, planned: Any) -> None:
+    """Bring about none of a quiet plan's troubles."""
+
+
+def outcome_of(folder: Path) -> DayOutcome:
+    """Return what the logs of a day tell of it at first sight."""
+    answers = [each for each in _events(folder / "events-callers.jsonl") if each["what"] == "answer"]
+    soak_events = _events(folder / "events-soak.jsonl")
+    errors = [f"{name}.log has errors" for name in STANDINS if (folder / f"{name}.log").stat().st_size]
+    failed = [each["error"] for each in soak_events if each["what"] == "trouble_failed"]
+    return DayOutcome(
+        folder=folder,
+        answers=len(answers),
+        successes=sum(200 <= each["status"] < 300 for each in answers),
+        unasked_ends=sum(each["what"] == "node_ended_unasked" for each in soak_events),
+        not_ready=sum(each["what"] == "node_not_ready" for each in soak_events),
+        problems=(*errors, *failed),
+    )
+
+
+def _events(path: Path) -> list[dict[str, Any]]:
+    """Return the whole lines of an event log; its process may have been ended within the last one."""
+    lines = path.read_text().split("\n")[:-1] if path.exists() else []
+    return [json.loads(line) for line in lines]
--- a/soak/site_servers.py
+++ b/soak/site_servers.py
@@ -57,6 +57,7 @@
         terms = FleetTerms(layout.operator(), site.bounds.drain_s, site.heartbeat_s)
         super().__init__(places(layout), terms, log, seed)
         self._slots = layout.servers()
+        self._reuse_after_s = site.bounds.address_reuse_s
 
     async def start_all(self) -> None:
         """Start all servers but those that come with a later cut of the index."""
@@ -67,50 +68,36 @@
             await self.start(each.slot, each.service)
 
     async def follow(self, command: dict[str, Any]) -> None:
-        """Apply a command; ``slots`` are those of servers, ``groups`` the names of service groups."""
+        """Apply a command about the server in one slot, or about all servers of some service groups."""
         match command:
-            case {"slots": slots, "mode": mode}:
-                self._set_mode(slots, mode, command)
-            case {"drain": slots}:
-                await asyncio.gather(*(self.drain(slot) for slot in slots))
-            case {"vanish": slots}:
-                for slot in slots:
-                    self.end(slot)
-            case {"restart": slots}:
-                for slot in slots:
-                    self.end(slot)
-                    await self.start(slot, self._slots[slot].service)
-            case {"release": slots, "version": version}:
-                await self._release(slots, version, command.get("gap_s", 0.0))
-            case {"reuse": slots, "service": service}:
-                for slot in slots:
-                    self.end(slot)
-                await asyncio.sleep(command.get("after_s", 0.0))
-                for slot in slots:
-                    await self.start(slot, service)
+            case {"slot": slot, "mode": mode}:
+                self._set_mode(slot, mode, command)
+            case {"drain": slot}:
+                await self.drain(slot)
+            case {"vanish": slot}:
+                self.end(slot)
+            case {"restart": slot}:
+                self.end(slot)
+                await self.start(slot, self._slots[slot].service)
+            case {"reuse": slot, "service": service}:
+                self.end(slot)
+                await asyncio.sleep(self._reuse_after_s)
+                await self.start(slot, service)
+            case {"release": slot, "version": version}:
+                await self.drain(slot)
+                await self.start(slot, self._slots[slot].service, version)
             case {"start_groups": groups}:
                 await self._start_all([each for each in self._slots if each.group in groups])
             case {"drain_groups": groups}:
                 slots = [each.slot for each in self._slots if each.group in groups]
                 await asyncio.gather(*(self.drain(slot) for slot in slots))
 
-    def _set_mode(self, slots: list[int], mode: str, command: dict[str, Any]) -> None:
-        for slot in slots:
-            server = self.servers.get(slot)
-            if server is not None:
-                server.slow_factor = command.get("factor", SLOW_FACTOR)
-                server.fault_share = command.get("share", 1.0)
-                server.mode = mode
-
-    async def _release(self, slots: list[int], version: str, gap_s: float) -> None:
-        """Replace servers one after the other by ones of another software version."""
-        for slot in slots:
-            self.run_in_background(self._replace(slot, version))
-            await asyncio.sleep(gap_s)
-
-    async def _replace(self, slot: int, version: str) -> None:
-        await self.drain(slot)
-        await self.start(slot, self._slots[slot].service, version)
+    def _set_mode(self, slot: int, mode: str, command: dict[str, Any]) -> None:
+        server = self.servers.get(slot)
+        if server is not None:
+            server.slow_factor = command.get("factor", SLOW_FACTOR)
+            server.fault_share = command.get("share", 1.0)
+            server.mode = mode
 
 
 async def run(layout: SiteLayout, log_path: Path, seed: int) -> None:
--- a/soak/site_settings.py
+++ b/soak/site_settings.py
@@ -82,6 +82,16 @@
     }
 
 
+def changed_fields(fields: Fields, changes: Fields) -> Fields:
+    """Return fields with changed values; a change stands in the table that has its name, or at the top."""
+    changed = {name: dict(value) if isinstance(value, dict) else value for name, value in fields.items()}
+    for name, value in changes.items():
+        tables = [table for table in changed.values() if isinstance(table, dict) and name in table]
+        for table in tables or [changed]:
+            table[name] = value
+    return changed
+
+
 def toml_text(fields: Fields) -> str:
     """Return fields as TOML; a value is a text, a number, a flag, a list of these, or a table of them."""
     tables = {name: value for name, value in fields.items() if isinstance(value, dict)}
--- a/soak/store.py
+++ b/soak/store.py
@@ -22,7 +22,7 @@
 HISTORY_S = 20.0
 # Less than the encoder bears.
 ODD_DEPTH = 400
-SLOW_S = 0.6
+SLOW_S, DEAF_POLL_S = 0.6, 0.05
 # Stale reads are up to 2 s old: their view is refreshed every ``STALE_VIEW_TURNS`` turns of maintenance.
 MAINTENANCE_EVERY_S, STALE_VIEW_TURNS = 0.2, 10
 # The last ``COPIES_KEPT`` copies are kept; a restore uses one at least ``COPY_AGE_S`` older than the newest.
@@ -292,6 +292,8 @@
             return None
         if mode == "silent" and node != OPERATOR:
             await asyncio.sleep(3600)
+        if mode == "deaf" and node != OPERATOR and "watch=" in request.start_line[1]:
+            await self._wait_while_deaf()
         if mode == "slow" and node != OPERATOR:
             await asyncio.sleep(self.fault.slow_s)
         if node != OPERATOR and not self._admits(request):
@@ -303,6 +305,11 @@
             return None
         return answer
 
+    async def _wait_while_deaf(self) -> None:
+        """Let a watch hear nothing while the store is deaf."""
+        while self.fault.mode == "deaf":
+            await asyncio.sleep(DEAF_POLL_S)
+
     def _mode_for(self, node: int) -> str:
         """Return the mode for a node; a fault of some nodes does not strike the operator."""
         struck = self.fault.nodes is None or node in self.fault.nodes
