Soak: faults of stand-ins strike a share of requests or writes

A deployment's troubles name a share of answers lost or garbled, a factor of slowness, and a store that breaks off calls or whose watches hear nothing; the stand-ins knew only all or nothing. Commands without the new words do what they did.

--- a/soak/server.py
+++ b/soak/server.py
@@ -51,7 +51,9 @@
 class Server:
     """One incarnation of a server at one address.
 
-    ``mode`` is its current fault; ``bad`` tells whether its software version is faulty.
+    ``mode`` is its current fault; ``bad`` tells whether its software version is faulty. ``fault_share`` is
+    the share of requests that the fault strikes, where it does not strike all; ``slow_factor`` is the factor
+    of a slow server's work.
     """
 
     def __init__(self, instance: str, service: str, version: str, log: EventLog, rng: random.Random) -> None:
@@ -59,6 +61,8 @@
         self.service = service
         self.version = version
         self.mode = "sound"
+        self.fault_share: float | None = None
+        self.slow_factor = SLOW_FACTOR
         self.bad = False
         self.leaving = False
         self.on_crash: Callable[[], None] = lambda: None
@@ -76,6 +80,10 @@
         """Start to listen on the server port of ``host``."""
         self._listener = await asyncio.start_server(self._serve, host, SERVER_PORT, backlog=256)
 
+    def set_fault(self, mode: str, share: float | None = None, factor: float = SLOW_FACTOR) -> None:
+        """Begin a fault, or end it with the mode ``sound``."""
+        self.mode, self.fault_share, self.slow_factor = mode, share, factor
+
     def end(self) -> None:
         """Stop listening and abort all connections at once."""
         if self._listener is not None:
@@ -153,14 +161,14 @@
             self.on_crash()
             return None
         work_s = (DESK_WORK_S if self.service == DESK else SHARD_WORK_S) * self._rng.lognormvariate(0, 0.4)
-        work_s *= SLOW_FACTOR if self.mode == "slow" else 1.0
+        work_s *= self.slow_factor if self.mode == "slow" else 1.0
         work_s += LONG_WORK_S if LONG_PATH_MARKER in request.start_line[1] else 0.0
         remaining_s = int(request.headers.get(DEADLINE, "60000")) / 1000
         await asyncio.sleep(min(work_s, remaining_s))
-        failing = self.mode == "fails" and self._rng.random() < FAILING_SHARE
+        failing = self.mode == "fails" and self._strikes(FAILING_SHARE)
         failing = failing or (self.bad and self._rng.random() < BAD_VERSION_FAILING_SHARE)
         status = 504 if work_s > remaining_s else 500 if failing else 200
-        if self.mode == "loses_answers":
+        if self.mode == "loses_answers" and self._strikes():
             return None
         if status != 200:
             self._log_done(signature, status)
@@ -171,7 +179,7 @@
         if self.mode == "endless":
             self._log_done(signature, 0)
             return Answer(content.replace(b"content-length", b"x-length"), endless=True)
-        garble = self._rng.choice(GARBLE_KINDS) if self.mode == "garbles" else ""
+        garble = self._rng.choice(GARBLE_KINDS) if self.mode == "garbles" and self._strikes() else ""
         # A truncated or unreadable answer does not count as an answer, so it is recorded with status 0.
         self._log_done(signature, 0 if garble in ("short", "junk", "other") else 200)
         answer = self._garble(garble, content)
@@ -179,6 +187,11 @@
             self._last_answer = content
         return answer
 
+    def _strikes(self, share: float = 1.0) -> bool:
+        """Whether the current fault strikes a request; ``share`` is the one for faults without a share."""
+        share = share if self.fault_share is None else self.fault_share
+        return share >= 1.0 or self._rng.random() < share
+
     def _garble(self, garble: str, content: bytes) -> Answer:
         match garble:
             case "short":
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -19,7 +19,7 @@
     Bounds,
     Layout,
 )
-from soak.server import Server
+from soak.server import SLOW_FACTOR, Server
 from soak.standin import EventLog, call, follow_commands, run_standin
 from soak.store import HEARTBEAT_S
 
@@ -58,7 +58,8 @@
         match command:
             case {"slot": slot, "mode": mode}:
                 if slot in self._servers:
-                    self._servers[slot].mode = mode
+                    share, factor = command.get("share"), command.get("factor", SLOW_FACTOR)
+                    self._servers[slot].set_fault(mode, share, factor)
             case {"drain": slot}:
                 await self._drain(slot)
             case {"vanish": slot}:
--- a/soak/store.py
+++ b/soak/store.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import json
+import random
 import sys
 import time
 from functools import partial
@@ -22,6 +23,8 @@
 # Less than the encoder bears.
 ODD_DEPTH = 400
 SLOW_S = 0.6
+# Watches that begin in mode "deaf" hear nothing for this long.
+DEAF_S = 1.0
 # Stale reads are up to 2 s old: their view is refreshed every ``STALE_VIEW_TURNS`` turns of maintenance.
 MAINTENANCE_EVERY_S, STALE_VIEW_TURNS = 0.2, 10
 # The last ``COPIES_KEPT`` copies are kept; a restore uses one at least ``COPY_AGE_S`` older than the newest.
@@ -188,6 +191,7 @@
         self.objects = Objects()
         self.mode = "sound"
         self.refused: set[int] = set()
+        self.lost_share = 1.0
         self.calls = 0
         self._log = log
         self._last_heartbeat_s: dict[str, float] = {}
@@ -197,6 +201,7 @@
         match order:
             case {"mode": mode}:
                 self.mode = mode
+                self.lost_share = order.get("share", 1.0)
             case {"refuse": nodes}:
                 self.refused = set(nodes)
             case {"restore": True}:
@@ -243,11 +248,15 @@
             return REFUSALS[mode], None
         if mode == "silent" and node != OPERATOR:
             await asyncio.sleep(3600)
+        if mode == "reset" and node != OPERATOR:
+            return None
+        if mode == "deaf" and node != OPERATOR and "watch=" in request.start_line[1]:
+            await asyncio.sleep(DEAF_S)
         if mode == "slow" and node != OPERATOR:
             await asyncio.sleep(SLOW_S)
         answer = await self._answer(node, request)
         if mode == "loses_answers" and node != OPERATOR and request.start_line[0] != "GET":
-            return None
+            return None if self.lost_share >= 1.0 or random.random() < self.lost_share else answer
         return answer
 
     async def _answer(self, node: int, request: HttpMessage) -> tuple[int, Any]:
--- a/tests/soak/test_soak_standins.py
+++ b/tests/soak/test_soak_standins.py
@@ -345,3 +345,42 @@
         assert objects.timeline == 2
 
     run(scenario)
+
+
+# Guards against: a fault meant for a share of the answers that strikes all or none of them.
+def test_a_server_loses_only_the_commanded_share_of_its_answers(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        server = Server("i-0-1", "a0", "s1", EventLog(tmp_path / "events.jsonl"), random.Random(1))
+        server.set_fault("loses_answers", share=0.5)
+        lost = [server._strikes() for _ in range(400)]
+        assert 0.4 < sum(lost) / len(lost) < 0.6
+        server.set_fault("loses_answers")
+        assert server._strikes()
+
+    run(scenario)
+
+
+# Guards against: a store fault meant for a share of the writes that loses the answers of all of them.
+def test_the_store_loses_only_the_commanded_share_of_its_answers(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        store = Store(EventLog(tmp_path / "events.jsonl"))
+        store.apply_command({"mode": "loses_answers", "share": 0.0})
+        body = json.dumps({"spec": {"service": "a0"}}).encode()
+        write = HttpMessage(("PUT", "/objects/servers/i-1", "HTTP/1.1"), {}, body)
+        assert await store._serve_one(0, write) is not None
+        store.apply_command({"mode": "loses_answers"})
+        assert await store._serve_one(0, write) is None
+
+    run(scenario)
+
+
+# Guards against: a store that is to break off calls and answers them.
+def test_the_store_breaks_off_calls_of_nodes_when_it_resets(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        store = Store(EventLog(tmp_path / "events.jsonl"))
+        store.apply_command({"mode": "reset"})
+        read = HttpMessage(("GET", "/objects/servers", "HTTP/1.1"), {}, b"")
+        assert await store._serve_one(0, read) is None
+        assert await store._serve_one(OPERATOR, read) is not None
+
+    run(scenario)
