--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -312,8 +312,7 @@
 
     async def _compact_store(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         """Let watches hear nothing while changes are made, then drop the history of these changes."""
-        if not self._owners_of_store_over(planned.number):
-            return
+        self._take(planned.number, ["store"])
         day.store_command(mode="deaf")
         drained = self._choose_servers(day, planned, rng, 0.15)[:1] if "drain" in planned.trouble.how else []
         async with asyncio.TaskGroup() as group:
@@ -325,10 +324,6 @@
             if self._release(planned.number, ["store"]):
                 day.store_command(mode="sound")
 
-    def _owners_of_store_over(self, number: int) -> bool:
-        self._take(number, ["store"])
-        return True
-
     async def _change_configuration(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         await day.change_configuration(" ".join(planned.trouble.how) or "timeout")
 
--- a/soak/site_plan.py
+++ b/soak/site_plan.py
@@ -1,7 +1,7 @@
 """Plans the troubles of a deployment's day from a seed, without side effects, so that a seed repeats its day.
 
-Times count from the start of traffic; a negative one lies in the start of the nodes. Targets are drawn when a
-trouble strikes, from what then runs, with the seed that the plan gives each trouble.
+Times count from the start of traffic. Targets are drawn when a trouble strikes, from what then runs, with the
+seed that the plan gives each trouble.
 """
 
 import random
@@ -99,8 +99,8 @@
 # Troubles overlap: they strike in a few clusters of this width.
 CLUSTERS, CLUSTER_WIDTH_S = 3, 5.0
 SERIES_GAP_S, FOLLOW_UP_GAP_S = (0.5, 4.0), (0.02, 1.5)
-START_WINDOW_S = (-4.0, 1.0)
-TROUBLES_IN_START = 2
+# All nodes start anew at the beginning of this share of days, with troubles meanwhile.
+RESTART_SHARE, RESTART_AT_S, TROUBLES_IN_START = 0.5, 0.2, 2
 QUIET_BEFORE_END_S = 3.0
 DEFAULT_FOR_S, DEFAULT_GAP_S = 5.0, 1.0
 DEFAULT_FINALS = (FinalFault("kill_all", 1.0), FinalFault("power_off_all", 1.0))
@@ -136,7 +136,7 @@
     end_s = max(1.0, seconds - QUIET_BEFORE_END_S)
     drawn = _draw_troubles(rng, site, end_s)
     drawn += _draw_follow_ups(rng, site, drawn, end_s)
-    drawn += _draw_start_troubles(rng, site)
+    drawn += _draw_start_troubles(rng, site, end_s)
     final = rng.choice(_finals(site)) if rng.random() < FINAL_SHARE else None
     return _plan(f"seed-{seed}", seed, seconds, drawn, final)
 
@@ -167,6 +167,12 @@
     return DayPlan(name, seed, seconds, troubles, final, tuple(sorted(left_out.items())))
 
 
+def day_of(site: Site, plan: DayPlan) -> Day:
+    """Return the day that a plan describes, with the site's usual traffic."""
+    traffic = next((day.traffic for day in site.days if day.name == plan.name), site.traffic)
+    return Day(plan.name, plan.seed, traffic, tuple(each.trouble for each in plan.troubles), plan.final)
+
+
 def support_of(kind: str) -> KindSupport:
     """Return how a kind is played; one that is not known is left out."""
     return KINDS.get(kind, _left_out("unknown kind"))
@@ -207,14 +213,19 @@
     return found
 
 
-def _draw_start_troubles(rng: random.Random, site: Site) -> list[Trouble]:
+def _draw_start_troubles(rng: random.Random, site: Site, end_s: float) -> list[Trouble]:
+    """Draw a start of all nodes at once, and what strikes them in it."""
+    if rng.random() >= RESTART_SHARE:
+        return []
     choices = [
-        Trouble("hup", how=(REWRITTEN,), share=0.6, gap_s=0.5),
+        Trouble("hup", how=(REWRITTEN,), share=1.0, gap_s=0.5),
         Trouble("node_kill", share=0.2, for_s=0.5),
         *(each for each in site.troubles if each.kind in STORE_KINDS),
     ]
-    found = [rng.choice(choices) for _ in range(TROUBLES_IN_START)]
-    return [each._replace(at_s=round(rng.uniform(*START_WINDOW_S), 3)) for each in found]
+    restart = Trouble("herd_kill", at_s=RESTART_AT_S, share=1.0, for_s=0.1)
+    strikes = [rng.choice(choices) for _ in range(TROUBLES_IN_START)]
+    back_s = RESTART_AT_S + 0.1
+    return [restart, *(_timed(each, back_s + rng.uniform(*FOLLOW_UP_GAP_S), end_s) for each in strikes)]
 
 
 def _timed(trouble: Trouble, at_s: float, end_s: float) -> Trouble:
