--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -20,6 +20,8 @@
 DRAIN_AFTER_RETURN_S = 0.3
 # A server that was asked to leave has ended by then.
 AFTER_DRAIN_S = 3.5
+# What the factor of a slow store multiplies.
+SOUND_STORE_CALL_S = 0.005
 COMPACTION_PAUSE_S, CHANGES_IN_PAUSE = 1.0, 3
 BIG_CONFIGURATION_ROUTES = 350
 ALL_KILLED = "core"
@@ -28,8 +30,6 @@
 SERVER_MODES |= {"reset": "loses_answers", "slow": "slow"}
 STORE_MODES = {"silent": "silent", "busy": "throttled", "reset": "reset"}
 LINK_MODES = {"one_way": "one_way", "reset": "reset", "refuse": "reset"}
-# Settings that a reload may change, with the factors of what the machine has.
-SHARE_FACTORS = (0.9, 1.0, 1.1)
 
 Chosen = TypeVar("Chosen")
 Play = Callable[[SiteDay, PlannedTrouble, random.Random], Awaitable[None]]
@@ -213,7 +213,7 @@
         pause_s = (trouble.gap_s or DEFAULT_GAP_S) / max(1, len(nodes))
         for node in nodes:
             if REWRITTEN in trouble.how:
-                day.rewrite_settings(node, cpuShare=rng.choice(SHARE_FACTORS))
+                day.rewrite_settings(node)
             if node in day.running_nodes():
                 day.signal_node(node, signal.SIGHUP)
             await asyncio.sleep(pause_s)
@@ -279,29 +279,27 @@
     async def _fail_store(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         trouble = planned.trouble
         if "nodes" in trouble.how:
-            await self._refuse_nodes(day, planned, rng)
+            nodes = self._choose_nodes(day, planned, rng, 0.35)
+            await self._fail_store_for(day, planned, nodes, _store_mode(trouble.how))
             return
-        modes = [STORE_MODES[word] for word in trouble.how if word in STORE_MODES]
-        await self._set_store(day, planned, mode=modes[0] if modes else "silent")
+        await self._set_store(day, planned, mode=_store_mode(trouble.how))
         if "lapse" in trouble.how:
             day.store_command(forget="entries")
 
-    async def _refuse_nodes(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
-        nodes = self._choose_nodes(day, planned, rng, 0.35)
-        self._take(planned.number, ["refusal"])
-        day.store_command(refuse=nodes)
+    async def _fail_store_for(
+        self, day: SiteDay, planned: PlannedTrouble, nodes: list[int], mode: str
+    ) -> None:
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._set_store(day, planned, mode=mode, nodes=nodes))
             if "meet" in planned.trouble.how:
                 group.create_task(self._change_on_return(day, planned.trouble.for_s or DEFAULT_FOR_S, 1))
-            await asyncio.sleep(planned.trouble.for_s or DEFAULT_FOR_S)
-            if self._release(planned.number, ["refusal"]):
-                day.store_command(refuse=[])
 
     async def _lose_store_answers(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         await self._set_store(day, planned, mode="loses_answers", share=planned.trouble.factor or 0.3)
 
     async def _slow_store(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
-        await self._set_store(day, planned, mode="slow")
+        slow_s = SOUND_STORE_CALL_S * (planned.trouble.factor or 50.0)
+        await self._set_store(day, planned, mode="slow", slow_s=slow_s)
 
     async def _set_store(self, day: SiteDay, planned: PlannedTrouble, **command: Any) -> None:
         self._take(planned.number, ["store"])
@@ -350,8 +348,8 @@
     def _disturb_servers(self, mode: str) -> Play:
         async def play(day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
             trouble = planned.trouble
-            key = "factor" if mode == "slow" else "share"
-            more = {} if trouble.factor is None else {key: trouble.factor}
+            strength = "factor" if mode == "slow" else "share"
+            more = {} if trouble.factor is None else {strength: trouble.factor}
             slots = self._choose_servers(day, planned, rng, 0.15 if mode == "slow" else 0.5)
             await self._set_servers(day, planned, slots, mode=mode, **more)
 
@@ -365,11 +363,11 @@
         self, day: SiteDay, planned: PlannedTrouble, slots: list[int], **command: Any
     ) -> None:
         names = {f"server:{slot}": slot for slot in slots}
-        for name in self._take(planned.number, names):
-            day.servers_command(slot=names[name], **command)
+        self._take(planned.number, names)
+        day.servers_command(slots=slots, **command)
         await asyncio.sleep(planned.trouble.for_s or DEFAULT_FOR_S)
-        for name in self._release(planned.number, names):
-            day.servers_command(slot=names[name], mode="sound")
+        sound = [names[name] for name in self._release(planned.number, names)]
+        day.servers_command(slots=sound, mode="sound")
 
     async def _crash_servers(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         trouble = planned.trouble
@@ -377,13 +375,11 @@
         if "dark" in trouble.how:
             await self._set_servers(day, planned, slots, mode="dark")
             return
-        for slot in slots:
-            day.servers_command(vanish=slot)
+        day.servers_command(vanish=slots)
         if "gone" in trouble.how:
             return
         await asyncio.sleep(trouble.for_s or DEFAULT_FOR_S)
-        for slot in slots:
-            day.servers_command(restart=slot)
+        day.servers_command(restart=slots)
 
     async def _replace_servers(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         trouble = planned.trouble
@@ -399,21 +395,19 @@
         await self._drain_and_restart(day, slots, planned.trouble.for_s or 0.0)
 
     async def _drain_and_restart(self, day: SiteDay, slots: list[int], least_s: float = 0.0) -> None:
-        for slot in slots:
-            day.servers_command(drain=slot)
-        if slots:
-            await asyncio.sleep(max(least_s, day.layout.site.bounds.drain_s + AFTER_DRAIN_S))
-        for slot in slots:
-            day.servers_command(restart=slot)
+        if not slots:
+            return
+        day.servers_command(drain=slots)
+        await asyncio.sleep(max(least_s, day.layout.site.bounds.drain_s + AFTER_DRAIN_S))
+        day.servers_command(restart=slots)
 
     async def _reuse_addresses(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         slots = self._choose_servers(day, planned, rng, 0.15)
         services = sorted({each.service for each in day.layout.servers() if not each.later})
-        for slot in slots:
-            day.servers_command(reuse=slot, service=rng.choice(services))
-        await asyncio.sleep(max(planned.trouble.for_s or 0.0, DEFAULT_FOR_S))
-        for slot in slots:
-            day.servers_command(restart=slot)
+        after_s = day.layout.site.bounds.address_reuse_s
+        day.servers_command(reuse=slots, service=rng.choice(services), after_s=after_s)
+        await asyncio.sleep(max(planned.trouble.for_s or 0.0, after_s + DEFAULT_FOR_S))
+        day.servers_command(restart=slots)
 
     async def _add_traffic(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         trouble = planned.trouble
@@ -427,6 +421,10 @@
             day.callers_command(factor=1.0)
 
 
+def _store_mode(how: tuple[str, ...]) -> str:
+    return next((STORE_MODES[word] for word in how if word in STORE_MODES), "silent")
+
+
 def _one_target(planned: PlannedTrouble) -> Any:
     return planned.trouble._replace(targets=planned.trouble.targets or 1)
 
--- a/soak/site_plan.py
+++ b/soak/site_plan.py
@@ -1,7 +1,7 @@
 """Plans the troubles of a deployment's day from a seed, without side effects, so that a seed repeats its day.
 
-Times count from the start of traffic. Targets are drawn when a trouble strikes, from what then runs, with the
-seed that the plan gives each trouble.
+Times count from the start of traffic; negative ones lie in the nodes' first start. Targets are drawn when a
+trouble strikes, from what then runs, with the seed that the plan gives each trouble.
 """
 
 import random
@@ -99,8 +99,8 @@
 # Troubles overlap: they strike in a few clusters of this width.
 CLUSTERS, CLUSTER_WIDTH_S = 3, 5.0
 SERIES_GAP_S, FOLLOW_UP_GAP_S = (0.5, 4.0), (0.02, 1.5)
-# All nodes start anew at the beginning of this share of days, with troubles meanwhile.
-RESTART_SHARE, RESTART_AT_S, TROUBLES_IN_START = 0.5, 0.2, 2
+# Troubles strike the nodes' first start within this time of its beginning.
+TROUBLES_IN_START, START_WINDOW_S = 2, (0.02, 4.0)
 QUIET_BEFORE_END_S = 3.0
 DEFAULT_FOR_S, DEFAULT_GAP_S = 5.0, 1.0
 DEFAULT_FINALS = (FinalFault("kill_all", 1.0), FinalFault("power_off_all", 1.0))
@@ -136,7 +136,7 @@
     end_s = max(1.0, seconds - QUIET_BEFORE_END_S)
     drawn = _draw_troubles(rng, site, end_s)
     drawn += _draw_follow_ups(rng, site, drawn, end_s)
-    drawn += _draw_start_troubles(rng, site, end_s)
+    drawn += _draw_start_troubles(rng, site)
     final = rng.choice(_finals(site)) if rng.random() < FINAL_SHARE else None
     return _plan(f"seed-{seed}", seed, seconds, drawn, final)
 
@@ -213,19 +213,15 @@
     return found
 
 
-def _draw_start_troubles(rng: random.Random, site: Site, end_s: float) -> list[Trouble]:
-    """Draw a start of all nodes at once, and what strikes them in it."""
-    if rng.random() >= RESTART_SHARE:
-        return []
+def _draw_start_troubles(rng: random.Random, site: Site) -> list[Trouble]:
+    """Draw what strikes nodes in their first start, before there is traffic."""
     choices = [
         Trouble("hup", how=(REWRITTEN,), share=1.0, gap_s=0.5),
         Trouble("node_kill", share=0.2, for_s=0.5),
         *(each for each in site.troubles if each.kind in STORE_KINDS),
     ]
-    restart = Trouble("herd_kill", at_s=RESTART_AT_S, share=1.0, for_s=0.1)
-    strikes = [rng.choice(choices) for _ in range(TROUBLES_IN_START)]
-    back_s = RESTART_AT_S + 0.1
-    return [restart, *(_timed(each, back_s + rng.uniform(*FOLLOW_UP_GAP_S), end_s) for each in strikes)]
+    found = [rng.choice(choices) for _ in range(TROUBLES_IN_START)]
+    return [each._replace(at_s=round(rng.uniform(*START_WINDOW_S) - site.lead_s, 3)) for each in found]
 
 
 def _timed(trouble: Trouble, at_s: float, end_s: float) -> Trouble:
--- a/soak/site_record.py
+++ b/soak/site_record.py
@@ -77,7 +77,7 @@
 class SiteRecord(NamedTuple):
     """A day as the soak, its callers and its nodes recorded it.
 
-    ``recovery_s`` is when all nodes were started again after the final fault, infinite if there was none.
+    ``recovery_s`` is when all nodes came back after the final fault, infinite if there was none.
     """
 
     bounds: SiteBounds
@@ -105,7 +105,7 @@
     first_s = float(events[0]["t"]) if events else 0.0
     begins = [float(event["t"]) for event in by_kind["day_begin"]]
     ends = [float(event["t"]) for event in by_kind["day_end"]]
-    finals = [float(event["t"]) for event in by_kind["final_fault_end"]]
+    finals = [float(event["t"]) for event in by_kind["final_return"]]
     return SiteRecord(
         bounds=bounds,
         limits=limits,
