--- a/soak/site_run.py
+++ b/soak/site_run.py
@@ -6,8 +6,10 @@
 
 from soak.sheet import read_sheet
 from soak.site import Day, FinalFault, Site
-from soak.site_day import Planned, SiteDay
+from soak.site_day import Plan, Planned, SiteDay
+from soak.site_faults import TroublePlayer
 from soak.site_layout import SiteLayout
+from soak.site_plan import plan_day, plan_standard_day
 
 # What days of a sheet without days of its own are called.
 DEFAULT_DAY_NAME = "day"
@@ -15,10 +17,16 @@
 
 
 class DayTerms(NamedTuple):
-    """How days are played: the share of the sheet's traffic, and its length (0: as the sheet says)."""
+    """How days are played: the share of the sheet's traffic, and its length (0: as the sheet says).
+
+    A ``quiet`` day has no troubles but its final fault. ``day`` names one of the sheet's days to be replayed;
+    otherwise the troubles are drawn.
+    """
 
     load: float = 1.0
     seconds: float = 0.0
+    quiet: bool = False
+    day: str = ""
 
 
 class DayOutcome(NamedTuple):
@@ -43,8 +51,19 @@
         return "; ".join((served, ends, *self.problems, str(self.folder)))
 
 
-def day_of(site: Site, seed: int) -> Day:
-    """Return the day of the sheet whose traffic a seed takes."""
+def day_of(site: Site, seed: int, name: str = "") -> Day:
+    """Return the day of the sheet whose traffic a seed takes, or the one of a name.
+
+    Raises
+    ------
+    ValueError
+        The sheet has no day of this name.
+    """
+    if name:
+        found = [each for each in site.days if each.name == name]
+        if not found:
+            raise ValueError(f"no day {name!r}; there are {', '.join(each.name for each in site.days)}")
+        return found[0]
     if site.days:
         return site.days[seed % len(site.days)]
     return Day(DEFAULT_DAY_NAME, seed, site.traffic, (), None)
@@ -58,24 +77,31 @@
     troubles: tuple[Planned, ...] = ()
 
 
+def plan_of(site: Site, day: Day, seed: int, terms: DayTerms) -> Plan:
+    """Return what strikes on a day: its own troubles, ones that the seed draws, or none."""
+    seconds = terms.seconds or site.day_s
+    if terms.quiet:
+        return QuietPlan(seconds, day.final)
+    if terms.day:
+        return plan_standard_day(site, day)._replace(seconds=seconds)
+    return plan_day(site, seed, seconds)
+
+
 async def play_day(sheet: Path, seed: int, folder: Path, terms: DayTerms) -> DayOutcome:
     """Play the day of a seed, with its logs in ``folder``."""
     site = read_sheet(sheet)
     layout = SiteLayout(site)
-    day = SiteDay(layout, sheet, day_of(site, seed), seed, folder, terms.load)
-    plan = QuietPlan(terms.seconds or site.day_s, day.day.final)
+    sheet_day = day_of(site, seed, terms.day)
+    plan = plan_of(site, sheet_day, seed, terms)
+    day = SiteDay(layout, sheet, sheet_day, seed, folder, terms.load)
     try:
         await day.start()
-        await day.play(plan, _nothing)
+        await day.play(plan, TroublePlayer().bring_about)
     finally:
         await day.end()
     return outcome_of(folder)
 
 
-async def _nothing(day: SiteDay, planned: Any) -> None:
-    """Bring about none of a quiet plan's troubles."""
-
-
 def outcome_of(folder: Path) -> DayOutcome:
     """Return what the logs of a day tell of it at first sight."""
     answers = [each for each in _events(folder / "events-callers.jsonl") if each["what"] == "answer"]
--- a/tests/soak/test_soak_standins.py
+++ b/tests/soak/test_soak_standins.py
@@ -15,7 +15,7 @@
 from soak.server import Server
 from soak.slow_callers import CONNECTIONS_EACH, WAYS, hold_connections
 from soak.standin import EventLog, HttpMessage, TruncatedMessageError, encode_message, read_message
-from soak.store import OPERATOR, Objects, Store
+from soak.store import DEAF_S, OPERATOR, Objects, Store
 
 LIMIT_S = 20.0
 
@@ -345,3 +345,20 @@
         assert objects.timeline == 2
 
     run(scenario)
+
+
+# Guards against: watches that hear of changes at once although the store is to keep them back.
+def test_watches_of_nodes_hear_nothing_for_a_while_in_a_deaf_store(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        store = Store(EventLog(tmp_path / "events.jsonl"))
+        store.apply_command({"mode": "deaf"})
+        store.objects.put("config", "main", "spec", {}, None)
+        watch = HttpMessage(("GET", "/objects/config?watch=1&waitMs=10", "HTTP/1.1"), {}, b"")
+        read = HttpMessage(("GET", "/objects/config", "HTTP/1.1"), {}, b"")
+        started_s = time.monotonic()
+        assert await store._serve_one(0, read) is not None
+        assert time.monotonic() - started_s < DEAF_S / 2
+        assert await store._serve_one(0, watch) is not None
+        assert time.monotonic() - started_s >= DEAF_S
+
+    run(scenario)
