--- a/soak/site_servers.py
+++ b/soak/site_servers.py
@@ -68,36 +68,42 @@
             await self.start(each.slot, each.service)
 
     async def follow(self, command: dict[str, Any]) -> None:
-        """Apply a command about the server in one slot, or about all servers of some service groups."""
+        """Apply a command about the servers in some slots, or of some service groups."""
         match command:
-            case {"slot": slot, "mode": mode}:
-                self._set_mode(slot, mode, command)
-            case {"drain": slot}:
-                await self.drain(slot)
-            case {"vanish": slot}:
-                self.end(slot)
-            case {"restart": slot}:
-                self.end(slot)
-                await self.start(slot, self._slots[slot].service)
-            case {"reuse": slot, "service": service}:
-                self.end(slot)
-                await asyncio.sleep(self._reuse_after_s)
-                await self.start(slot, service)
-            case {"release": slot, "version": version}:
-                await self.drain(slot)
-                await self.start(slot, self._slots[slot].service, version)
+            case {"slots": slots, "mode": mode}:
+                self._set_mode(slots, mode, command)
+            case {"drain": slots}:
+                await asyncio.gather(*(self.drain(slot) for slot in slots))
+            case {"vanish": slots}:
+                for slot in slots:
+                    self.end(slot)
+            case {"restart": slots}:
+                for slot in slots:
+                    self.end(slot)
+                    await self.start(slot, self._slots[slot].service)
+            case {"reuse": slots, "service": service}:
+                await self._reuse(slots, service, command.get("after_s", self._reuse_after_s))
             case {"start_groups": groups}:
                 await self._start_all([each for each in self._slots if each.group in groups])
             case {"drain_groups": groups}:
                 slots = [each.slot for each in self._slots if each.group in groups]
                 await asyncio.gather(*(self.drain(slot) for slot in slots))
 
-    def _set_mode(self, slot: int, mode: str, command: dict[str, Any]) -> None:
-        server = self.servers.get(slot)
-        if server is not None:
-            server.slow_factor = command.get("factor", SLOW_FACTOR)
-            server.fault_share = command.get("share", 1.0)
-            server.mode = mode
+    def _set_mode(self, slots: list[int], mode: str, command: dict[str, Any]) -> None:
+        for slot in slots:
+            server = self.servers.get(slot)
+            if server is not None:
+                server.slow_factor = command.get("factor", SLOW_FACTOR)
+                server.fault_share = command.get("share", 1.0)
+                server.mode = mode
+
+    async def _reuse(self, slots: list[int], service: str, after_s: float) -> None:
+        """End servers, and later start ones of another service at their addresses."""
+        for slot in slots:
+            self.end(slot)
+        await asyncio.sleep(after_s)
+        for slot in slots:
+            await self.start(slot, service)
 
 
 async def run(layout: SiteLayout, log_path: Path, seed: int) -> None:
