--- a/soak/site_plan.py
+++ b/soak/site_plan.py
@@ -180,7 +180,7 @@
 
 def _draw_troubles(rng: random.Random, site: Site, end_s: float) -> list[Trouble]:
     """Deal kinds from a shuffled deck at times around a few clusters, some of them in series."""
-    clusters = [rng.uniform(1.0, end_s) for _ in range(CLUSTERS)]
+    clusters = [end_s * (number + rng.random()) / CLUSTERS for number in range(CLUSTERS)]
     count = rng.randint(MIN_TROUBLES, MAX_TROUBLES)
     deck: list[Trouble] = []
     drawn: list[Trouble] = []
