--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -53,6 +53,8 @@
         "--folder", type=Path, help="folder for logs and reports; default: a new temporary folder"
     )
     parser.add_argument("--judge", type=Path, help="check the logs in the folder of an earlier run again")
+    parser.add_argument("--quiet", action="store_true", help="days of a sheet without troubles")
+    parser.add_argument("--day", default="", help="replay this day of the sheet")
     parser.add_argument("--site", type=Path, help="play days of this users' sheet instead")
     parser.add_argument("--days", type=int, default=1, help="days of the sheet, with a seed each")
     parser.add_argument("--load", type=float, default=1.0, help="the share of the sheet's traffic")
@@ -72,7 +74,8 @@
     folder = options.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     seed = random.SystemRandom().randrange(1 << 40) if options.seed is None else options.seed
     if options.site:
-        return _play_site(options.site, seed, options.days, DayTerms(options.load, options.seconds), folder)
+        terms = DayTerms(options.load, options.seconds, options.quiet, options.day)
+        return _play_site(options.site, seed, options.days, terms, folder)
     runs = [*(read_seeds(SEEDS.read_text()) if options.replay else ()), (seed, options.minutes)]
     return max(_run(each, minutes, options.nodes, kinds, folder) for each, minutes in runs)
 
