--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from soak.record import read_record
 from soak.run import Soak
 from soak.schedule import HAZARD_KINDS, KINDS, ROLLOUT_KINDS, plan
+from soak.site_report import markdown_table
 from soak.site_run import DayTerms, play_day
 
 SEEDS = Path(__file__).with_name("seeds.txt")
@@ -87,6 +88,9 @@
         folder.mkdir(parents=True)
         outcomes.append(asyncio.run(play_day(sheet, seed, folder, terms)))
         print(f"{sheet.stem}, seed {seed}: {outcomes[-1].line()}", flush=True)
+        for violation in outcomes[-1].report["violations"]:
+            print(f"violation: {violation['promise']}: {violation['detail']}", flush=True)
+    print(markdown_table(each.report for each in outcomes), end="", flush=True)
     return int(any(each.failed for each in outcomes))
 
 
--- a/soak/site_run.py
+++ b/soak/site_run.py
@@ -5,11 +5,12 @@
 from typing import Any, NamedTuple
 
 from soak.sheet import read_sheet
-from soak.site import Day, FinalFault, Site
-from soak.site_day import Plan, Planned, SiteDay
+from soak.site import Day, Site
+from soak.site_day import SiteDay
 from soak.site_faults import TroublePlayer
 from soak.site_layout import SiteLayout
-from soak.site_plan import plan_day, plan_standard_day
+from soak.site_plan import DayPlan, plan_day, plan_standard_day
+from soak.site_report import DayReport, day_line, report_day
 
 # What days of a sheet without days of its own are called.
 DEFAULT_DAY_NAME = "day"
@@ -33,22 +34,17 @@
     """What came of a day; ``problems`` are of the soak itself, such as a stand-in's errors."""
 
     folder: Path
-    answers: int
-    successes: int
-    unasked_ends: int
-    not_ready: int
+    report: DayReport
     problems: tuple[str, ...]
 
     @property
     def failed(self) -> bool:
-        """Whether a process ended by itself, a node did not start, or the soak itself had a problem."""
-        return bool(self.unasked_ends or self.not_ready or self.problems)
+        """Whether a promise was broken or the soak itself had a problem."""
+        return bool(self.report["violations"] or self.problems)
 
     def line(self) -> str:
         """Return a day's line for the terminal."""
-        served = f"{self.successes} of {self.answers} requests served"
-        ends = f"{self.unasked_ends} unasked ends, {self.not_ready} nodes not ready"
-        return "; ".join((served, ends, *self.problems, str(self.folder)))
+        return "; ".join((day_line(self.report), *self.problems, str(self.folder)))
 
 
 def day_of(site: Site, seed: int, name: str = "") -> Day:
@@ -69,19 +65,11 @@
     return Day(DEFAULT_DAY_NAME, seed, site.traffic, (), None)
 
 
-class QuietPlan(NamedTuple):
-    """A day without troubles but for the final fault of the sheet's day."""
-
-    seconds: float
-    final: FinalFault | None
-    troubles: tuple[Planned, ...] = ()
-
-
-def plan_of(site: Site, day: Day, seed: int, terms: DayTerms) -> Plan:
+def plan_of(site: Site, day: Day, seed: int, terms: DayTerms) -> DayPlan:
     """Return what strikes on a day: its own troubles, ones that the seed draws, or none."""
     seconds = terms.seconds or site.day_s
     if terms.quiet:
-        return QuietPlan(seconds, day.final)
+        return DayPlan(f"quiet-{day.name}", seed, seconds, (), day.final)
     if terms.day:
         return plan_standard_day(site, day)._replace(seconds=seconds)
     return plan_day(site, seed, seconds)
@@ -99,23 +87,15 @@
         await day.play(plan, TroublePlayer().bring_about)
     finally:
         await day.end()
-    return outcome_of(folder)
+    return DayOutcome(folder, report_day(folder, layout, plan), problems_of(folder))
 
 
-def outcome_of(folder: Path) -> DayOutcome:
-    """Return what the logs of a day tell of it at first sight."""
-    answers = [each for each in _events(folder / "events-callers.jsonl") if each["what"] == "answer"]
-    soak_events = _events(folder / "events-soak.jsonl")
+def problems_of(folder: Path) -> tuple[str, ...]:
+    """Return the problems of the soak itself: what its stand-ins wrote, and troubles that failed."""
     errors = [f"{name}.log has errors" for name in STANDINS if (folder / f"{name}.log").stat().st_size]
+    soak_events = _events(folder / "events-soak.jsonl")
     failed = [each["error"] for each in soak_events if each["what"] == "trouble_failed"]
-    return DayOutcome(
-        folder=folder,
-        answers=len(answers),
-        successes=sum(200 <= each["status"] < 300 for each in answers),
-        unasked_ends=sum(each["what"] == "node_ended_unasked" for each in soak_events),
-        not_ready=sum(each["what"] == "node_not_ready" for each in soak_events),
-        problems=(*errors, *failed),
-    )
+    return (*errors, *failed)
 
 
 def _events(path: Path) -> list[dict[str, Any]]:
