--- a/soak/site_nodes.py
+++ b/soak/site_nodes.py
@@ -38,7 +38,7 @@
 
     def __init__(self, process: asyncio.subprocess.Process) -> None:
         self.process = process
-        self.asked_to_end = False
+        self.asked_to_end: signal.Signals | None = None
         self.over_memory = False
         self.signals_in_start: list[str] = []
         self.usage: dict[str, Any] = {"memory_mb": 0.0, "descriptors": 0}
@@ -48,6 +48,12 @@
         """Whether the process has not ended yet."""
         return self.process.returncode is None
 
+    @property
+    def ended_as_asked(self) -> bool:
+        """Whether somebody asked for the end; one that came just before a SIGKILL was its own."""
+        killed = self.process.returncode == -signal.SIGKILL
+        return killed if self.asked_to_end is signal.SIGKILL else self.asked_to_end is not None
+
 
 class SiteNodes:
     """The nodes of a site, each started by ``start`` and from then on after each end of its own."""
@@ -176,7 +182,7 @@
     async def _watch_end(self, number: int, current: NodeProcess) -> None:
         """Record the end of a process, and start the node again if nobody asked for that end."""
         code = await current.process.wait()
-        if current.asked_to_end:
+        if current.ended_as_asked:
             self._log.write("node_exited", node=number, code=code, asked=True)
             return
         self._log.write(
@@ -202,7 +208,7 @@
         async with self._spawning[number]:
             current = self._current.get(number)
         if current is not None and current.running:
-            current.asked_to_end = True
+            current.asked_to_end = current.asked_to_end or signal.SIGKILL
             current.process.kill()
             await current.process.wait()
 
@@ -213,7 +219,7 @@
             current = self._current.get(number)
         if current is None or not current.running:
             return
-        current.asked_to_end = True
+        current.asked_to_end = signal.SIGTERM
         self.send(number, signal.SIGTERM)
         try:
             async with asyncio.timeout(self._layout.site.bounds.grace_s):
