--- a/soak/site_plan.py
+++ b/soak/site_plan.py
@@ -167,12 +167,6 @@
     return DayPlan(name, seed, seconds, troubles, final, tuple(sorted(left_out.items())))
 
 
-def day_of(site: Site, plan: DayPlan) -> Day:
-    """Return the day that a plan describes, with the site's usual traffic."""
-    traffic = next((day.traffic for day in site.days if day.name == plan.name), site.traffic)
-    return Day(plan.name, plan.seed, traffic, tuple(each.trouble for each in plan.troubles), plan.final)
-
-
 def support_of(kind: str) -> KindSupport:
     """Return how a kind is played; one that is not known is left out."""
     return KINDS.get(kind, _left_out("unknown kind"))
--- a/tests/soak/test_soak_site_plan.py
+++ b/tests/soak/test_soak_site_plan.py
@@ -12,7 +12,6 @@
     MIN_TROUBLES,
     TROUBLES_IN_START,
     Support,
-    day_of,
     plan_day,
     plan_standard_day,
 )
@@ -90,4 +89,3 @@
     assert [(each.trouble.kind, each.at_s) for each in plan.troubles] == [("hup", 5.0)]
     assert plan.left_out == (("shift", KINDS["shift"].note),)
     assert plan.final == FinalFault("kill_all", 2.0)
-    assert day_of(SITE, plan).final == plan.final
