--- a/soak/clients.py
+++ b/soak/clients.py
@@ -71,9 +71,18 @@
         return f"{self._prefix}-{next(self._numbers)}"
 
     async def request(
-        self, route: str, node: int, path: str, request_id: str, deadline_s: float
+        self,
+        route: str,
+        node: int,
+        path: str,
+        request_id: str,
+        deadline_s: float,
+        give_up_s: float | None = None,
     ) -> HttpMessage | None:
-        """Send a request, record its outcome and return the answer, ``None`` if there was none."""
+        """Send a request, record its outcome and return the answer, ``None`` if there was none.
+
+        A client that gives up closes the connection if there is no answer after ``give_up_s``.
+        """
         request_fields = {"id": request_id, "route": route, "node": node, "path": path}
         connect_started_s = time.monotonic()
         connection = await self._connect(node)
@@ -84,7 +93,7 @@
         asked_s = time.monotonic()
         ending, message = "silent", None
         try:
-            async with asyncio.timeout(deadline_s + PAST_DEADLINE_S):
+            async with asyncio.timeout(deadline_s + PAST_DEADLINE_S if give_up_s is None else give_up_s):
                 connection.writer.write(encode_message(f"GET {path} HTTP/1.1", headers))
                 message = await read_message(connection.reader)
                 ending = "answered" if message else "closed"
@@ -95,7 +104,7 @@
         except ValueError:
             ending = "broken"
         except TimeoutError:
-            ending = "silent"
+            ending = "silent" if give_up_s is None else "gave_up"
         self._keep(node, connection, message)
         self._log.write("answer", **request_fields, asked_s=asked_s, ending=ending, **_answer_fields(message))
         return message
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from functools import partial
 from typing import Any, NamedTuple
 
 from soak.layout import FIRST_VERSION, RESTART_S, SERVER_PORT
@@ -23,11 +24,15 @@
 
 
 class FleetTerms(NamedTuple):
-    """What the servers share: the store's address for them, and the times that bind them."""
+    """What the servers share: the store's address for them, and the times that bind them.
+
+    ``abrupt_share`` is the share of planned stops of which a server says nothing: its entry goes.
+    """
 
     store: tuple[str, int]
     drain_s: float
     heartbeat_s: float
+    abrupt_share: float = 0.0
 
 
 class Fleet:
@@ -95,8 +100,13 @@
         server = self.servers.get(slot)
         if server is None:
             return
-        server.leaving = True
-        while not await self._write_entry(slot, server):
+        if self._terms.abrupt_share and self.rng.random() < self._terms.abrupt_share:
+            self._heartbeats[slot].cancel()
+            leave = partial(self.remove_entry, server)
+        else:
+            server.leaving = True
+            leave = partial(self._write_entry, slot, server)
+        while not await leave():
             await asyncio.sleep(0.3)
         self.log.write("leaving", server=server.instance, slot=slot)
         await asyncio.sleep(self._terms.drain_s + self.rng.uniform(*EXIT_AFTER_DRAIN_S))
@@ -121,12 +131,12 @@
         }
         return await self._call_store("PUT", server.instance, {"spec": spec})
 
-    async def remove_entry(self, server: Server) -> None:
-        """Remove a server's entry from the store."""
-        await self._call_store("DELETE", server.instance, None)
+    async def remove_entry(self, server: Server) -> bool:
+        """Remove a server's entry from the store, and return whether the store has done so."""
+        return await self._call_store("DELETE", server.instance, None)
 
     async def _call_store(self, method: str, instance: str, body: Any) -> bool:
         host, port = self._terms.store
         path = f"/objects/servers/{instance}"
         status, _ = await call(host, port, method, path, body, STORE_TIMEOUT_S)
-        return status == 200
+        return status == 200 or (method == "DELETE" and status == 404)
--- a/soak/sheet.py
+++ b/soak/sheet.py
@@ -52,6 +52,7 @@
         writes_per_s=float(platform.get("writes_per_s", 0.0)),
         reads_per_s=float(platform.get("reads_per_s", 0.0)),
         tolerance=Tolerance(**sheet.get("tolerate", {})),
+        abrupt_share=timing.get("abrupt", 0.0),
         loss_counts=sheet.get("loss_counts", False),
     )
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -138,7 +138,10 @@
 
 
 class Site(NamedTuple):
-    """A deployment; ``zones`` maps each zone to its region."""
+    """A deployment; ``zones`` maps each zone to its region.
+
+    ``abrupt_share`` is the share of leaving servers whose entry goes without a word of their leaving.
+    """
 
     name: str
     zones: dict[str, str]
@@ -159,3 +162,4 @@
     reads_per_s: float
     tolerance: Tolerance = Tolerance()
     loss_counts: bool = False
+    abrupt_share: float = 0.0
--- a/soak/site_callers.py
+++ b/soak/site_callers.py
@@ -8,7 +8,7 @@
 import time
 import zlib
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from soak.clients import Clients
 from soak.layout import READY_PORT, READY_URL_PATH
@@ -23,9 +23,26 @@
 MAX_TRIES, RETRY_AFTER_S, SHORTEST_TRY_S = 3, 0.02, 0.02
 # Of the time that is left, the share that a client waits as told before it tries again.
 MAX_WAIT_SHARE = 1 / 3
+# A client that gives up does so within this share of its time.
+MAX_GIVE_UP_SHARE = 0.3
 FINAL_STATUSES = (400, 401, 404, 413, 431)
 
 
+class Abuse(NamedTuple):
+    """The share of clients that try again at once, and how often they try."""
+
+    share: float = 0.0
+    tries: int = MAX_TRIES
+
+
+class Shift(NamedTuple):
+    """The share of a zone's traffic that another zone gets."""
+
+    share: float
+    zone: str
+    to_zone: str
+
+
 class SiteCallers(Clients):
     """Sends the traffic of all zones until cancelled."""
 
@@ -40,14 +57,28 @@
         self._kinds = {kind.name: kind for kind in layout.site.requests}
         self._version = 1
         self._factor = 1.0
+        self._give_up_share = 0.0
+        self._abuse = Abuse()
+        self._shift: Shift | None = None
         self._misses = [MAX_READINESS_MISSES] * len(nodes)
         # A spare node gets clients once it has been ready.
         self._joined = {node.number for node in nodes if not node.spare}
 
     def apply_command(self, command: dict[str, Any]) -> None:
-        """Set the configuration version and the factor of all traffic."""
+        """Set the configuration version, the factor of all traffic, and what some clients do.
+
+        ``give_up`` is the share of requests that clients give up early, ``abuse`` that of clients which try
+        again at once and ``tries`` how often; ``shift`` is the share of the traffic of the zone ``from`` that
+        moves to the zone ``to``.
+        """
         self._version = command.get("version", self._version)
         self._factor = command.get("factor", self._factor)
+        self._give_up_share = command.get("give_up", self._give_up_share)
+        match command:
+            case {"abuse": share}:
+                self._abuse = Abuse(share, command.get("tries", MAX_TRIES))
+            case {"shift": share, "from": zone, "to": to_zone}:
+                self._shift = Shift(share, zone, to_zone)
 
     async def run(self) -> None:
         """Send traffic until cancelled, then wait for the requests in flight."""
@@ -66,23 +97,38 @@
             await asyncio.sleep(max(0.0, due_s - time.monotonic()))
             kind = self._kinds[self.rng.choices(names, weights)[0]]
             client = f"{traffic.zone}/{self.rng.randrange(traffic.clients)}"
-            self.run_in_background(self._ask(kind, traffic.zone, client))
+            self.run_in_background(self._ask(kind, self.entry_zone(traffic.zone), client))
+
+    def entry_zone(self, zone: str) -> str:
+        """Return the zone whose nodes get a request of a zone's clients."""
+        shift = self._shift
+        moved = shift is not None and shift.zone == zone and self.rng.random() < shift.share
+        return shift.to_zone if shift is not None and moved else zone
 
     async def _ask(self, kind: RequestKind, zone: str, client: str) -> None:
         """Ask until there is an answer that stands, the tries are used up or the time is over."""
         end_s = time.monotonic() + kind.deadline_s
-        for attempt in range(MAX_TRIES):
+        abuses = self.rng.random() < self._abuse.share
+        for attempt in range(self._abuse.tries if abuses else MAX_TRIES):
             left_s = end_s - time.monotonic()
             if left_s < SHORTEST_TRY_S:
                 return
-            node, request_id = self._choose_node(zone, client, attempt), self.new_id()
+            node, request_id = self.choose_node(zone, client, attempt), self.new_id()
             path = route_path(kind.name) + request_id
-            answer = await self.request(kind.name, node, path, request_id, left_s)
-            if answer is not None and _stands(answer):
+            give_up_s = self._give_up_after_s(left_s)
+            answer = await self.request(kind.name, node, path, request_id, left_s, give_up_s)
+            if give_up_s is not None or (answer is not None and _stands(answer)):
                 return
-            await asyncio.sleep(_wait_s(answer, end_s - time.monotonic()))
+            if not abuses:
+                await asyncio.sleep(retry_wait_s(answer, end_s - time.monotonic()))
 
-    def _choose_node(self, zone: str, client: str, attempt: int) -> int:
+    def _give_up_after_s(self, left_s: float) -> float | None:
+        """Return when a client gives up its request, ``None`` if it waits to the end."""
+        if self.rng.random() >= self._give_up_share:
+            return None
+        return left_s * self.rng.uniform(0.0, MAX_GIVE_UP_SHARE)
+
+    def choose_node(self, zone: str, client: str, attempt: int) -> int:
         """Return the node of a client's connections; each further attempt goes to another one."""
         local = [node for node in self._nodes if node.zone == zone and node.number in self._joined]
         chosen = self._ready(local)
@@ -110,11 +156,13 @@
 
     async def _ask_readiness(self, node: SiteNode) -> None:
         status, _ = await call(node.ip, READY_PORT, "GET", READY_URL_PATH, None, READY_TIMEOUT_S)
-        if status == 200:
-            self._misses[node.number] = 0
-            self._joined.add(node.number)
-        else:
-            self._misses[node.number] += 1
+        self.note_readiness(node.number, is_ready=status == 200)
+
+    def note_readiness(self, node: int, is_ready: bool) -> None:
+        """Take in whether a node has just called itself ready."""
+        self._misses[node] = 0 if is_ready else self._misses[node] + 1
+        if is_ready:
+            self._joined.add(node)
 
 
 def _stands(answer: HttpMessage) -> bool:
@@ -122,7 +170,7 @@
     return status < 300 or status in FINAL_STATUSES
 
 
-def _wait_s(answer: HttpMessage | None, left_s: float) -> float:
+def retry_wait_s(answer: HttpMessage | None, left_s: float) -> float:
     """Return how long a client waits before it tries again: as told, within a share of the time left."""
     told = answer.headers.get("retry-after", "") if answer else ""
     try:
--- a/soak/site_servers.py
+++ b/soak/site_servers.py
@@ -54,7 +54,7 @@
 
     def __init__(self, layout: SiteLayout, log: EventLog, seed: int) -> None:
         site = layout.site
-        terms = FleetTerms(layout.operator(), site.bounds.drain_s, site.heartbeat_s)
+        terms = FleetTerms(layout.operator(), site.bounds.drain_s, site.heartbeat_s, site.abrupt_share)
         super().__init__(places(layout), terms, log, seed)
         self._slots = layout.servers()
         self._reuse_after_s = site.bounds.address_reuse_s
--- a/tests/soak/test_soak_sheet.py
+++ b/tests/soak/test_soak_sheet.py
@@ -108,6 +108,7 @@
     )
     assert (site.lead_s, site.day_s, site.late_seeds_s, site.heartbeat_s) == (5.0, 8.0, 0.3, 1.0)
     assert (site.idle_routes, site.writes_per_s, site.reads_per_s) == (3, 400.0, 2000.0)
+    assert site.abrupt_share == 0.25
     assert (site.tolerance, site.loss_counts) == (Tolerance(2, 1, 0), False)
 
 
