--- a/tests/soak/test_soak_site_plan.py
+++ b/tests/soak/test_soak_site_plan.py
@@ -4,8 +4,9 @@
 from itertools import pairwise
 
 import pytest
+from site_values import LEAD_S, SECONDS, site
 
-from soak.site import Day, FinalFault, Site, SiteBounds, Trouble
+from soak.site import Day, FinalFault, Trouble
 from soak.site_plan import (
     KINDS,
     MAX_TROUBLES,
@@ -16,18 +17,8 @@
     plan_standard_day,
 )
 
-BOUNDS = SiteBounds(**dict.fromkeys(SiteBounds._fields, 1.0))
-LEAD_S, SECONDS = 12.0, 34.0
 SEEDS = range(40)
 
-
-def site(*troubles: Trouble, days: tuple[Day, ...] = ()) -> Site:
-    empty = {name: () for name in ("contracts", "machines", "services", "requests", "traffic")}
-    numbers = {name: 1.0 for name in Site._fields if name not in empty}
-    fields = numbers | empty | {"name": "s", "zones": {"z": "r"}, "troubles": troubles, "days": days}
-    return Site(**(fields | {"bounds": BOUNDS, "lead_s": LEAD_S, "day_s": SECONDS}))
-
-
 SITE = site(
     *(Trouble(kind, for_s=4.0) for kind in sorted(KINDS)),
     days=(Day("d", 3, (), (Trouble("hup", at_s=5.0), Trouble("shift")), FinalFault("kill_all", 2.0)),),
