--- a/soak/fault_checkers.py
+++ b/soak/fault_checkers.py
@@ -12,6 +12,7 @@
 # Troubles that keep a node from becoming ready: all of the store's, and those of the node itself.
 STORE_KINDS = ("platform_compact", "platform_down", "platform_lost", "platform_slow")
 NODE_KINDS = ("core_cut", "lossy", "node_cut", "node_freeze", "node_slow")
+STOPPING_KINDS = ("node_freeze", "node_slow")
 # The rule counts machines whose processes ended by themselves this often in a day.
 ENDS_OF_A_FAULT = 3
 FAULT_SHARE, LEAST_FAULTY_MACHINES = 0.1, 2
@@ -148,8 +149,10 @@
 
 
 def longest_hold_ms(record: SiteRecord) -> float:
-    """Return the longest time for which a node's event loop was held up."""
-    return max((float(each.fields.get(HOLD, 0.0)) for each in record.lines), default=0.0)
+    """Return the longest time for which the event loop of a node was held up that no trouble stopped."""
+    stopped = {node for each in record.troubles if each.kind in STOPPING_KINDS for node in each.nodes}
+    lines = (each for each in record.lines if each.node not in stopped)
+    return max((float(each.fields.get(HOLD, 0.0)) for each in lines), default=0.0)
 
 
 def rule_fault(record: SiteRecord) -> list[str]:
--- a/soak/site_record.py
+++ b/soak/site_record.py
@@ -77,6 +77,7 @@
 class SiteRecord(NamedTuple):
     """A day as the soak, its callers and its nodes recorded it.
 
+    ``early_signals`` counts the signals that were sent to a process before it held them.
     ``recovery_s`` is when all nodes came back after the final fault, infinite if there was none.
     """
 
@@ -93,6 +94,7 @@
     troubles: tuple[TroubleSpan, ...] = ()
     answers: tuple[Answer, ...] = ()
     lines: tuple[NodeLine, ...] = ()
+    early_signals: int = 0
 
 
 def read_site_record(folder: Path, bounds: SiteBounds, limits: dict[int, NodeLimits]) -> SiteRecord:
@@ -118,8 +120,9 @@
         ends=tuple(_parse_end(event) for event in by_kind["node_ended_unasked"]),
         usages=tuple(_parse_usage(event) for event in by_kind["node_usage"]),
         troubles=tuple(_trouble_spans(by_kind)),
-        answers=tuple(_parse_answer(event) for event in by_kind["answer"]),
+        answers=tuple(_parse_answer(event) for event in by_kind["answer"] if not _is_probe(event)),
         lines=tuple(_node_lines(folder)),
+        early_signals=sum(not event["held"] for event in by_kind["node_signal"]),
     )
 
 
@@ -151,6 +154,11 @@
     )
 
 
+def _is_probe(event: dict[str, Any]) -> bool:
+    """Whether the soak asked for a route of one version only, which may well be gone."""
+    return str(event.get("route", "")).startswith("probe")
+
+
 def _parse_answer(event: dict[str, Any]) -> Answer:
     served = event["ending"] == "answered" and 200 <= event["status"] < 300
     return Answer(event["asked_s"], served)
--- a/soak/site_report.py
+++ b/soak/site_report.py
@@ -35,8 +35,11 @@
     troubles: list[dict[str, Any]]
     final: str
     left_out: dict[str, str]
+    processes: int
     starts: list[dict[str, Any]]
     slowest_start_s: float
+    latest_hold_of_signals_ms: float
+    signals_before_held: int
     unasked_ends: list[str]
     early_signal_ends: list[str]
     peak_memory_mb: float
@@ -84,8 +87,11 @@
         troubles=_troubles_played(record),
         final=plan.final.kind if plan.final else "",
         left_out=dict(plan.left_out),
+        processes=len(record.starts),
         starts=_starts(record),
         slowest_start_s=round(max(ready_after_s, default=0.0), 3),
+        latest_hold_of_signals_ms=_latest_hold_of_signals_ms(record),
+        signals_before_held=record.early_signals,
         unasked_ends=[describe_end(each) for each in others],
         early_signal_ends=[describe_end(each) for each in early],
         peak_memory_mb=round(max(peaks_mb, default=0.0), 1),
@@ -127,6 +133,11 @@
     ]
 
 
+def _latest_hold_of_signals_ms(record: SiteRecord) -> float:
+    times = (each.fields.get("signals_held_ms") or 0.0 for each in record.lines if each.event == STARTED)
+    return max((float(each) for each in times), default=0.0)
+
+
 def day_line(report: DayReport) -> str:
     """Return a day's line for the terminal."""
     share = report["served"] / report["requests"] if report["requests"] else 0.0
@@ -135,7 +146,7 @@
         f"{len(report['troubles'])} troubles",
         f"{len(report['violations'])} violations",
         f"{len(report['unasked_ends'])} unasked ends",
-        f"{len(report['early_signal_ends'])} by early signals",
+        f"{len(report['early_signal_ends'])} by {report['signals_before_held']} early signals",
         f"slowest start {report['slowest_start_s']:.1f} s",
         f"peak {report['peak_memory_mb']:.0f} of {report['memory_limit_mb']:.0f} MB",
         f"longest hold {report['longest_hold_ms']:.0f} ms",
@@ -163,15 +174,16 @@
     broken = Counter(each["promise"] for day in days for each in day["violations"])
     tries = sum(day["requests"] for day in days)
     served = sum(day["served"] for day in days)
+    early_ends = sum(len(day["early_signal_ends"]) for day in days)
     cells = (
         sheet,
         len(days),
         sum(len(day["troubles"]) for day in days),
-        sum(day["cases"]["no_unasked_end"] for day in days),
+        sum(day["processes"] for day in days),
         f"{max(day['slowest_start_s'] for day in days):.1f} s",
         broken["every_node_becomes_ready"],
         sum(len(day["unasked_ends"]) for day in days),
-        sum(len(day["early_signal_ends"]) for day in days),
+        f"{early_ends} of {sum(day['signals_before_held'] for day in days)}",
         broken["memory_within_limit"],
         broken["requests_served"],
         f"{max(day['peak_memory_mb'] for day in days):.0f} MB",
