--- a/tests/soak/test_soak_standins.py
+++ b/tests/soak/test_soak_standins.py
@@ -345,3 +345,21 @@
         assert objects.timeline == 2
 
     run(scenario)
+
+
+# Guards against: watches that hear of changes at once although the store is to keep them back.
+def test_watches_of_nodes_hear_nothing_while_the_store_is_deaf(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        store = Store(EventLog(tmp_path / "events.jsonl"))
+        store.apply_command({"mode": "deaf"})
+        store.objects.put("config", "main", "spec", {}, None)
+        read = HttpMessage(("GET", "/objects/config", "HTTP/1.1"), {}, b"")
+        assert await store._serve_one(0, read) is not None
+        call = HttpMessage(("GET", "/objects/config?watch=1&waitMs=10", "HTTP/1.1"), {}, b"")
+        watch = asyncio.create_task(store._serve_one(0, call))
+        await asyncio.sleep(0.1)
+        assert not watch.done()
+        store.apply_command({"mode": "sound"})
+        assert await watch is not None
+
+    run(scenario)
