Settings: a field that a node can do without ends no start

Operators saw each node that got such settings end with code 3 after 10 s, whenever one of 19 fields that have a default (limits, bounds, seed nodes) or the port range held an empty text, true, false, -1, a list or a text; one bad seed of three was enough. A running node refused such settings as a whole.

Cause: the reader knew one class of mistakes only, and any of them refused the settings.

Now only the name, the zone, the addresses for callers and probes and the store's address are needed; a mistake in one of them refuses the settings as before, with all mistakes. Any other field takes its default, in a reload what it held before, and a seed that can't be read is left out. `settings_not_understood` names them (25 at most) and a gauge counts them. Without `ip`, the node's own ports are on the callers' address.

The test of a wrong port range expected that the settings are refused. A node runs without own ports; the test now expects the same place beside settings without these addresses, and beside the other mistakes of settings that are refused.

--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -8,7 +8,7 @@
 from yokesill.platform import feeds
 from yokesill.platform.names import HEADER_NAMES, READY_PATH, SETTINGS_VARIABLE, SWITCHED_OFF_VARIABLE
 from yokesill.platform.rollouts import StoredRollouts, rollout_feed
-from yokesill.platform.settings import load_settings
+from yokesill.platform.settings import parse_settings
 from yokesill.platform.store import MetadataStore
 from yokesill.registry.api_client import ApiClient
 from yokesill.serving.dependencies import Dependencies
@@ -26,7 +26,7 @@
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     switched_off = SwitchedOff(SWITCHED_OFF_VARIABLE, os.environ.get(SWITCHED_OFF_VARIABLE, ""))
     return run_node(
-        path, load_settings, switched_off, lambda settings: _dependencies(settings, listening), start_times
+        path, parse_settings, switched_off, lambda settings: _dependencies(settings, listening), start_times
     )
 
 
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -1,14 +1,12 @@
 """Converts the platform's settings file to the gateway's settings; reports every error with its place."""
 
 import tomllib
-from pathlib import Path
 
 from yokesill.gateway.limits.budget import BudgetLimits
 from yokesill.gateway.servers.cold_starts import ColdStartLimits
 from yokesill.rollouts.orders import RolloutLimits
 from yokesill.serving.settings import Address, GatewaySettings, SettingsProblem
-from yokesill.serving.settings_file import load_settings_file
-from yokesill.serving.settings_reader import SettingsReader
+from yokesill.serving.settings_reader import OptionalFields, SettingsReader
 
 # The contract under which operators evacuate zones, and the default of its time bound.
 EVACUATION_CONTRACT, DEFAULT_EVACUATION_BOUND_S = "places", 5.0
@@ -16,17 +14,21 @@
 ROLLOUT_CONTRACT = "rollout"
 
 
-def parse_settings(text: str) -> GatewaySettings | list[SettingsProblem]:
-    """Parse settings; unknown fields are ignored, as the platform requires."""
+def parse_settings(text: str, known: OptionalFields | None = None) -> GatewaySettings | list[SettingsProblem]:
+    """Parse settings; unknown fields are ignored, as the platform requires.
+
+    ``known`` gives what fields that can't be read held before, and gets what the fields hold.
+    """
     try:
-        reader = SettingsReader(tomllib.loads(text))
+        reader = SettingsReader(tomllib.loads(text), known or OptionalFields())
     except (ValueError, RecursionError) as error:
         return [SettingsProblem("(file)", str(error), unreadable=True)]
-    own_port, reports, rollout_datagrams = _own_addresses(reader)
+    callers, contracts = reader.address("listenAddrs.front"), reader.text_list("contracts")
+    own_port, reports, rollout_datagrams = _own_addresses(reader, callers)
     settings = GatewaySettings(
         node=reader.text("nodeName"),
         zone=reader.text("zone"),
-        callers=reader.address("listenAddrs.front"),
+        callers=callers,
         probes=reader.address("listenAddrs.ready"),
         registry=reader.address("platform.address"),
         metrics=own_port,
@@ -46,31 +48,31 @@
         leaving_bound_s=reader.number("bounds.drainMs", 2000) / 1000,
         # How long after the registry is available again a node may still be stale.
         recovery_bound_s=max(1.0, reader.number("bounds.contactMs", 4000) / 1000),
-        evacuation_bound_s=_evacuation_bound_s(reader),
+        evacuation_bound_s=_evacuation_bound_s(reader, contracts),
         cold_starts=ColdStartLimits(
             overshoot=reader.number("bounds.warmupOvershoot", 1.0),
             slack=reader.number("bounds.warmupSlack", 0.0),
         ),
-        rollouts=_rollout_limits(reader),
+        rollouts=_rollout_limits(reader, contracts),
         cores=reader.number("limits.cpuShare", 1.0) * reader.number("limits.cpuCores", 1.0),
         memory_bytes=int(reader.number("limits.memoryMb", 256) * 1_000_000),
         descriptors=int(reader.number("limits.maxFds", 1024)),
         stop_grace_s=reader.number("bounds.graceS", 6.0),
     )
-    return reader.problems or settings
+    return reader.accept(settings)
 
 
-def _evacuation_bound_s(reader: SettingsReader) -> float | None:
+def _evacuation_bound_s(reader: SettingsReader, contracts: tuple[str, ...]) -> float | None:
     """Return the time within which evacuations must take effect; ``None`` if the contracts have none."""
     bound_ms = reader.number("bounds.evacuateMs", 0.0)
     if bound_ms:
         return bound_ms / 1000
-    return DEFAULT_EVACUATION_BOUND_S if EVACUATION_CONTRACT in reader.text_list("contracts") else None
+    return DEFAULT_EVACUATION_BOUND_S if EVACUATION_CONTRACT in contracts else None
 
 
-def _rollout_limits(reader: SettingsReader) -> RolloutLimits | None:
+def _rollout_limits(reader: SettingsReader, contracts: tuple[str, ...]) -> RolloutLimits | None:
     """Return the limits of roll-outs; ``None`` if the contracts have no roll-outs."""
-    if ROLLOUT_CONTRACT not in reader.text_list("contracts"):
+    if ROLLOUT_CONTRACT not in contracts:
         return None
     defaults = RolloutLimits()
     return RolloutLimits(
@@ -80,14 +82,9 @@
     )
 
 
-def _own_addresses(reader: SettingsReader) -> tuple[Address | None, ...]:
+def _own_addresses(reader: SettingsReader, callers: Address) -> tuple[Address | None, ...]:
     """Return three addresses for communication between nodes; ``None`` for each that is missing."""
     ports = reader.port_range("portRange")
-    host = reader.text("ip") if ports else ""
+    host = reader.optional_text("ip", callers.host)
     addresses = tuple(Address(host, port) for port in ports[:3])
     return (*addresses, None, None, None)[:3]
-
-
-def load_settings(path: Path) -> GatewaySettings | list[SettingsProblem]:
-    """Load the settings file at ``path``; return every error with its place."""
-    return load_settings_file(path, parse_settings)
--- a/src/yokesill/serving/builder.py
+++ b/src/yokesill/serving/builder.py
@@ -229,6 +229,7 @@
         core.memory,
         core.caller_memory,
         usage,
+        core.dependencies.settings_not_understood,
     )
     probes = ProbeApplication(
         core.dependencies.ready_path,
--- a/src/yokesill/serving/dependencies.py
+++ b/src/yokesill/serving/dependencies.py
@@ -21,6 +21,7 @@
     ``rollout_records`` stores the state of roll-outs. ``quarantine`` lists the requests that are not sent to
     any server and ``quarantine_records`` stores them; without these two, nodes exchange quarantines only with
     each other. ``callers_socket`` already listens for callers; without it the node opens a socket itself.
+    ``settings_not_understood`` counts the fields of the settings that can't be read.
     """
 
     configuration: Feed
@@ -35,3 +36,4 @@
     rollout_records: RolloutRecords | None = None
     quarantine: Feed | None = None
     quarantine_records: QuarantineRecords | None = None
+    settings_not_understood: Callable[[], int] = lambda: 0
--- a/src/yokesill/serving/gauges.py
+++ b/src/yokesill/serving/gauges.py
@@ -4,6 +4,7 @@
 """
 
 import importlib
+from collections.abc import Callable
 from typing import NamedTuple
 
 from yokesill.callers.memory import CallerMemory
@@ -34,11 +35,14 @@
     reply_memory: ReplyMemory
     caller_memory: CallerMemory
     usage: Usage
+    settings_not_understood: Callable[[], int]
 
 
 def render_metrics(metrics: GatewayMetrics, sources: GaugeSources) -> bytes:
     """Set the gauges and return all metrics in the text exposition format."""
-    life_cycle, router, coordinator, client, output, following, settings, replies, callers, usage = sources
+    life_cycle, router, coordinator, client, output, following, settings, replies, callers, usage, *_ = (
+        sources
+    )
     gauge = metrics.gauge
     gauge("yokesill_cut_off", "Whether it reaches nothing", life_cycle.state == "cut_off")
     gauge("yokesill_version", "Configuration version", configuration_version(router))
@@ -60,6 +64,8 @@
     gauge("yokesill_descriptors", "Open descriptors", open_descriptors())
     gauge("yokesill_descriptors_limit", "Descriptors that may be open", settings.descriptors)
     gauge("yokesill_longest_hold_seconds", "Longest hold of the event loop", usage.longest_hold_s)
+    not_understood = sources.settings_not_understood()
+    gauge("yokesill_settings_not_understood", "Fields that can't be read", not_understood)
     for feed, revision in following.revisions().items():
         gauge(f"yokesill_registry_{feed}_position", "Known up to here", revision)
     # Imported at the first call: prometheus-client needs memory that a node without a scraper can save.
--- a/src/yokesill/serving/reload.py
+++ b/src/yokesill/serving/reload.py
@@ -1,7 +1,7 @@
 """Reloads the settings file while a node runs: on a signal, or when the file has changed.
 
-A file with mistakes is rejected as a whole. Changes that a running node can't apply (addresses, the zone) are
-logged and take effect at the next start.
+A file with mistakes in needed fields is rejected as a whole. Changes that a running node can't apply
+(addresses, the zone) are logged and take effect at the next start.
 """
 
 from collections.abc import Callable
--- a/src/yokesill/serving/running.py
+++ b/src/yokesill/serving/running.py
@@ -20,6 +20,8 @@
 from yokesill.serving.process import GatewayProcess
 from yokesill.serving.reload import SettingsFollower
 from yokesill.serving.settings import GatewaySettings, SettingsProblem
+from yokesill.serving.settings_file import SettingsLoader
+from yokesill.serving.settings_reader import OptionalFields
 from yokesill.serving.settings_wait import wait_for_settings
 from yokesill.serving.signals import HANDLED, SignalTimes, signals_delivered
 from yokesill.serving.start_times import StartTimes
@@ -38,17 +40,19 @@
 
 def run_node(
     path: Path,
-    load: Callable[[Path], GatewaySettings | list[SettingsProblem]],
+    parse: Callable[[str, OptionalFields], GatewaySettings | list[SettingsProblem]],
     switched_off: SwitchedOff,
     dependencies_of: Callable[[GatewaySettings], Dependencies],
     start_times: StartTimes | None = None,
 ) -> int:
     """Run a node until SIGTERM or SIGINT; return the exit code.
 
-    ``load`` reads the settings at ``path``; ``start_times`` has the steps of the start until now.
+    ``parse`` reads the text of the settings at ``path``; ``start_times`` has the steps of the start until
+    now.
     """
     start_times = start_times or StartTimes()
-    settings = wait_for_settings(path, load)
+    loader = SettingsLoader(parse)
+    settings = wait_for_settings(path, loader.load)
     if not isinstance(settings, GatewaySettings):
         return OK if settings is None else INVALID
     start_times.reached("settings_read")
@@ -60,8 +64,15 @@
         return INVALID
     settings = replace(settings, switched_off=names)
     output = logs.configure(settings.log_level)
-    process = GatewayProcess(settings, dependencies_of(settings), random.Random(), output, start_times)
-    follower = SettingsFollower(path, settings, load, process.apply_settings)
+    loader.log_problems()
+    dependencies = replace(dependencies_of(settings), settings_not_understood=loader.not_understood)
+    process = GatewayProcess(settings, dependencies, random.Random(), output, start_times)
+
+    def apply_settings(newer: GatewaySettings) -> None:
+        loader.log_problems()
+        process.apply_settings(newer)
+
+    follower = SettingsFollower(path, settings, loader.load, apply_settings)
     with unexpected_end_logged(output):
         run_with_boottime_clock(run_until_stopped, process, follower)
     return OK
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -67,12 +67,14 @@
 class SettingsProblem(NamedTuple):
     """A mistake in a settings file; ``place`` is the path of the field.
 
-    ``unreadable`` tells that there is no whole file, as while it is written or replaced.
+    ``unreadable`` tells that there is no whole file, as while it is written or replaced; a node can run
+    without a field that isn't ``needed``.
     """
 
     place: str
     message: str
     unreadable: bool = False
+    needed: bool = True
 
     def __str__(self) -> str:
         """``PLACE: MESSAGE``."""
