Settings: a limit that no process could keep is not taken

With `memoryMb = 0` a node closed each connection for its memory, so that no probe found it ready; one MB or no descriptors left room for two connections; `graceS = 0` ended a stop after 0.1 s, whatever was in flight.

Cause: such limits were read like any other. A node that has answered one request takes 33 MB and 18 descriptors, so nobody can mean them.

`memoryMb` and `maxFds` below 32 and `graceS` below 0.5 (the least of a gateway file, too) count as fields that can't be read: the default holds, or what held before, and the log and the gauge tell.

Looked at and left: 0, 1 and 1e12 in each other number of `limits` and `bounds`; a node with any of them gets ready, serves and stops with 0.

--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -12,6 +12,8 @@
 EVACUATION_CONTRACT, DEFAULT_EVACUATION_BOUND_S = "places", 5.0
 # The contract under which operators order roll-outs.
 ROLLOUT_CONTRACT = "rollout"
+# Smaller limits can't be meant: a process with a few connections takes more, or cuts off what is in flight.
+MIN_MEMORY_MB, MIN_DESCRIPTORS, MIN_GRACE_S = 32, 32, 0.5
 
 
 def parse_settings(text: str, known: OptionalFields | None = None) -> GatewaySettings | list[SettingsProblem]:
@@ -55,9 +57,9 @@
         ),
         rollouts=_rollout_limits(reader, contracts),
         cores=reader.number("limits.cpuShare", 1.0) * reader.number("limits.cpuCores", 1.0),
-        memory_bytes=int(reader.number("limits.memoryMb", 256) * 1_000_000),
-        descriptors=int(reader.number("limits.maxFds", 1024)),
-        stop_grace_s=reader.number("bounds.graceS", 6.0),
+        memory_bytes=int(reader.number("limits.memoryMb", 256, MIN_MEMORY_MB) * 1_000_000),
+        descriptors=int(reader.number("limits.maxFds", 1024, MIN_DESCRIPTORS)),
+        stop_grace_s=reader.number("bounds.graceS", 6.0, MIN_GRACE_S),
     )
     return reader.accept(settings)
 
--- a/tests/real_nodes/test_optional_settings.py
+++ b/tests/real_nodes/test_optional_settings.py
@@ -14,6 +14,13 @@
     "bounds.canarySlack", "bounds.rollbackMs", "bounds.graceS",
 )  # fmt: skip
 WRONG_VALUES = ('""', "true", "false", "-1", "[]", '"text"', "nan")
+# Readable, but less than a process takes before its first request, or no time to answer anybody in.
+TOO_SMALL = [
+    ("limits.memoryMb", "0"),
+    ("limits.memoryMb", "1"),
+    ("limits.maxFds", "0"),
+    ("bounds.graceS", "0"),
+]
 GAUGE = "yokesill_settings_not_understood"
 
 
@@ -78,6 +85,17 @@
     assert node.stop() == 0
 
 
+@pytest.mark.parametrize(("place", "value"), TOO_SMALL)
+def test_limit_that_no_process_could_keep_is_not_taken(place: str, value: str, node: Node) -> None:
+    # Guards against: memoryMb = 0 closes every connection, so that no probe finds the node ready; with one
+    # MB, or no descriptors, a few callers at once are closed; graceS = 0 cuts off what is in flight.
+    node.write_settings(settings_with(node, {place: value}))
+    node.start().wait_until_ready()
+    assert node.ask().status == 200
+    assert told_places(node) == {place}
+    assert node.stop() == 0
+
+
 def test_reload_keeps_what_an_unreadable_field_held_before(node: Node) -> None:
     # Guards against: a reload with one unreadable field is rejected as a whole, or sets the field to its
     # default while the node runs.
