Configuration: an odd optional value costs that value alone

Operators saw a node that starts never get ready, and nodes that run stay with the version before for good, when one optional value of the configuration could not be read: a limit for callers, a route's latency objective, attempts or priority, a service's connections or cold requests, or a service without a name. Values that nobody can mean were taken as they stood: with `maxHeaderBytes` of 0 or -1 every request was answered with 431, with `maxAttempts` of 0 or -1 with 503, with `targetLatencyMs` of -1 with 500.

Cause: the reader knew needed fields only, and the first mistake ended it; it read numbers without bounds.

Now such a value keeps that of the configuration read before, so that no running node is worse off than with the older one, else it takes its default; a service without a name is left out, its routes work without its limits. Each is told as `entry_rejected`, 20 at most. Needed fields of routes refuse the whole as before: leaving a route out would send its requests to a shorter prefix (docs/design/platform.md).

--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -29,7 +29,7 @@
     QuarantineRecords,
     contact_of,
 )
-from yokesill.registry.reading import read_each
+from yokesill.registry.reading import ConfigurationReader, read_each
 from yokesill.verdict import Failure
 
 
@@ -68,7 +68,8 @@
 
 def configuration_feed(store: MetadataStore) -> Feed:
     """Return the feed of the operator's configuration."""
-    return StoreFeed("configuration", CONFIGURATION_KIND, store, _configuration_batch, _configuration_batch)
+    read = partial(_configuration_batch, ConfigurationReader(read_configuration))
+    return StoreFeed("configuration", CONFIGURATION_KIND, store, read, read)
 
 
 def server_feed(store: MetadataStore) -> Feed:
@@ -143,16 +144,13 @@
         return tuple(NodeEntry(contact_of(item.name, item.spec), item.revision) for item in view.items)
 
 
-def _configuration_batch(view: StoreView) -> Batch:
+def _configuration_batch(reader: ConfigurationReader, view: StoreView) -> Batch:
     newest = [item for item in view.items if item.name == CONFIGURATION_NAME and not item.gone][-1:]
-    events, problems = read_each(newest, _configuration_event, partial(_place, CONFIGURATION_KIND))
+    place = f"{CONFIGURATION_KIND}/{CONFIGURATION_NAME}"
+    events, problems = reader.read([item.spec for item in newest], place)
     return Batch(view.at, events, view.problems + problems)
 
 
-def _configuration_event(item: StoredItem) -> ev.Event:
-    return ev.ConfigurationReceived(read_configuration(item.spec))
-
-
 def _server_batch(view: StoreView) -> Batch:
     events, problems = _server_events(view)
     return Batch(view.at, events, problems)
--- a/src/yokesill/registry/reading.py
+++ b/src/yokesill/registry/reading.py
@@ -1,13 +1,20 @@
 """Reads the entries of a list one by one: a malformed one becomes a problem and costs no other."""
 
 from collections.abc import Callable, Iterable
-from typing import TypeVar
+from typing import Any, TypeVar
 
+from yokesill.gateway.documents import Configuration
+from yokesill.gateway.events import ConfigurationReceived, Event
 from yokesill.registry.feeds import Problem
 from yokesill.serving.object_fields import READ_ERRORS, ObjectError
 
 Raw = TypeVar("Raw")
 Entry = TypeVar("Entry")
+# Parses a configuration, with the former one; adds what it can do without and can't read to a list.
+ReadConfiguration = Callable[[Any, Configuration | None, list[str]], Configuration]
+
+# How many odd values of one configuration are told: it may have thousands of routes.
+MAX_TOLD_PROBLEMS = 20
 
 
 def read_each(
@@ -33,3 +40,21 @@
             message = str(error) if isinstance(error, ObjectError) else repr(error)
             problems.append(Problem(place(each), message))
     return tuple(entries), tuple(problems)
+
+
+class ConfigurationReader:
+    """Reads configurations one after another; an odd optional value keeps that of the former one."""
+
+    def __init__(self, read: ReadConfiguration) -> None:
+        self._read = read
+        self._former: Configuration | None = None
+
+    def read(self, specs: Iterable[Any], place: str) -> tuple[tuple[Event, ...], tuple[Problem, ...]]:
+        """Return the configurations that can be read, and a problem for each value that can't."""
+        passed_over: list[str] = []
+        configurations, rejected = read_each(
+            specs, lambda spec: self._read(spec, self._former, passed_over), lambda _spec: place
+        )
+        self._former = configurations[-1] if configurations else self._former
+        told = tuple(Problem(place, each) for each in passed_over[:MAX_TOLD_PROBLEMS])
+        return tuple(ConfigurationReceived(each) for each in configurations), rejected + told
--- a/src/yokesill/serving/object_fields.py
+++ b/src/yokesill/serving/object_fields.py
@@ -36,6 +36,37 @@
         raise ObjectError(f"{place}.{name}: {error}") from error
 
 
+class OptionalReader:
+    """Reads the optional fields of the table at ``place``; adds those that can't be read to ``problems``.
+
+    ``former`` is the document that was read from this table before, if there is one.
+    """
+
+    __slots__ = ("_fields", "_former", "_place", "_problems")
+
+    def __init__(self, fields: dict[str, Any], place: str, problems: list[str], former: object) -> None:
+        self._fields = fields
+        self._place = place
+        self._problems = problems
+        self._former = former
+
+    def read(self, name: str, read: Callable[[Any], Value], default: Value, attribute: str) -> Value:
+        """Return a field, parsed by ``read``, or ``default`` if it is missing.
+
+        If it can't be read, return the former document's ``attribute``, or ``default`` without one.
+        """
+        value = self._fields.get(name)
+        if value is None:
+            return default
+        try:
+            return read(value)
+        except ObjectError as error:
+            held = "default holds" if self._former is None else "former value stays"
+            self._problems.append(f"{self._place}.{name}: {error}; its {held}")
+            former: Value = getattr(self._former, attribute, default)
+            return former
+
+
 def parse_text(value: Any) -> str:
     """Return the value if it is a text of whole, printable characters.
 
@@ -73,11 +104,31 @@
     return int(parse_number(value))
 
 
+def parse_count(value: Any) -> int:
+    """Return a number of at least 1, truncated to an integer."""
+    return _at_least(1, parse_integer(value))
+
+
+def parse_size(value: Any) -> int:
+    """Return a number of at least 0, truncated to an integer."""
+    return _at_least(0, parse_integer(value))
+
+
+def parse_rate(value: Any) -> float:
+    """Return a number of at least 0."""
+    return _at_least(0.0, parse_number(value))
+
+
 def parse_milliseconds(value: Any) -> float:
     """Return a number of milliseconds in seconds."""
     return parse_number(value) / 1000
 
 
+def parse_duration(value: Any) -> float:
+    """Return a number of at least 1 ms in seconds."""
+    return _at_least(1.0, parse_number(value)) / 1000
+
+
 def parse_endpoint(value: Any) -> tuple[str, int]:
     """Return the IPv4 address and the port of an ``IP:PORT``."""
     host, _, port = parse_text(value).rpartition(":")
@@ -117,3 +168,9 @@
     if not isinstance(value, list):
         raise ObjectError("a list is needed")
     return value
+
+
+def _at_least(least: Value, value: Value) -> Value:
+    if value < least:  # type: ignore[operator]
+        raise ObjectError(f"a number of at least {least} is needed")
+    return value
--- a/tests/real_nodes/test_odd_entries.py
+++ b/tests/real_nodes/test_odd_entries.py
@@ -2,9 +2,10 @@
 
 import json
 import time
+from typing import Any
 
 import pytest
-from node_process import SERVICE, Node, Reply, Surroundings, message
+from node_process import SERVICE, Node, Reply, Surroundings, call, configuration, message
 
 from yokesill.comm.lenient_json import MAX_DEPTH, decode_json
 
@@ -75,6 +76,45 @@
     assert node.events("part_failed") == []
 
 
+def odd_configuration(version: int) -> dict[str, Any]:
+    """Return a configuration whose optional fields hold texts, beside a service that is none."""
+    config = configuration() | {"configVersion": version}
+    odd = dict.fromkeys(("maxAttempts", "targetLatencyMs", "priority"), "odd")
+    service = {**config["services"][0], "maxConnections": "odd", "warmupPerS": "odd"}
+    return config | {
+        "routes": [{**config["routes"][0], **odd}],
+        "services": [service, 5],
+        "limits": dict.fromkeys(config["limits"], "odd"),
+    }
+
+
+def version_in_force(node: Node) -> float:
+    """Return the version of the configuration that the node tells."""
+    text = call(node.ready_port, "GET", "/metrics", {}, 2.0).body.decode()
+    return float(next(line.split()[1] for line in text.splitlines() if line.startswith("yokesill_version ")))
+
+
+def test_odd_optional_values_of_the_configuration_cost_those_values_alone(
+    node: Node, around: Surroundings
+) -> None:
+    # Guards against: one value that can't be read keeps a starting node from getting ready, for good, and a
+    # running one at the version before.
+    around.store.put("config", "main", odd_configuration(2))
+    node.start().wait_until_ready()
+    assert node.ask().status == 200
+    assert version_in_force(node) == 2
+    time.sleep(CONTACT_S)
+    around.store.put("config", "main", odd_configuration(3))
+    time.sleep(2.0)
+    assert version_in_force(node) == 3
+    assert node.ask().status == 200
+    told = " ".join(each["problem"] for each in node.events("entry_rejected"))
+    for name in ("priority", "maxAttempts", "targetLatencyMs", "maxConnections", "warmupPerS"):
+        assert f".{name}: a number is needed; its " in told
+    assert "limits.maxHeaderBytes: a number is needed; its " in told
+    assert "services: a table is needed; the service is left out" in told
+
+
 def test_half_a_character_is_rejected_since_it_could_not_be_told_to_other_nodes(
     node: Node, around: Surroundings
 ) -> None:
