--- a/tests/real_nodes/test_odd_entries.py
+++ b/tests/real_nodes/test_odd_entries.py
@@ -2,9 +2,10 @@
 
 import json
 import time
+from typing import Any
 
 import pytest
-from node_process import SERVICE, Node, Reply, Surroundings, message
+from node_process import SERVICE, Node, Reply, Surroundings, call, configuration, message
 
 from yokesill.comm.lenient_json import MAX_DEPTH, decode_json
 
@@ -75,6 +76,65 @@
     assert node.events("part_failed") == []
 
 
+def test_odd_record_of_a_roll_out_costs_that_record_alone(node: Node, around: Surroundings) -> None:
+    # Guards against: half a character in a record's reason failed the part that tells the zone of it.
+    text = node.settings_text().splitlines()
+    text = [each for each in text if not each.startswith("contracts = ")]
+    node.write_settings("\n".join(['contracts = ["base", "platform", "places", "rollout"]', *text, ""]))
+    node.start().wait_until_ready()
+    time.sleep(CONTACT_S)
+    for odd in ODD_ENTRIES.values():
+        around.store.put_raw("rollouts", odd)
+        around.store.put_raw("evacuations", odd)
+    order = json.dumps({"service": SERVICE, "targetVersion": "s2", "durationS": 30})
+    for reason in ('"\\ud800"', "{}", "[[1]]", '"' + "y" * 100_000 + '"'):
+        status = '{"state": "in_progress", "targetVersion": "s2", "elapsedMs": 5, "reason": ' + reason + "}"
+        meta = f'{{"name": "{SERVICE}", "revision": REVISION, "made": 5}}'
+        around.store.put_raw("rollouts", f'{{"meta": {meta}, "spec": {order}, "status": {status}}}')
+        time.sleep(1.0)
+    assert node.ask().status == 200
+    assert node.events("part_failed") == []
+
+
+def odd_configuration(version: int) -> dict[str, Any]:
+    """Return a configuration whose optional fields hold texts, beside a service that is none."""
+    config = configuration() | {"configVersion": version}
+    odd = dict.fromkeys(("maxAttempts", "targetLatencyMs", "priority"), "odd")
+    service = {**config["services"][0], "maxConnections": "odd", "warmupPerS": "odd"}
+    return config | {
+        "routes": [{**config["routes"][0], **odd}],
+        "services": [service, 5],
+        "limits": dict.fromkeys(config["limits"], "odd"),
+    }
+
+
+def version_in_force(node: Node) -> float:
+    """Return the version of the configuration that the node tells."""
+    text = call(node.ready_port, "GET", "/metrics", {}, 2.0).body.decode()
+    return float(next(line.split()[1] for line in text.splitlines() if line.startswith("yokesill_version ")))
+
+
+def test_odd_optional_values_of_the_configuration_cost_those_values_alone(
+    node: Node, around: Surroundings
+) -> None:
+    # Guards against: one value that can't be read keeps a starting node from getting ready, for good, and a
+    # running one at the version before.
+    around.store.put("config", "main", odd_configuration(2))
+    node.start().wait_until_ready()
+    assert node.ask().status == 200
+    assert version_in_force(node) == 2
+    time.sleep(CONTACT_S)
+    around.store.put("config", "main", odd_configuration(3))
+    time.sleep(2.0)
+    assert version_in_force(node) == 3
+    assert node.ask().status == 200
+    told = " ".join(each["problem"] for each in node.events("entry_rejected"))
+    for name in ("priority", "maxAttempts", "targetLatencyMs", "maxConnections", "warmupPerS"):
+        assert f".{name}: a number is needed; its " in told
+    assert "limits.maxHeaderBytes: a number is needed; its " in told
+    assert "services: a table is needed; the service is left out" in told
+
+
 def test_half_a_character_is_rejected_since_it_could_not_be_told_to_other_nodes(
     node: Node, around: Surroundings
 ) -> None:
