A listener that closes resets no connection that was set up

What callers saw: a planned stop, of a gateway node or of 'yokesill serve', reset a few connections that had just been set up, before their requests were answered.

Cause: close_listener accepted what waited, then closed the socket. Handshakes that ended in between were reset with the accept queue, and those under way were answered with a reset.

Why the fix works: a packet filter on the listening socket drops SYN without ACK, so no handshake begins; those under way finish within the wait, and are accepted before the close. A system that refuses the filter, as one under restricted system calls may, goes on as before.

--- a/src/yokesill/frontend/server.py
+++ b/src/yokesill/frontend/server.py
@@ -11,6 +11,7 @@
 import uvicorn
 
 from yokesill.callers.bounds import BoundedConfig, ListenerBounds, ListenerShares
+from yokesill.callers.handshakes import HANDSHAKE_S, ignore_new_handshakes
 from yokesill.callers.memory import CallerMemory
 from yokesill.callers.protocol import BoundedProtocol
 from yokesill.callers.sockets import has_unread_data
@@ -47,18 +48,31 @@
         """Stop listening; open connections and those waiting to be accepted are still served.
 
         Closing a listening socket resets the connections in its accept queue. So a duplicate of the socket
-        outlives the close, and the waiting connections are accepted from it and served. All accepted
-        connections are among ``server_state.connections`` afterwards.
+        outlives the close, and the waiting connections are accepted from it and served. Handshakes under way
+        are let finish first, where the system can ignore new ones meanwhile. All accepted connections are
+        among ``server_state.connections`` afterwards.
         """
         duplicates = _duplicates(each for server in self.servers for each in server.sockets)
         for server in self.servers:
             server.close()
         for listener in duplicates:
-            for connection in _accept_waiting(listener):
-                await asyncio.get_running_loop().connect_accepted_socket(self._protocol, connection)
+            await self._accept_last(listener)
         for _ in range(ACCEPT_TURNS):
             await asyncio.sleep(0)
 
+    async def _accept_last(self, listener: socket.socket) -> None:
+        """Serve connections that are set up, or whose handshakes are under way, and close ``listener``."""
+        with listener:
+            if ignore_new_handshakes(listener):
+                await self._serve_accepted(_accept_waiting(listener))
+                await asyncio.sleep(HANDSHAKE_S)
+            last = _accept_waiting(listener)
+        await self._serve_accepted(last)
+
+    async def _serve_accepted(self, connections: Iterable[socket.socket]) -> None:
+        for connection in connections:
+            await asyncio.get_running_loop().connect_accepted_socket(self._protocol, connection)
+
     def _protocol(self) -> asyncio.Protocol:
         """Return a protocol instance, created as uvicorn does for its own connections."""
         protocol_class: Any = self.config.http_protocol_class
@@ -105,18 +119,17 @@
 
 
 def _accept_waiting(listener: socket.socket) -> list[socket.socket]:
-    """Accept all waiting connections of ``listener``, then close it."""
+    """Accept all waiting connections of ``listener``."""
     listener.setblocking(False)
     accepted = []
-    with listener:
-        while True:
-            try:
-                connection, _ = listener.accept()
-            except OSError:
-                # None waits any more, or none can be accepted for want of descriptors.
-                break
-            connection.setblocking(False)
-            accepted.append(connection)
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            # None waits any more, or none can be accepted for want of descriptors.
+            break
+        connection.setblocking(False)
+        accepted.append(connection)
     return accepted
 
 
--- a/tests/serving/test_callers_connections.py
+++ b/tests/serving/test_callers_connections.py
@@ -208,12 +208,17 @@
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         await send({"type": "http.response.body", "body": self._body})
 
-    async def start(self) -> "Listening":
-        await self._listener.start(Address("127.0.0.1", 0))
+    async def start(self, port: int = 0) -> "Listening":
+        await self._listener.start(Address("127.0.0.1", port))
         return self
 
+    @property
+    def address(self) -> tuple[str, int]:
+        host, port = self._listener.servers[0].sockets[0].getsockname()
+        return host, port
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection(*self._listener.servers[0].sockets[0].getsockname())
+        return await asyncio.open_connection(*self.address)
 
     async def until_closed(self, count: int = 1) -> list[ConnectionState]:
         """Return the states of the connections that were closed, once there are ``count``."""
@@ -224,6 +229,10 @@
     async def end(self) -> None:
         await self._listener.close_listener()
 
+    async def until_all_are_answered(self) -> None:
+        """Wait, after the end, until the accepted connections have closed."""
+        await self._listener.finish_connections(ENOUGH_S)
+
 
 @pytest.mark.parametrize("first", [b"", GET], ids=["before a request", "after a request"])
 def test_empty_lines_do_not_renew_the_idle_timeout(first: bytes) -> None:
