A reply that is given up keeps nothing

What callers saw: a server whose bodies don't end took a node over its memory limit with 12 requests, so that it could be killed and all requests in it ended.

Cause: a reply that fails as too large, malformed or cut, or that nobody reads on, left the account but kept its body. Reader and parser refer to each other, so the body, up to 32 MB, stayed until the next collection of garbage.

Evidence: tests/serving/test_what_is_let_go.py, all 4 new cases failed before.

Why the fix works: release, which every end of a reply calls, drops the parser and the body too. The connections of the registry and of the query interface call it at any end, also when their time is over.

--- a/src/yokesill/backends/httptools_connection.py
+++ b/src/yokesill/backends/httptools_connection.py
@@ -95,6 +95,8 @@
             raise httpcore.RemoteProtocolError("the server closed within a reply") from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             raise httpcore.ReadError(str(error)) from error
+        finally:
+            reader.release()
         if not reader.framed:
             raise httpcore.RemoteProtocolError("the reply does not say where it ends")
         self._closed = reader.surplus or not reader.keep_alive
--- a/src/yokesill/comm/http_reply.py
+++ b/src/yokesill/comm/http_reply.py
@@ -92,7 +92,7 @@
         )
         self._check_size()
         if self.complete:
-            self._release_parser()
+            self.release()
         elif self._memory is not None:
             self._memory.hold(self, len(data) + FIELD_OVERHEAD_BYTES * (self._fields - fields))
 
@@ -121,33 +121,30 @@
     def discard(self) -> None:
         """Drop what was read; called by ``ReplyMemory``."""
         self._discarded = True
-        self._release_parser()
+        self.release()
         self.headers = []
 
     def release(self) -> None:
-        """Stop counting the reply; called when nobody reads on."""
-        if self._memory is not None:
-            self._memory.release(self)
-
-    def _release_parser(self) -> None:
-        """Drop the parser and the received body.
+        """Drop the parser and an unfinished body, and stop counting the reply; called when nobody reads on.
 
         The parser refers to this reader, so the two form a reference cycle. Without this, both would
         hold the reply's body until the cyclic garbage collector runs, some thousand replies later.
         """
         self._parser = None
         self._received_body = b""
-        self.release()
+        if self._memory is not None:
+            self._memory.release(self)
 
     def end_of_stream(self) -> None:
         """Handle an orderly close: it ends a reply without a declared length and truncates any other."""
         if self._discarded:
             raise ReplyError("the node holds too many bytes of replies")
         if not self._head_done or self._framed:
+            self.release()
             raise ReplyError("the server closed within a reply")
         self._finish()
         self.keep_alive = False
-        self._release_parser()
+        self.release()
 
     def on_message_begin(self) -> None:
         """Handle the start of a reply; a second reply is surplus."""
--- a/src/yokesill/registry/stream_connection.py
+++ b/src/yokesill/registry/stream_connection.py
@@ -79,13 +79,16 @@
         return reader
 
     async def _read(self, reader: HttpReplyReader) -> None:
-        while not reader.complete:
-            try:
-                data = await self._stream.receive(READ_BYTES)
-            except anyio.EndOfStream:
-                reader.end_of_stream()
-            else:
-                reader.feed(data)
+        try:
+            while not reader.complete:
+                try:
+                    data = await self._stream.receive(READ_BYTES)
+                except anyio.EndOfStream:
+                    reader.end_of_stream()
+                else:
+                    reader.feed(data)
+        finally:
+            reader.release()
 
     async def aclose(self) -> None:
         """Close the connection immediately."""
--- a/tests/serving/test_what_is_let_go.py
+++ b/tests/serving/test_what_is_let_go.py
@@ -1,9 +1,10 @@
 """Objects are freed as soon as they are unused, without garbage collection or waiting for deadlines."""
 
+import contextlib
 import gc
 import random
 import weakref
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 import pytest
@@ -11,7 +12,7 @@
 from harness import RouterHarness, gather_route
 from memory_servers import MemoryServer, answer_normally, attempt, call
 
-from yokesill.comm.http_reply import HttpReplyReader
+from yokesill.comm.http_reply import HttpReplyReader, ReplyError
 from yokesill.gateway.events import EvacuationsReplaced, Event
 from yokesill.gateway.requests.request import RequestMachine
 from yokesill.positions import Position
@@ -45,6 +46,27 @@
     assert reference() is None
 
 
+ENDINGS_WITHOUT_A_REPLY: dict[str, Callable[[HttpReplyReader], None]] = {
+    "too large": lambda reader: reader.feed(b"x" * 1000),
+    "no reply": lambda reader: reader.feed(b"1\r\nxyz\r\n"),
+    "cut": lambda reader: reader.end_of_stream(),
+    "nobody reads on": lambda reader: reader.release(),
+}
+
+
+@pytest.mark.parametrize("ending", ENDINGS_WITHOUT_A_REPLY)
+def test_reply_that_is_given_up_is_freed_with_its_last_reference(ending: str) -> None:
+    # Guards against: a reply that was given up kept its body until the next collection, and uncounted.
+    reader = HttpReplyReader(max_body_bytes=100)
+    start = b"content-length: 1000" if ending == "too large" else b"transfer-encoding: chunked"
+    reader.feed(b"HTTP/1.1 200 OK\r\n" + start + b"\r\n\r\n")
+    reference = weakref.ref(reader)
+    with contextlib.suppress(ReplyError):
+        ENDINGS_WITHOUT_A_REPLY[ending](reader)
+    del reader
+    assert reference() is None
+
+
 def test_late_bytes_after_a_complete_reply_are_surplus() -> None:
     reader = HttpReplyReader()
     reader.feed(REPLY)
