Unfinished bodies take what they are counted for

What operators saw: bodies without end took a node to 93 to 165 MB of 300, where their share is 60 MB and an idle node takes 33.

Cause: each body was one bytearray that grew to 32 MB. Growing moves it, and with several at a time the allocator keeps the gaps that they leave. In one process, 12 readers fed in turns took 104 MB for a share of 60.

Why the fix works: a body is held in pieces of 64 KB, which the allocator uses again, and joined when the reply is whole. Small chunks still share a piece, so test_costly_replies.py passes as before.

--- a/src/yokesill/comm/http_reply.py
+++ b/src/yokesill/comm/http_reply.py
@@ -12,6 +12,8 @@
 # Limit the memory that one reply can use; ``ReplyMemory`` limits that of all together.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 32 * 1024 * 1024
+# A body is held in pieces of about this size: one object that grows is moved, and leaves gaps in the heap.
+PIECE_BYTES = 64 * 1024
 # A reply that grows by more than this without a byte of its body is not one: its head, its trailer, or the
 # extension of a chunk has no end.
 MAX_BYTES_WITHOUT_BODY = MAX_HEAD_BYTES
@@ -57,8 +59,9 @@
         self._discarded = False
         self._bodiless = bodiless
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        # Of one piece as long as possible: most bodies arrive so, and are then not copied.
-        self._received_body: bytes | bytearray = b""
+        # The body's pieces; the last one grows. Most bodies arrive as one, and are then not copied.
+        self._full_pieces: list[bytes | bytearray] = []
+        self._last_piece: bytes | bytearray = b""
         self._received = 0
         self._fields = 0
         self._head_bytes = 0
@@ -131,7 +134,8 @@
         hold the reply's body until the cyclic garbage collector runs, some thousand replies later.
         """
         self._parser = None
-        self._received_body = b""
+        self._full_pieces = []
+        self._last_piece = b""
         if self._memory is not None:
             self._memory.release(self)
 
@@ -177,15 +181,18 @@
             self._finish()
 
     def on_body(self, chunk: bytes) -> None:
-        """Store a chunk of the body; one object for all, since the smallest chunks would cost tenfold."""
+        """Store a chunk of the body; in pieces, since the smallest chunks would cost tenfold."""
         if self.complete:
             return
         if not self._body_bytes:
-            self._received_body = chunk
+            self._last_piece = chunk
+        elif len(self._last_piece) >= PIECE_BYTES:
+            self._full_pieces.append(self._last_piece)
+            self._last_piece = chunk
         else:
-            if isinstance(self._received_body, bytes):
-                self._received_body = bytearray(self._received_body)
-            self._received_body += chunk
+            if isinstance(self._last_piece, bytes):
+                self._last_piece = bytearray(self._last_piece)
+            self._last_piece += chunk
         self._body_bytes += len(chunk)
 
     def on_message_complete(self) -> None:
@@ -198,5 +205,5 @@
         self._finish()
 
     def _finish(self) -> None:
-        self.body = bytes(self._received_body)
+        self.body = b"".join((*self._full_pieces, self._last_piece))
         self.complete = True
--- a/tests/real_nodes/test_endless_bytes.py
+++ b/tests/real_nodes/test_endless_bytes.py
@@ -12,6 +12,8 @@
 import pytest
 from node_process import Node, Reply, Surroundings, message
 
+from yokesill.serving.settings import REPLY_MEMORY_SHARE
+
 ATTACK_S, SAMPLE_S = 4.0, 0.05
 CONNECTIONS = 8
 CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
@@ -23,6 +25,16 @@
     "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
 }
 
+# Bodies that are sent as fast as they are taken.
+ENDLESS_BODIES = {
+    "up to closing": (b"HTTP/1.1 200 X\r\n\r\n", b"x" * 65536),
+    "a length": (b"HTTP/1.1 200 X\r\ncontent-length: 100000000000\r\n\r\n", b"x" * 65536),
+    "chunks": (b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n", CHUNK),
+}
+BODY_REQUESTS, BODY_MEMORY_MB = 12, 300
+# What unfinished replies may take beside their share: the allocator's, and what is read at once.
+MARGIN_MB = 20
+
 
 def endless(start: bytes, repeated: bytes) -> Reply:
     """Return a reply that goes on until the other side closes."""
@@ -73,6 +85,21 @@
     assert served_again(node)
 
 
+@pytest.mark.parametrize("kind", ENDLESS_BODIES)
+def test_bodies_without_end_take_no_more_than_their_share(
+    kind: str, node: Node, around: Surroundings
+) -> None:
+    # Guards against: replies that were given up kept their bodies, of 32 MB each, beside the share of 60 MB.
+    node.limits["memoryMb"] = BODY_MEMORY_MB
+    node.write_settings()
+    node.start().wait_until_ready()
+    idle_mb = node.memory_mb()
+    for server in around.servers:
+        server.special = lambda _request: endless(*ENDLESS_BODIES[kind])
+    run_beside(node.ask, BODY_REQUESTS)
+    assert peak_mb(node) < idle_mb + REPLY_MEMORY_SHARE * BODY_MEMORY_MB + MARGIN_MB
+
+
 @pytest.mark.parametrize("kind", ENDLESS_REPLIES)
 def test_answers_of_the_store_without_end_keep_the_process_below_its_memory_limit(
     kind: str, node: Node, around: Surroundings
