--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -67,6 +67,7 @@
             "config_storm": self._change_often,
             "core_cut": self._cut_nodes,
             "garble": self._disturb_servers("garbles"),
+            "give_up": self._give_up,
             "herd_kill": self._kill_nodes,
             "hup": self._reload_nodes,
             "lossy": self._delay_links,
@@ -82,9 +83,10 @@
             "replace_with_reuse": self._reuse_addresses,
             "reset_conns": self._reset_connections,
             "reshard": self._reshard,
-            "retry_abuse": self._add_traffic,
+            "retry_abuse": self._abuse_retries,
             "roll_term": self._restart_nodes,
             "scale_in": self._drain_servers,
+            "shift": self._shift_traffic,
             "srv_crash": self._crash_servers,
             "srv_grey": self._fail_servers,
             "srv_slow": self._disturb_servers("slow"),
@@ -410,15 +412,36 @@
         day.servers_command(restart=slots)
 
     async def _add_traffic(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
+        factor = planned.trouble.factor or 1.5
+        await self._set_callers(day, planned, {"factor": factor}, {"factor": 1.0})
+
+    async def _abuse_retries(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         trouble = planned.trouble
-        factor = trouble.factor or 1.5
-        if trouble.kind == "retry_abuse":
-            factor = 1.0 + (trouble.share or 0.3) * factor
-        self._take(planned.number, ["traffic"])
-        day.callers_command(factor=factor)
-        await asyncio.sleep(trouble.for_s or DEFAULT_FOR_S)
-        if self._release(planned.number, ["traffic"]):
-            day.callers_command(factor=1.0)
+        abuse = {"abuse": trouble.share or 0.3, "tries": 1 + round(trouble.factor or 3.0)}
+        await self._set_callers(day, planned, abuse, {"abuse": 0.0})
+
+    async def _give_up(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
+        share = planned.trouble.share or 0.2
+        await self._set_callers(day, planned, {"give_up": share}, {"give_up": 0.0})
+
+    async def _shift_traffic(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
+        """Move a share of a zone's traffic to another zone, both drawn where the trouble names none."""
+        trouble, zones = planned.trouble, sorted(day.layout.site.zones)
+        zone = trouble.zone or rng.choice(zones)
+        others = [each for each in zones if each != zone] or zones
+        places = {"from": zone, "to": trouble.to_zone or rng.choice(others)}
+        shift = {"shift": trouble.share or 0.5} | places
+        await self._set_callers(day, planned, shift, {"shift": 0.0} | places)
+
+    async def _set_callers(
+        self, day: SiteDay, planned: PlannedTrouble, begin: dict[str, Any], end: dict[str, Any]
+    ) -> None:
+        name = f"callers:{next(iter(begin))}"
+        self._take(planned.number, [name])
+        day.callers_command(**begin)
+        await asyncio.sleep(planned.trouble.for_s or DEFAULT_FOR_S)
+        if self._release(planned.number, [name]):
+            day.callers_command(**end)
 
 
 def _store_mode(how: tuple[str, ...]) -> str:
--- a/tests/soak/test_soak_site_faults.py
+++ b/tests/soak/test_soak_site_faults.py
@@ -176,6 +176,29 @@
     assert len(faults) >= len(sound)
 
 
+# Guards against: clients that go on giving up, moving or repeating when the trouble is over.
+@pytest.mark.parametrize(
+    ("kind", "word", "sound"),
+    [("burst", "factor", 1.0), ("give_up", "give_up", 0.0), ("retry_abuse", "abuse", 0.0)],
+)
+def test_clients_are_as_before_when_their_trouble_is_over(
+    kind: str, word: str, sound: float, tmp_path: Path
+) -> None:
+    day = play(Day(tmp_path), planned(kind, share=0.4, factor=2.0, for_s=0.05))
+    assert [what for what, _ in day.calls] == ["callers", "callers"]
+    assert day.calls[0][1][word] > sound
+    assert day.calls[1][1] == {word: sound}
+
+
+# Guards against: traffic that moves to the zone that it comes from, or does not come back.
+def test_shifted_traffic_goes_to_another_zone_and_comes_back(tmp_path: Path) -> None:
+    day = Day(tmp_path)
+    day.layout.site = site()._replace(zones={"east": "r", "west": "r"})
+    begin, end = (command for _, command in play(day, planned("shift", share=0.5, for_s=0.05)).calls)
+    assert {begin["from"], begin["to"]} == {"east", "west"}
+    assert (begin["shift"], end["shift"]) == (0.5, 0.0)
+
+
 # Guards against: a fault of the store for some nodes that strikes all.
 def test_a_store_fault_of_some_nodes_names_them(tmp_path: Path) -> None:
     day = play(Day(tmp_path), planned("platform_down", how=("nodes", "busy"), targets=2, for_s=0.05))
--- a/tests/soak/test_soak_site_plan.py
+++ b/tests/soak/test_soak_site_plan.py
@@ -21,7 +21,7 @@
 
 SITE = site(
     *(Trouble(kind, for_s=4.0) for kind in sorted(KINDS)),
-    days=(Day("d", 3, (), (Trouble("hup", at_s=5.0), Trouble("shift")), FinalFault("kill_all", 2.0)),),
+    days=(Day("d", 3, (), (Trouble("hup", at_s=5.0), Trouble("scale_out")), FinalFault("kill_all", 2.0)),),
 )
 
 
@@ -78,5 +78,5 @@
 def test_a_standard_day_keeps_its_times_and_its_final_fault() -> None:
     plan = plan_standard_day(SITE, SITE.days[0])
     assert [(each.trouble.kind, each.at_s) for each in plan.troubles] == [("hup", 5.0)]
-    assert plan.left_out == (("shift", KINDS["shift"].note),)
+    assert plan.left_out == (("scale_out", KINDS["scale_out"].note),)
     assert plan.final == FinalFault("kill_all", 2.0)
