--- a/soak/site_report.py
+++ b/soak/site_report.py
@@ -1,6 +1,10 @@
-"""Reports days of users' sheets: a line and a JSON file for each, and a table by sheet for many."""
+"""Reports days of users' sheets: a line and a JSON file for each, and a table by sheet for many.
+
+``python -m soak.site_report FOLDER...`` prints the table of all days below some folders.
+"""
 
 import json
+import sys
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from pathlib import Path
@@ -200,3 +204,7 @@
     played_text = ", ".join(f"{kind} {count}" for kind, count in sorted(played.items()))
     left_text = ", ".join(f"{kind} ({note})" for kind, note in sorted(left_out.items()))
     return f"Played: {played_text or 'none'}.\n\nLeft out: {left_text or 'none'}."
+
+
+if __name__ == "__main__":
+    print(markdown_table(day for each in sys.argv[1:] for day in read_reports(Path(each))), end="")
