--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -15,7 +15,7 @@
 DEFAULT_DOWN_S, DEFAULT_FREEZE_S = 1.0, 3.0
 SLOW_PERIOD_S, DEFAULT_SLOW_FACTOR = 0.1, 5.0
 ACKNOWLEDGED_KILL_S = 0.004
-HARD_KILLS, HARD_GAP_S = 3, 0.3
+HARD_KILLS, HARD_GAP_S = 3, (0.02, 1.0)
 RESET_EVERY_S, RESET_FOR_S = 0.3, 0.05
 DRAIN_AFTER_RETURN_S = 0.3
 # A server that was asked to leave has ended by then.
@@ -161,16 +161,20 @@
         rounds = HARD_KILLS if "hard" in trouble.how else 1
         async with asyncio.TaskGroup() as group:
             for node in nodes:
-                group.create_task(self._kill_often(day, node, down_s, rounds))
+                gaps_s = [rng.uniform(*HARD_GAP_S) for _ in range(rounds - 1)]
+                group.create_task(self._kill_often(day, node, down_s, gaps_s))
             if "meet" in trouble.how or "race" in trouble.how:
                 group.create_task(self._change_on_return(day, down_s, 2 if "race" in trouble.how else 1))
             if "drain" in trouble.how:
                 group.create_task(self._drain_on_return(day, nodes, down_s, rng))
 
-    async def _kill_often(self, day: SiteDay, node: int, down_s: float, rounds: int) -> None:
-        for _ in range(rounds):
+    async def _kill_often(self, day: SiteDay, node: int, down_s: float, gaps_s: list[float]) -> None:
+        """Kill a node, and then again at each gap after its next start, whether or not it is ready."""
+        async with asyncio.TaskGroup() as group:
+            for gap_s in gaps_s:
+                group.create_task(self._hold_down(day, node, down_s))
+                await asyncio.sleep(down_s + gap_s)
             await self._hold_down(day, node, down_s)
-            await asyncio.sleep(HARD_GAP_S if rounds > 1 else 0.0)
 
     async def _change_on_return(self, day: SiteDay, down_s: float, changes: int) -> None:
         await asyncio.sleep(down_s)
--- a/soak/site_plan.py
+++ b/soak/site_plan.py
@@ -197,6 +197,8 @@
         Trouble("hup", share=1.0, gap_s=0.5),
         Trouble("hup", how=(REWRITTEN,), share=1.0, gap_s=0.2),
         Trouble("node_kill", share=0.2, for_s=0.5),
+        Trouble("node_kill", how=("hard",), targets=2, for_s=0.1),
+        Trouble("roll_term", share=0.4, gap_s=0.1),
         *(each for each in site.troubles if each.kind in STORE_KINDS),
     ]
     found: list[Trouble] = []
@@ -212,6 +214,8 @@
     choices = [
         Trouble("hup", how=(REWRITTEN,), share=1.0, gap_s=0.5),
         Trouble("node_kill", share=0.2, for_s=0.5),
+        Trouble("node_kill", how=("hard",), targets=2, for_s=0.1),
+        Trouble("roll_term", share=0.4, gap_s=0.1),
         *(each for each in site.troubles if each.kind in STORE_KINDS),
     ]
     found = [rng.choice(choices) for _ in range(TROUBLES_IN_START)]
--- a/tests/soak/test_soak_site_faults.py
+++ b/tests/soak/test_soak_site_faults.py
@@ -137,6 +137,17 @@
     assert day.kinds().count("start") == NODES - 1
 
 
+# Guards against: a node that is to be killed again and again and gets the time to become ready.
+def test_a_node_is_killed_again_while_it_starts(tmp_path: Path) -> None:
+    class SlowDay(Day):
+        async def start_node(self, node: int) -> None:
+            await super().start_node(node)
+            await asyncio.sleep(3.0)
+
+    day = play(SlowDay(tmp_path), planned("node_kill", how=("hard",), targets=1, for_s=0.05))
+    assert [what for what in day.kinds() if what in ("kill", "start")] == ["kill", "start"] * 3
+
+
 # Guards against: processes that stay stopped after a freeze or slowness.
 @pytest.mark.parametrize("kind", ["node_freeze", "node_slow"])
 def test_stopped_processes_go_on(kind: str, tmp_path: Path) -> None:
