Soak: a server that was dark gives up its hung connections when it comes back

Each connection that had met the darkness slept for an hour and held one of the server's places, so that the server aborted new ones. The new test failed before.

--- a/soak/server.py
+++ b/soak/server.py
@@ -40,6 +40,7 @@
 
 # What a server in mode "endless" sends behind its answer, with a pause between the pieces.
 ENDLESS_PIECE, ENDLESS_PAUSE_S = b"x" * 65536, 0.001
+DARK_POLL_S = 0.05
 
 
 class Work(NamedTuple):
@@ -177,7 +178,10 @@
             status = 503 if self.leaving else 200
             return Answer(self._encode(status, {"x-yokesill-instance-id": self.instance}))
         if self.mode == "dark":
-            await asyncio.sleep(3600)
+            # Connections that hang are given up at the end, so that they hold no places any longer.
+            while self.mode == "dark":
+                await asyncio.sleep(DARK_POLL_S)
+            return None
         refusal = self._refusal(request)
         if refusal:
             self._log_arrival(request, ran=False, signature="", status=refusal)
--- a/tests/soak/test_soak_standins.py
+++ b/tests/soak/test_soak_standins.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from soak.layout import SERVER_PORT
 from soak.network import Link, Mode
 from soak.server import Server
 from soak.slow_callers import CONNECTIONS_EACH, WAYS, hold_connections
@@ -363,3 +364,27 @@
         assert await watch is not None
 
     run(scenario)
+
+
+# Guards against: a server that was dark and refuses connections afterwards, since old ones hold its places.
+def test_a_server_that_was_dark_takes_connections_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        server = Server("i-0-1", "a0", "s1", EventLog(tmp_path / "events.jsonl"), random.Random(1))
+        server.terms = server.terms._replace(max_connections=1)
+        await server.start("127.77.3.1")
+        server.mode = "dark"
+        request = encode_message("GET /read/1 HTTP/1.1", {"x-yokesill-request-id": "1"})
+        _, first = await asyncio.open_connection("127.77.3.1", SERVER_PORT)
+        first.write(request)
+        await asyncio.sleep(0.1)
+        first.close()
+        server.mode = "sound"
+        await asyncio.sleep(0.3)
+        reader, second = await asyncio.open_connection("127.77.3.1", SERVER_PORT)
+        second.write(request)
+        answer = await read_message(reader)
+        assert answer is not None
+        second.close()
+        server.end()
+
+    run(scenario)
