--- a/soak/site_nodes.py
+++ b/soak/site_nodes.py
@@ -1,6 +1,7 @@
 """Runs a site's nodes as its platform does: settings, late seeds, limits, and starts after each end."""
 
 import asyncio
+import ctypes
 import os
 import random
 import resource
@@ -31,6 +32,11 @@
 ANNOUNCED_SHARE = 0.5
 
 
+# The kernel's call by which a process asks for a signal at the end of its parent.
+PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None)
+
+
 class NodeProcess:
     """A process of a node, with what the record of its end needs."""
 
@@ -113,7 +119,6 @@
             SETTINGS_VARIABLE: str(self._settings_path(node.number)),
             "PYTHONPATH": sysconfig.get_paths()["purelib"],
         }
-        limits = (node.descriptors, node.descriptors)
         with self._log_path(node.number).open("ab") as output:
             return await asyncio.create_subprocess_exec(
                 *(sys.executable, "-S", "deploy/serve.py", f"{node.ip}:{FRONT_PORT}"),
@@ -122,7 +127,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits),
+                preexec_fn=lambda: prepare(node.descriptors),
             )
 
     # --- settings ---
@@ -284,6 +289,12 @@
             current.process.kill()
 
 
+def prepare(descriptors: int) -> None:
+    """Limit the descriptors of a process that is about to become a node, and let it end with the soak."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+    _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def _resident_mb(pid: int) -> tuple[float, float]:
     """Return the resident memory of a process and its peak, in units of 10^6 bytes; 0 if it has ended."""
     try:
--- a/soak/site_run.py
+++ b/soak/site_run.py
@@ -1,6 +1,8 @@
 """Plays days of a users' sheet one after the other, each in a folder of its own."""
 
 import json
+import sys
+import traceback
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -82,17 +84,22 @@
     sheet_day = day_of(site, seed, terms.day)
     plan = plan_of(site, sheet_day, seed, terms)
     day = SiteDay(layout, sheet, sheet_day, seed, folder, terms.load)
+    broken_off: tuple[str, ...] = ()
     try:
         await day.start()
         await day.play(plan, TroublePlayer().bring_about)
+    except Exception as error:  # the days that follow are played all the same
+        traceback.print_exc(file=sys.stderr)
+        broken_off = (f"broken off: {error!r}",)
     finally:
         await day.end()
-    return DayOutcome(folder, report_day(folder, layout, plan), problems_of(folder))
+    return DayOutcome(folder, report_day(folder, layout, plan), broken_off + problems_of(folder))
 
 
 def problems_of(folder: Path) -> tuple[str, ...]:
     """Return the problems of the soak itself: what its stand-ins wrote, and troubles that failed."""
-    errors = [f"{name}.log has errors" for name in STANDINS if (folder / f"{name}.log").stat().st_size]
+    logs = [folder / f"{name}.log" for name in STANDINS]
+    errors = [f"{path.name} has errors" for path in logs if path.exists() and path.stat().st_size]
     soak_events = _events(folder / "events-soak.jsonl")
     failed = [each["error"] for each in soak_events if each["what"] == "trouble_failed"]
     return (*errors, *failed)
--- a/tests/soak/test_soak_site_day.py
+++ b/tests/soak/test_soak_site_day.py
@@ -3,6 +3,9 @@
 import asyncio
 import json
 import signal
+import subprocess
+import sys
+import time
 import tomllib
 from collections import Counter
 from pathlib import Path
@@ -10,15 +13,16 @@
 
 import pytest
 
+from soak.processes import ROOT
 from soak.sheet import read_sheet
 from soak.site import Trouble
 from soak.site_day import SiteDay
 from soak.site_layout import SiteLayout
 from soak.site_plan import DayPlan, PlannedTrouble
-from soak.site_run import day_of, problems_of
+from soak.site_run import DayTerms, day_of, play_day, problems_of
 
 SHEET = Path(__file__).with_name("small_site.toml")
-SECONDS, LIMIT_S = 5.0, 60.0
+SECONDS, LIMIT_S, END_LIMIT_S = 5.0, 60.0, 5.0
 KILLED, STOPPED, SPARE = 0, 1, 3
 MIN_SERVED_SHARE = 0.7
 
@@ -133,3 +137,34 @@
 # Guards against: a trouble that fails unseen, or that ends the day.
 def test_failed_trouble_is_a_problem_of_the_soak(played: Path) -> None:
     assert problems_of(played) == ("RuntimeError('a trouble that fails')",)
+
+
+# Guards against: many days that end with the first one that can't be played.
+def test_day_that_breaks_off_is_reported_and_does_not_raise(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(day: SiteDay) -> None:
+        raise RuntimeError("no stand-in")
+
+    monkeypatch.setattr(SiteDay, "start", fail)
+    outcome = asyncio.run(play_day(SHEET, 1, tmp_path, DayTerms()))
+    assert outcome.problems == ("broken off: RuntimeError('no stand-in')",)
+    assert outcome.failed
+
+
+# Guards against: nodes that run on, with their ports and memory, after the soak was killed.
+def test_nodes_end_with_the_soak() -> None:
+    program = (
+        "import os, subprocess\n"
+        "from soak.site_nodes import prepare\n"
+        "sleep = ['sleep', '100']\n"
+        "child = subprocess.Popen(sleep, preexec_fn=lambda: prepare(100), stdout=subprocess.DEVNULL)\n"
+        "print(child.pid, flush=True)\n"
+        "os.kill(os.getpid(), 9)\n"
+    )
+    ended = subprocess.run([sys.executable, "-c", program], stdout=subprocess.PIPE, cwd=ROOT, check=False)
+    path = Path(f"/proc/{int(ended.stdout)}/cmdline")
+    deadline_s = time.monotonic() + END_LIMIT_S
+    while path.exists() and path.read_bytes():
+        assert time.monotonic() < deadline_s
+        time.sleep(0.01)
