--- a/soak/site_run.py
+++ b/soak/site_run.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from soak.nets import claimed_net
 from soak.sheet import read_sheet
 from soak.site import Day, Site
 from soak.site_day import SiteDay
@@ -78,9 +79,13 @@
 
 
 async def play_day(sheet: Path, seed: int, folder: Path, terms: DayTerms) -> DayOutcome:
-    """Play the day of a seed, with its logs in ``folder``."""
-    site = read_sheet(sheet)
-    layout = SiteLayout(site)
+    """Play the day of a seed, with its logs in ``folder``, on addresses that no other day plays on."""
+    with claimed_net() as net:
+        return await _play_day(sheet, SiteLayout(read_sheet(sheet), net), seed, folder, terms)
+
+
+async def _play_day(sheet: Path, layout: SiteLayout, seed: int, folder: Path, terms: DayTerms) -> DayOutcome:
+    site = layout.site
     sheet_day = day_of(site, seed, terms.day)
     plan = plan_of(site, sheet_day, seed, terms)
     day = SiteDay(layout, sheet, sheet_day, seed, folder, terms.load)
