--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -15,7 +15,7 @@
 DEFAULT_DOWN_S, DEFAULT_FREEZE_S = 1.0, 3.0
 SLOW_PERIOD_S, DEFAULT_SLOW_FACTOR = 0.1, 5.0
 ACKNOWLEDGED_KILL_S = 0.004
-HARD_KILLS, HARD_GAP_S = 3, 0.3
+HARD_KILLS, HARD_GAP_S = 3, (0.02, 1.0)
 RESET_EVERY_S, RESET_FOR_S = 0.3, 0.05
 DRAIN_AFTER_RETURN_S = 0.3
 # A server that was asked to leave has ended by then.
@@ -67,6 +67,7 @@
             "config_storm": self._change_often,
             "core_cut": self._cut_nodes,
             "garble": self._disturb_servers("garbles"),
+            "give_up": self._give_up,
             "herd_kill": self._kill_nodes,
             "hup": self._reload_nodes,
             "lossy": self._delay_links,
@@ -82,9 +83,10 @@
             "replace_with_reuse": self._reuse_addresses,
             "reset_conns": self._reset_connections,
             "reshard": self._reshard,
-            "retry_abuse": self._add_traffic,
+            "retry_abuse": self._abuse_retries,
             "roll_term": self._restart_nodes,
             "scale_in": self._drain_servers,
+            "shift": self._shift_traffic,
             "srv_crash": self._crash_servers,
             "srv_grey": self._fail_servers,
             "srv_slow": self._disturb_servers("slow"),
@@ -159,16 +161,20 @@
         rounds = HARD_KILLS if "hard" in trouble.how else 1
         async with asyncio.TaskGroup() as group:
             for node in nodes:
-                group.create_task(self._kill_often(day, node, down_s, rounds))
+                gaps_s = [rng.uniform(*HARD_GAP_S) for _ in range(rounds - 1)]
+                group.create_task(self._kill_often(day, node, down_s, gaps_s))
             if "meet" in trouble.how or "race" in trouble.how:
                 group.create_task(self._change_on_return(day, down_s, 2 if "race" in trouble.how else 1))
             if "drain" in trouble.how:
                 group.create_task(self._drain_on_return(day, nodes, down_s, rng))
 
-    async def _kill_often(self, day: SiteDay, node: int, down_s: float, rounds: int) -> None:
-        for _ in range(rounds):
+    async def _kill_often(self, day: SiteDay, node: int, down_s: float, gaps_s: list[float]) -> None:
+        """Kill a node, and then again at each gap after its next start, whether or not it is ready."""
+        async with asyncio.TaskGroup() as group:
+            for gap_s in gaps_s:
+                group.create_task(self._hold_down(day, node, down_s))
+                await asyncio.sleep(down_s + gap_s)
             await self._hold_down(day, node, down_s)
-            await asyncio.sleep(HARD_GAP_S if rounds > 1 else 0.0)
 
     async def _change_on_return(self, day: SiteDay, down_s: float, changes: int) -> None:
         await asyncio.sleep(down_s)
@@ -410,15 +416,36 @@
         day.servers_command(restart=slots)
 
     async def _add_traffic(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
+        factor = planned.trouble.factor or 1.5
+        await self._set_callers(day, planned, {"factor": factor}, {"factor": 1.0})
+
+    async def _abuse_retries(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
         trouble = planned.trouble
-        factor = trouble.factor or 1.5
-        if trouble.kind == "retry_abuse":
-            factor = 1.0 + (trouble.share or 0.3) * factor
-        self._take(planned.number, ["traffic"])
-        day.callers_command(factor=factor)
-        await asyncio.sleep(trouble.for_s or DEFAULT_FOR_S)
-        if self._release(planned.number, ["traffic"]):
-            day.callers_command(factor=1.0)
+        abuse = {"abuse": trouble.share or 0.3, "tries": 1 + round(trouble.factor or 3.0)}
+        await self._set_callers(day, planned, abuse, {"abuse": 0.0})
+
+    async def _give_up(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
+        share = planned.trouble.share or 0.2
+        await self._set_callers(day, planned, {"give_up": share}, {"give_up": 0.0})
+
+    async def _shift_traffic(self, day: SiteDay, planned: PlannedTrouble, rng: random.Random) -> None:
+        """Move a share of a zone's traffic to another zone, both drawn where the trouble names none."""
+        trouble, zones = planned.trouble, sorted(day.layout.site.zones)
+        zone = trouble.zone or rng.choice(zones)
+        others = [each for each in zones if each != zone] or zones
+        places = {"from": zone, "to": trouble.to_zone or rng.choice(others)}
+        shift = {"shift": trouble.share or 0.5} | places
+        await self._set_callers(day, planned, shift, {"shift": 0.0} | places)
+
+    async def _set_callers(
+        self, day: SiteDay, planned: PlannedTrouble, begin: dict[str, Any], end: dict[str, Any]
+    ) -> None:
+        name = f"callers:{next(iter(begin))}"
+        self._take(planned.number, [name])
+        day.callers_command(**begin)
+        await asyncio.sleep(planned.trouble.for_s or DEFAULT_FOR_S)
+        if self._release(planned.number, [name]):
+            day.callers_command(**end)
 
 
 def _store_mode(how: tuple[str, ...]) -> str:
--- a/soak/site_plan.py
+++ b/soak/site_plan.py
@@ -48,7 +48,7 @@
     "config_storm": _PLAYED,
     "core_cut": _PLAYED,
     "garble": _PLAYED,
-    "give_up": _left_out("the callers don't give up"),
+    "give_up": _approximated("the clients leave and don't cancel"),
     "herd_kill": _PLAYED,
     "hup": _PLAYED,
     "lossy": _approximated("the zone's links to callers and to the store are delayed; no packet is lost"),
@@ -64,11 +64,11 @@
     "replace_with_reuse": _PLAYED,
     "reset_conns": _approximated("all connections between callers and the node"),
     "reshard": _PLAYED,
-    "retry_abuse": _approximated("as more traffic of all clients"),
+    "retry_abuse": _PLAYED,
     "roll_term": _PLAYED,
     "scale_in": _approximated("the servers come back after some seconds"),
     "scale_out": _left_out("no address is kept for more servers"),
-    "shift": _left_out("the callers don't move between zones"),
+    "shift": _PLAYED,
     "srv_crash": _PLAYED,
     "srv_grey": _approximated("for callers of all zones"),
     "srv_slow": _PLAYED,
@@ -197,6 +197,8 @@
         Trouble("hup", share=1.0, gap_s=0.5),
         Trouble("hup", how=(REWRITTEN,), share=1.0, gap_s=0.2),
         Trouble("node_kill", share=0.2, for_s=0.5),
+        Trouble("node_kill", how=("hard",), targets=2, for_s=0.1),
+        Trouble("roll_term", share=0.4, gap_s=0.1),
         *(each for each in site.troubles if each.kind in STORE_KINDS),
     ]
     found: list[Trouble] = []
@@ -212,6 +214,8 @@
     choices = [
         Trouble("hup", how=(REWRITTEN,), share=1.0, gap_s=0.5),
         Trouble("node_kill", share=0.2, for_s=0.5),
+        Trouble("node_kill", how=("hard",), targets=2, for_s=0.1),
+        Trouble("roll_term", share=0.4, gap_s=0.1),
         *(each for each in site.troubles if each.kind in STORE_KINDS),
     ]
     found = [rng.choice(choices) for _ in range(TROUBLES_IN_START)]
--- a/soak/site_run.py
+++ b/soak/site_run.py
@@ -1,9 +1,12 @@
 """Plays days of a users' sheet one after the other, each in a folder of its own."""
 
 import json
+import sys
+import traceback
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from soak.nets import claimed_net
 from soak.sheet import read_sheet
 from soak.site import Day, Site
 from soak.site_day import SiteDay
@@ -39,8 +42,8 @@
 
     @property
     def failed(self) -> bool:
-        """Whether a promise was broken or the soak itself had a problem."""
-        return bool(self.report["violations"] or self.problems)
+        """Whether a promise or the rule was broken, or the soak itself had a problem."""
+        return bool(self.report["violations"] or self.report["rule_fault"] or self.problems)
 
     def line(self) -> str:
         """Return a day's line for the terminal."""
@@ -76,23 +79,32 @@
 
 
 async def play_day(sheet: Path, seed: int, folder: Path, terms: DayTerms) -> DayOutcome:
-    """Play the day of a seed, with its logs in ``folder``."""
-    site = read_sheet(sheet)
-    layout = SiteLayout(site)
+    """Play the day of a seed, with its logs in ``folder``, on addresses that no other day plays on."""
+    with claimed_net() as net:
+        return await _play_day(sheet, SiteLayout(read_sheet(sheet), net), seed, folder, terms)
+
+
+async def _play_day(sheet: Path, layout: SiteLayout, seed: int, folder: Path, terms: DayTerms) -> DayOutcome:
+    site = layout.site
     sheet_day = day_of(site, seed, terms.day)
     plan = plan_of(site, sheet_day, seed, terms)
     day = SiteDay(layout, sheet, sheet_day, seed, folder, terms.load)
+    broken_off: tuple[str, ...] = ()
     try:
         await day.start()
         await day.play(plan, TroublePlayer().bring_about)
+    except Exception as error:  # the days that follow are played all the same
+        traceback.print_exc(file=sys.stderr)
+        broken_off = (f"broken off: {error!r}",)
     finally:
         await day.end()
-    return DayOutcome(folder, report_day(folder, layout, plan), problems_of(folder))
+    return DayOutcome(folder, report_day(folder, layout, plan), broken_off + problems_of(folder))
 
 
 def problems_of(folder: Path) -> tuple[str, ...]:
     """Return the problems of the soak itself: what its stand-ins wrote, and troubles that failed."""
-    errors = [f"{name}.log has errors" for name in STANDINS if (folder / f"{name}.log").stat().st_size]
+    logs = [folder / f"{name}.log" for name in STANDINS]
+    errors = [f"{path.name} has errors" for path in logs if path.exists() and path.stat().st_size]
     soak_events = _events(folder / "events-soak.jsonl")
     failed = [each["error"] for each in soak_events if each["what"] == "trouble_failed"]
     return (*errors, *failed)
