Start: a launcher holds signals before the interpreter starts

Operators saw nodes end by signal 1, without a line of log, when the settings changed soon after their start. `deploy/serve.py` holds signals in its first statement, but the interpreter needs 11 ms of processor time to get there, and ten times as long on a busy machine; where `python3` on the path is a shell script of a version manager, that comes on top.

The `run` line now starts target/yokesill-node: a C program that depends on the C library alone, holds the signals first and then loads the interpreter's shared library into the same process. It is used like `python3`. The build compiles it anew each time, tries it with what a node loads, and moves it into its place in one move. Where there is no compiler or no shared library, or a trial fails, a link to the interpreter takes the place, with a warning: such a node runs as before. Where the library is gone later, the launcher runs `python3` in its place, signals still held.

The tests start nodes by the deploy file's line and send SIGHUP by the process's own processor time, which no load changes.

The pinned text of deploy/system.toml changes with the form itself: another program in `run`, and the packages that the build uses. `load_build` and `install_copies` of the tests moved to a module of their own, unchanged.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,17 +1,17 @@
-"""Installs what a node needs into ``target/deps``, so that a folder that is there is also usable.
+"""Makes ``target/deps``, all that a node needs, and the program that starts it; what is there is also usable.
 
 A folder may have been built on another kind of machine, by another Python or for other requirements, or its
 build may have been broken off, or a copy of it. It is therefore made beside its place, tried out, and moved
 there whole; one that is there is kept only if it was made for this machine, Python and list, each of its
-files is as it was installed, and all that a node loads can be loaded.
+files is as it was installed, and all that a node loads can be loaded. ``launcher_build`` makes the program.
 """
 
 import compileall
 import fcntl
+import functools
 import hashlib
 import os
 import py_compile
-import shutil
 import stat
 import subprocess
 import sys
@@ -19,8 +19,13 @@
 import time
 from pathlib import Path
 
+from launcher_build import place_launcher, remove
+
 ROOT = Path(__file__).resolve().parent.parent
 REQUIREMENTS = ROOT / "requirements-serve.txt"
+LAUNCHER_SOURCE = ROOT / "deploy" / "launcher.c"
+# The program of the ``run`` line, in the target folder.
+PROGRAM = "yokesill-node"
 MIN_PYTHON = (3, 11)
 STAMP = ".built-for"
 # What a node reads, whoever runs it.
@@ -32,6 +37,7 @@
 INSTALL_PAUSES_S = (5.0, 20.0)
 # The options and the environment are those of the ``run`` line.
 TRIAL = ("-S", "deploy/trial.py")
+TRIAL_TIMEOUT_S = 120.0
 INHERITED_VARIABLES = ("PATH", "HOME", "LANG")
 
 
@@ -41,12 +47,22 @@
     return hashlib.sha256("\n".join(described).encode()).hexdigest()
 
 
-def trial_problem(folder):
-    """Load all that a node loads, with the packages in ``folder``; return what fails, or an empty text."""
+def trial_problem(folder, program=sys.executable):
+    """Load all that a node loads, by ``program`` and with the packages in ``folder``; return what fails."""
     environment = {name: os.environ[name] for name in INHERITED_VARIABLES if name in os.environ}
     environment["PYTHONPATH"] = str(folder)
-    command = [sys.executable, *TRIAL]
-    tried = subprocess.run(command, cwd=ROOT, env=environment, capture_output=True, text=True, check=False)
+    try:
+        tried = subprocess.run(
+            [str(program), *TRIAL],
+            cwd=ROOT,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=TRIAL_TIMEOUT_S,
+            check=False,
+        )
+    except (OSError, subprocess.TimeoutExpired) as error:
+        return str(error)
     if tried.returncode == 0:
         return ""
     return (tried.stderr.strip() or f"exit code {tried.returncode}").splitlines()[-1]
@@ -104,37 +120,35 @@
     return subprocess.run(command, check=False).returncode
 
 
-def remove(path):
-    """Remove a file, a link or a folder, if there is one."""
-    if path.is_dir() and not path.is_symlink():
-        shutil.rmtree(path)
-    elif path.is_symlink() or path.exists():
-        path.unlink()
-
-
 def build(target, install=install):
-    """Make ``target/deps`` current; whatever else stands in its place is replaced."""
+    """Make ``target/deps`` and the program current; whatever else stands in their places is replaced."""
     if target.is_symlink() or not target.is_dir():
         remove(target)
     target.mkdir(parents=True, exist_ok=True)
     with (target / ".build-lock").open("w") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
-        dependencies, partial, replaced = target / "deps", target / "deps.partial", target / "deps.replaced"
-        wanted = fingerprint()
-        remove(partial)
-        remove(replaced)
-        if is_current(dependencies, wanted):
-            return
-        install(partial)
-        problem = trial_problem(partial)
-        if problem:
-            raise SystemExit(f"error: a node can't be loaded by {sys.executable} from {partial}: {problem}")
-        write_stamp(partial, wanted)
-        # Two moves: for a moment there is no folder, but never one with some of its files.
-        if dependencies.is_symlink() or dependencies.exists():
-            dependencies.rename(replaced)
-        partial.rename(dependencies)
-        remove(replaced)
+        place_dependencies(target, install)
+        place_launcher(LAUNCHER_SOURCE, target / PROGRAM, functools.partial(trial_problem, target / "deps"))
+
+
+def place_dependencies(target, install):
+    """Make ``target/deps`` current, unless it is."""
+    dependencies, partial, replaced = target / "deps", target / "deps.partial", target / "deps.replaced"
+    wanted = fingerprint()
+    remove(partial)
+    remove(replaced)
+    if is_current(dependencies, wanted):
+        return
+    install(partial)
+    problem = trial_problem(partial)
+    if problem:
+        raise SystemExit(f"error: a node can't be loaded by {sys.executable} from {partial}: {problem}")
+    write_stamp(partial, wanted)
+    # Two moves: for a moment there is no folder, but never one with some of its files.
+    if dependencies.is_symlink() or dependencies.exists():
+        dependencies.rename(replaced)
+    partial.rename(dependencies)
+    remove(replaced)
 
 
 def let_everybody_read(path):
--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -4,6 +4,7 @@
 """
 
 # Built into the interpreter, whereas ``signal`` loads files: until signals are held, each ends the process.
+# ``launcher.c`` holds them before, with the same list; this is for a start by the interpreter itself.
 import _signal
 
 # Those that the package handles or ignores (``yokesill.serving.signals``).
