--- a/soak/site_settings.py
+++ b/soak/site_settings.py
@@ -12,6 +12,7 @@
 HISTORY_S, VALUE_BYTES, MIN_TTL_MS = 20, 1 << 20, 1000
 # Keys that belong to matters which a site may not have; they are there, and empty.
 EMPTY_KEYS = ("dataDir", "keyFile", "cloud")
+EMPTY_BOUNDS = ("evacuateMs", "warmupOvershoot", "warmupSlack")
 
 
 def settings_fields(layout: SiteLayout, number: int, first: bool, seeds: tuple[str, ...]) -> Fields:
@@ -49,7 +50,7 @@
             "diskMb": 0,
         },
         "faultTolerance": site.tolerance._asdict(),
-        "bounds": _bound_fields(site.bounds),
+        "bounds": dict.fromkeys(EMPTY_BOUNDS, "") | _bound_fields(site.bounds),
         "platform": {
             "address": f"{layout.store_link(number)}:{STORE_PORT}",
             "form": "objects",
