Soak: a sheet's nodes start by the deploy file's run line, of any checkout

`--checkout DIR` takes the nodes of another checkout; without it, the soak's own, by its built program where there is one.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 
 from soak.checkers import check
 from soak.layout import Layout, bounds_for
+from soak.processes import ROOT
 from soak.record import read_record
 from soak.run import Soak
 from soak.schedule import HAZARD_KINDS, KINDS, ROLLOUT_KINDS, plan
@@ -62,6 +63,9 @@
     parser.add_argument(
         "--seconds", type=float, default=0.0, help="length of a day's traffic, if not the sheet's"
     )
+    parser.add_argument(
+        "--checkout", type=Path, default=ROOT, help="play the sheet's days on the nodes of this checkout"
+    )
     options = parser.parse_args(arguments)
     if options.judge:
         return _recheck(options.judge)
@@ -75,7 +79,7 @@
     folder = options.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     seed = random.SystemRandom().randrange(1 << 40) if options.seed is None else options.seed
     if options.site:
-        terms = DayTerms(options.load, options.seconds, options.quiet, options.day)
+        terms = DayTerms(options.load, options.seconds, options.quiet, options.day, options.checkout)
         return _play_site(options.site, seed, options.days, terms, folder)
     runs = [*(read_seeds(SEEDS.read_text()) if options.replay else ()), (seed, options.minutes)]
     return max(_run(each, minutes, options.nodes, kinds, folder) for each, minutes in runs)
--- a/soak/site_day.py
+++ b/soak/site_day.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from soak.processes import Standin
+from soak.processes import ROOT, Standin
 from soak.site import Day, FinalFault
 from soak.site_layout import SiteLayout
 from soak.site_nodes import SiteNodes
@@ -57,7 +57,7 @@
 class SiteDay:
     """One day of the sheet at ``sheet``; its logs go into ``folder``.
 
-    ``load`` is the share of the sheet's traffic that is sent.
+    ``load`` is the share of the sheet's traffic that is sent, ``checkout`` has the nodes' program.
     """
 
     def __init__(
@@ -68,6 +68,7 @@
         seed: int,
         folder: Path,
         load: float = 1.0,
+        checkout: Path = ROOT,
     ) -> None:
         self.layout = layout
         self.day = day
@@ -78,7 +79,7 @@
         self._rng = random.Random(seed)
         self._folder = folder
         self._load = load
-        self._nodes = SiteNodes(layout, folder, self.log, self._rng)
+        self._nodes = SiteNodes(layout, folder, self.log, self._rng, checkout)
         self._standins: dict[str, Standin] = {}
         self._sampler: asyncio.Task[None] | None = None
         self._starts: list[asyncio.Task[None]] = []
--- a/soak/site_nodes.py
+++ b/soak/site_nodes.py
@@ -6,15 +6,15 @@
 import random
 import resource
 import signal
-import sys
 import sysconfig
 import time
 from pathlib import Path
 from typing import Any
 
+from soak.deployed import run_command
 from soak.kernel_bytes import all_socket_bytes, descriptors_of, held_bytes
 from soak.layout import CONTROL_PORT, FRONT_PORT, READY_PORT, READY_URL_PATH
-from soak.nodes import ROOT, holds_hangup, read_last_lines
+from soak.nodes import holds_hangup, read_last_lines
 from soak.site_layout import NODE_BLOCK, SiteLayout, SiteNode
 from soak.site_settings import Fields, changed_fields, settings_fields, toml_text
 from soak.standin import EventLog, call
@@ -64,7 +64,10 @@
 class SiteNodes:
     """The nodes of a site, each started by ``start`` and from then on after each end of its own."""
 
-    def __init__(self, layout: SiteLayout, folder: Path, log: EventLog, rng: random.Random) -> None:
+    def __init__(
+        self, layout: SiteLayout, folder: Path, log: EventLog, rng: random.Random, checkout: Path
+    ) -> None:
+        self._checkout = checkout
         self._layout = layout
         self._nodes = layout.nodes()
         self._folder = folder
@@ -121,8 +124,8 @@
         }
         with self._log_path(node.number).open("ab") as output:
             return await asyncio.create_subprocess_exec(
-                *(sys.executable, "-S", "deploy/serve.py", f"{node.ip}:{FRONT_PORT}"),
-                cwd=ROOT,
+                *run_command(f"{node.ip}:{FRONT_PORT}", self._checkout),
+                cwd=self._checkout,
                 env=environment,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
--- a/soak/site_run.py
+++ b/soak/site_run.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from soak.nets import claimed_net
+from soak.processes import ROOT
 from soak.sheet import read_sheet
 from soak.site import Day, Site
 from soak.site_day import SiteDay
@@ -24,13 +25,14 @@
     """How days are played: the share of the sheet's traffic, and its length (0: as the sheet says).
 
     A ``quiet`` day has no troubles but its final fault. ``day`` names one of the sheet's days to be replayed;
-    otherwise the troubles are drawn.
+    otherwise the troubles are drawn. ``checkout`` has the nodes' program.
     """
 
     load: float = 1.0
     seconds: float = 0.0
     quiet: bool = False
     day: str = ""
+    checkout: Path = ROOT
 
 
 class DayOutcome(NamedTuple):
@@ -88,7 +90,7 @@
     site = layout.site
     sheet_day = day_of(site, seed, terms.day)
     plan = plan_of(site, sheet_day, seed, terms)
-    day = SiteDay(layout, sheet, sheet_day, seed, folder, terms.load)
+    day = SiteDay(layout, sheet, sheet_day, seed, folder, terms.load, terms.checkout)
     broken_off: tuple[str, ...] = ()
     try:
         await day.start()
