A refused caller may finish sending before its connection is closed

What callers saw: beside a crowd larger than the connections for refusals, a caller that sends 10 ms after it connected saw a reset and no 503.

Cause: the 503 was written and the connection closed at once. A request that crossed with the close was answered with a reset, after which many clients drop what they have not read, or fail in sending the rest.

Why the fix works: only the sending side is closed. What comes is read and thrown away until the caller closes, for at most 0.1 s and 64 KB, and at 16 connections at a time beyond the listener's bound; the oldest is closed for the next. No other limit changes. Only callers refused for want of connections and without a request that has begun to run linger.

--- a/src/yokesill/callers/bounds.py
+++ b/src/yokesill/callers/bounds.py
@@ -10,6 +10,7 @@
 import uvicorn
 
 from yokesill.callers.closings import ReportClosed, ignore_closed
+from yokesill.callers.lingering import LingeringConnections
 from yokesill.callers.memory import CallerMemory
 from yokesill.callers.places import ConnectionPlaces
 from yokesill.callers.work_turns import WorkTurns
@@ -67,6 +68,7 @@
     report_closed: ReportClosed = ignore_closed
     places: ConnectionPlaces = field(default_factory=ConnectionPlaces)
     turns: WorkTurns = field(default_factory=WorkTurns)
+    lingering: LingeringConnections = field(default_factory=LingeringConnections)
     # One buffer for all, since what is read is taken out of it at once.
     read_buffer: bytearray = field(default_factory=lambda: bytearray(READ_BYTES))
 
--- a/src/yokesill/callers/protocol.py
+++ b/src/yokesill/callers/protocol.py
@@ -9,6 +9,7 @@
 
 from yokesill.callers.bounds import BoundedConfig
 from yokesill.callers.closings import ClosedConnection, CloseReason, ConnectionState
+from yokesill.callers.lingering import MAX_DISCARDED_BYTES
 from yokesill.callers.places import Claim
 from yokesill.callers.refusals import REFUSALS
 from yokesill.callers.request_reader import RequestReader
@@ -43,6 +44,7 @@
     _turns_until_read = 0
     _went_on_at_s = float("-inf")
     _closing = False
+    _discarded_bytes = 0
     # Whether its requests are run, and not refused.
     _has_place = False
 
@@ -64,14 +66,25 @@
         if places.taken >= bounds.places:
             self._wait_for_first_read(TURNS_UNTIL_READ)
         self._has_place = places.take(self, bounds.places)
-        if not self._has_place and len(self.connections) > bounds.max_connections:
+        open_count = len(self.connections) - len(self._shares.lingering)
+        if not self._has_place and open_count > bounds.max_connections:
             places.refuse_one(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release everything."""
         self._release()
+        self._shares.lingering.remove(self.transport)
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Take bytes, or throw them away if the caller has been refused."""
+        if not self._closing:
+            super().data_received(data)
+            return
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self.transport.close()
+
     def pause_writing(self) -> None:
         """Note that the caller has not taken all that was written."""
         super().pause_writing()
@@ -277,12 +290,17 @@
         state = self._state or ConnectionState.IDLE
         state_s = self.loop.time() - self._state_since_s
         self._shares.report_closed(ClosedConnection(reason, state, self.held_bytes, state_s))
-        if refuse and self._may_refuse():
+        is_refused = refuse and self._may_refuse()
+        if is_refused:
             self.transport.write(REFUSALS[reason])
+        may_linger = is_refused and reason is CloseReason.CONNECTIONS and not self._after_head
         self.disconnect_application()
         self._release()
         if self.transport.get_write_buffer_size():
             self.transport.abort()
+        elif may_linger and not self.pipeline:
+            self.flow.resume_reading()
+            self._shares.lingering.add(self.transport, self.loop)
         else:
             self.transport.close()
 
--- a/tests/serving/test_crowded_places.py
+++ b/tests/serving/test_crowded_places.py
@@ -12,6 +12,7 @@
 from test_callers_connections import GET, Listening, run
 
 from yokesill.callers.bounds import ListenerBounds
+from yokesill.callers.lingering import LINGER_S, MAX_LINGERING
 
 BOUNDS = ListenerBounds(max_connections=8)
 HALF_HEAD = b"GET /a HTTP/1.1\r\nHost: x\r\n"
@@ -318,6 +319,68 @@
     run(main)
 
 
+async def refused(listening: Recording, opened: list[Any]) -> socket.socket:
+    """Return a caller's connection that has been refused before it sent anything."""
+    # Asyncio's own client would close the connection at the first sign of its end.
+    caller = socket.create_connection(listening.address)
+    await asyncio.sleep(0.02)
+    before = len(listening.closed)
+    while len(listening.closed) == before:
+        opened.append(await listening.connect())
+        await asyncio.sleep(0.01)
+    return caller
+
+
+def test_refused_caller_that_sends_on_reads_its_refusal() -> None:
+    # Guards against: the close crosses with the caller's request, which is answered with a reset.
+    async def main() -> None:
+        listening = await Recording(BOUNDS).start()
+        opened = await listening.fill(BOUNDS.places)
+        caller = await refused(listening, opened)
+        with contextlib.closing(caller):
+            for part in (HALF_HEAD, b"Content-Length: 1\r\n", b"\r\n", b"x"):
+                caller.sendall(part)
+                await asyncio.sleep(0.005)
+            assert caller.recv(100).startswith(b"HTTP/1.1 503")
+            while caller.recv(100):
+                pass
+        assert "/a" not in listening.ran[BOUNDS.places :]
+        await end_all(listening, opened)
+
+    run(main)
+
+
+def test_refused_callers_that_send_without_end_or_never_close_are_closed() -> None:
+    # Guards against: refused callers keep connections, and the listener's descriptors.
+    async def main() -> None:
+        listening = await Recording(BOUNDS).start()
+        opened = await listening.fill(BOUNDS.places)
+        callers = [await refused(listening, opened) for _ in range(2 * MAX_LINGERING)]
+        most_open = BOUNDS.max_connections + MAX_LINGERING
+        assert listening.open <= most_open
+        callers[-1].setblocking(False)
+        with pytest.raises(OSError):
+            for _ in range(200):
+                with contextlib.suppress(BlockingIOError):
+                    callers[-1].sendall(b"x" * 1024)
+                await asyncio.sleep(0)
+        await asyncio.sleep(2 * LINGER_S)
+        assert listening.open <= BOUNDS.max_connections
+        for each in callers:
+            each.close()
+        await end_all(listening, opened)
+
+    run(main)
+
+
+async def end_all(listening: Recording, opened: list[Any]) -> None:
+    """Let requests end, and close all connections."""
+    listening.go.set()
+    for _, each in opened:
+        each.close()
+    await listening.end()
+
+
 async def head_in_two_parts(listening: Recording) -> None:
     """Reconnect for ever, and let each request run as long as it may."""
     while True:
