CLI: `yokesill gateway` and `serve` hold signals while they load

Operators who stopped or reloaded one of these within some 0.6 s of its start saw it end by signal 15 or 1 rather than stop as planned or reload: signals had their default reaction until the receiver was open, and the subcommand's modules take most of a start to load. They are now held before those modules are loaded, and delivered where they are received, as on a node of the platform.

What is left is the load of the interpreter and of the command line's library, some 0.1 s; SIGHUP still ends `serve`, which has nothing to reload.

--- a/src/yokesill/cli/gateway.py
+++ b/src/yokesill/cli/gateway.py
@@ -16,6 +16,7 @@
 from yokesill.serving.dependencies import Dependencies
 from yokesill.serving.header_names import HeaderNames
 from yokesill.serving.process import GatewayProcess
+from yokesill.serving.signals import HANDLED, signals_delivered
 from yokesill.verdict import Failure
 
 READY_PATH = "/ready"
@@ -111,7 +112,7 @@
 
 async def _handle_signals(gateway: FileGateway, path: Path) -> None:
     log = logs.get_logger("settings")
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with anyio.open_signal_receiver(*HANDLED) as signals, signals_delivered():
         async for number in signals:
             if number != signal.SIGHUP:
                 gateway.process.stop()
--- a/src/yokesill/cli/main.py
+++ b/src/yokesill/cli/main.py
@@ -8,6 +8,7 @@
 from cleo.loaders.factory_command_loader import FactoryCommandLoader
 
 from yokesill import __version__
+from yokesill.serving.signals import hold_signals
 
 COMMANDS = (
     "serve",
@@ -26,12 +27,16 @@
     "load",
     "report",
 )
+# These handle signals once they run; loading them takes most of their start.
+NODE_COMMANDS = ("serve", "gateway")
 
 
 def _factory(name: str) -> Callable[[], Command]:
     """Return a factory that imports the subcommand on use, so that a node does not load matplotlib."""
 
     def make() -> Command:
+        if name in NODE_COMMANDS:
+            hold_signals()
         words = name.split("-")
         module = importlib.import_module(f"yokesill.cli.{'_'.join(words)}")
         command: Command = getattr(module, "".join(map(str.capitalize, words)) + "Command")()
--- a/src/yokesill/cli/serve.py
+++ b/src/yokesill/cli/serve.py
@@ -15,6 +15,7 @@
 from yokesill.frontend.app import create_app
 from yokesill.frontend.server import create_server
 from yokesill.node import Node
+from yokesill.serving.signals import signals_delivered
 from yokesill.settings import Settings, load_settings
 from yokesill.store.http_store import HttpStore
 
@@ -76,6 +77,6 @@
 
 
 async def _stop_on_signal(node: Node) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals, signals_delivered():
         async for _ in signals:
             node.stop()
--- a/tests/real_nodes/node_process.py
+++ b/tests/real_nodes/node_process.py
@@ -426,6 +426,19 @@
     return Answer(int(start.split()[1]) if whole else 0, headers, body)
 
 
+def wait_until_signals_are_held(pid: int, timeout_s: float = 5.0) -> None:
+    """Return once the process holds its signals, which its first lines do."""
+    bit = 1 << (signal.SIGHUP - 1)
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        with contextlib.suppress(OSError), open(f"/proc/{pid}/status") as status:
+            held = next(line for line in status if line.startswith("SigBlk:"))
+            if int(held.split()[1], 16) & bit:
+                return
+        time.sleep(0.0005)
+    raise AssertionError("signals are not held")
+
+
 class Surroundings(NamedTuple):
     """The store and the servers around a node."""
 
--- a/tests/real_nodes/test_start_and_end.py
+++ b/tests/real_nodes/test_start_and_end.py
@@ -1,6 +1,5 @@
 """What a process meets between its start and its first answer, and at its end, doesn't end it by itself."""
 
-import contextlib
 import os
 import shutil
 import signal
@@ -11,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from node_process import HOST, ROOT, Node
+from node_process import HOST, ROOT, Node, wait_until_signals_are_held
 
 from yokesill.serving.settings_wait import MAX_WAIT_S
 
@@ -26,26 +25,13 @@
 )  # fmt: skip
 
 
-def wait_until_signals_are_held(node: Node) -> None:
-    """Return once the process holds its signals, which its first lines do."""
-    bit = 1 << (signal.SIGHUP - 1)
-    end_s = time.monotonic() + 5.0
-    while time.monotonic() < end_s:
-        with contextlib.suppress(OSError), open(f"/proc/{node.running.pid}/status") as status:
-            held = next(line for line in status if line.startswith("SigBlk:"))
-            if int(held.split()[1], 16) & bit:
-                return
-        time.sleep(0.0005)
-    raise AssertionError("signals are not held")
-
-
 @pytest.mark.parametrize("delay_s", [0.0, 0.02, 0.05, 0.1, 0.15, 0.25])
 def test_reload_signal_at_any_moment_of_the_start_does_not_end_the_process(
     delay_s: float, node: Node
 ) -> None:
     # Guards against: SIGHUP before its handler ended the process, exit by signal 1 in 6 of 6 starts.
     node.start()
-    wait_until_signals_are_held(node)
+    wait_until_signals_are_held(node.running.pid)
     time.sleep(delay_s)
     node.send_signal(signal.SIGHUP)
     node.wait_until_ready()
@@ -85,7 +71,7 @@
     # Guards against: a stop before the handlers ended the process by the signal.
     for delay_s in (0.0, 0.05, 0.12):
         node.start()
-        wait_until_signals_are_held(node)
+        wait_until_signals_are_held(node.running.pid)
         time.sleep(delay_s)
         node.send_signal(number)
         assert node.exit_code() == 0, node.output()
@@ -109,7 +95,7 @@
 ) -> None:
     # Guards against: SIGUSR1 between the first line of the program and its list of ignored signals.
     node.start()
-    wait_until_signals_are_held(node)
+    wait_until_signals_are_held(node.running.pid)
     for _ in range(20):
         node.send_signal(number)
         time.sleep(0.001)
@@ -204,7 +190,7 @@
     node.settings_path.unlink()
     place(node.settings_path)
     node.start()
-    wait_until_signals_are_held(node)
+    wait_until_signals_are_held(node.running.pid)
     time.sleep(1.0)
     assert node.running.poll() is None, node.output()
     assert node.memory_mb() < node.limits["memoryMb"]
@@ -224,7 +210,7 @@
     # Guards against: a node that waits for its settings holds a stop back until it is killed.
     node.write_settings("")
     node.start()
-    wait_until_signals_are_held(node)
+    wait_until_signals_are_held(node.running.pid)
     time.sleep(0.3)
     node.send_signal(signal.SIGTERM)
     assert node.exit_code(2.0) == 0
