Configuration: a former value is that of the configuration in force, whoever sent it

What operators saw: nothing yet; found in review. A newer configuration with an odd optional value keeps that value's former one. "Former" was what this node had read from the store itself. A node for which others call the store reads one configuration at its start and gets the later ones from them. When it then calls the store again, an odd value brought back that of its start, long replaced; a cheap answer that was late did the same.

Cause: the reader remembered what it had read, not what the node applies.

Why it works: the feed learns each event that the node applies, from the one place through which all of them go, and like the router takes only a newer version.

--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -68,8 +68,11 @@
 
 def configuration_feed(store: MetadataStore) -> Feed:
     """Return the feed of the operator's configuration."""
-    read = partial(_configuration_batch, ConfigurationReader(read_configuration))
-    return StoreFeed("configuration", CONFIGURATION_KIND, store, read, read)
+    reader = ConfigurationReader(read_configuration, f"{CONFIGURATION_KIND}/{CONFIGURATION_NAME}")
+    read = partial(_configuration_batch, reader)
+    feed = StoreFeed("configuration", CONFIGURATION_KIND, store, read, read)
+    feed.learn = reader.learn
+    return feed
 
 
 def server_feed(store: MetadataStore) -> Feed:
@@ -146,14 +149,12 @@
 
 def _configuration_batch(reader: ConfigurationReader, view: StoreView) -> Batch:
     newest = [item for item in view.items if item.name == CONFIGURATION_NAME and not item.gone][-1:]
-    place = f"{CONFIGURATION_KIND}/{CONFIGURATION_NAME}"
-    events, problems = reader.read([item.spec for item in newest], place)
+    events, problems = reader.read([item.spec for item in newest])
     return Batch(view.at, events, view.problems + problems)
 
 
 def _server_batch(view: StoreView) -> Batch:
-    events, problems = _server_events(view)
-    return Batch(view.at, events, problems)
+    return Batch(view.at, *_server_events(view))
 
 
 def _all_servers_batch(view: StoreView) -> Batch:
--- a/src/yokesill/registry/feeds.py
+++ b/src/yokesill/registry/feeds.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from yokesill.gateway.events import Event
@@ -36,10 +37,18 @@
     timeline: int = 0
 
 
+def _learn_nothing(_event: Event) -> None:
+    pass
+
+
 class Feed(abc.ABC):
-    """The registry's entries of one kind."""
+    """The registry's entries of one kind.
+
+    ``learn`` is called with each event that the node applies, whether this feed or another node sent it.
+    """
 
     name: str
+    learn: Callable[[Event], None] = staticmethod(_learn_nothing)
 
     @abc.abstractmethod
     async def list(self, stale: bool = False) -> Batch | Failure:
--- a/src/yokesill/registry/reading.py
+++ b/src/yokesill/registry/reading.py
@@ -43,18 +43,28 @@
 
 
 class ConfigurationReader:
-    """Reads configurations one after another; an odd optional value keeps that of the former one."""
+    """Reads configurations; an odd optional value keeps that of the one in force, whoever sent that one.
 
-    def __init__(self, read: ReadConfiguration) -> None:
+    ``place`` names the configuration in problems.
+    """
+
+    def __init__(self, read: ReadConfiguration, place: str) -> None:
         self._read = read
+        self._place = place
         self._former: Configuration | None = None
 
-    def read(self, specs: Iterable[Any], place: str) -> tuple[tuple[Event, ...], tuple[Problem, ...]]:
+    def learn(self, event: Event) -> None:
+        """Note a configuration that a node applies; as there, only a newer version takes its place."""
+        if not isinstance(event, ConfigurationReceived):
+            return
+        if self._former is None or event.configuration.version > self._former.version:
+            self._former = event.configuration
+
+    def read(self, specs: Iterable[Any]) -> tuple[tuple[Event, ...], tuple[Problem, ...]]:
         """Return the configurations that can be read, and a problem for each value that can't."""
         passed_over: list[str] = []
         configurations, rejected = read_each(
-            specs, lambda spec: self._read(spec, self._former, passed_over), lambda _spec: place
+            specs, lambda spec: self._read(spec, self._former, passed_over), lambda _spec: self._place
         )
-        self._former = configurations[-1] if configurations else self._former
-        told = tuple(Problem(place, each) for each in passed_over[:MAX_TOLD_PROBLEMS])
+        told = tuple(Problem(self._place, each) for each in passed_over[:MAX_TOLD_PROBLEMS])
         return tuple(ConfigurationReceived(each) for each in configurations), rejected + told
--- a/src/yokesill/serving/request_path.py
+++ b/src/yokesill/serving/request_path.py
@@ -121,6 +121,7 @@
         awaits_quarantine=dependencies.quarantine is not None,
         awaits_rollouts=dependencies.rollouts is not None,
     )
+    updates.subscribe(dependencies.configuration.learn)
     following = RegistryFollowing(
         core.settings,
         _followed_feeds(dependencies, core.driver, updates),
--- a/tests/platform/test_optional_fields.py
+++ b/tests/platform/test_optional_fields.py
@@ -5,10 +5,13 @@
 from typing import Any
 
 import pytest
-from test_following_the_store import CONFIG
+from test_following_the_store import CONFIG, FeedObserver, StoreStandin, run_with_observer
 
 from yokesill.gateway.documents import Configuration, RequestLimits
+from yokesill.gateway.events import ConfigurationReceived
 from yokesill.platform.documents import DEFAULT_CONNECTIONS, read_configuration
+from yokesill.platform.feeds import configuration_feed
+from yokesill.registry.feeds import Batch, Feed
 from yokesill.serving.object_fields import ObjectError
 
 WRONG_VALUES = ("", "soon", [], {}, True, -1, 0, 1e999, float("nan"))
@@ -122,3 +125,28 @@
     for value in ("r1", 5, [5], {"r1": True}):
         with pytest.raises(ObjectError):
             read_with(("routes", 0, "allowedRegions"), value)
+
+
+def test_former_value_is_that_of_the_configuration_in_force_whoever_sent_it() -> None:
+    # Guards against: a node for which others called the store falls back to what it read itself, long ago.
+    async def main(standin: StoreStandin, observer: FeedObserver) -> None:
+        feed = configuration_feed(observer.store)
+        first = await read_first(feed)
+        feed.learn(ConfigurationReceived(first))
+        limits = first.limits._replace(body_bytes=first.limits.body_bytes * 2)
+        feed.learn(ConfigurationReceived(replace(first, version=8, limits=limits)))
+        # A cheap answer, or another node, may be late.
+        feed.learn(ConfigurationReceived(first))
+        standin.put("config", "main", CONFIG | {"configVersion": 9, "limits": "odd"})
+        assert (await read_first(feed)).limits == limits
+
+    run_with_observer(main)
+
+
+async def read_first(feed: Feed) -> Configuration:
+    """Return the configuration that the store holds, as the feed reads it."""
+    batch = await feed.list()
+    assert isinstance(batch, Batch)
+    (event,) = batch.events
+    assert isinstance(event, ConfigurationReceived)
+    return event.configuration
--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -180,6 +180,20 @@
     run_with_node(main)
 
 
+def test_feed_learns_the_configuration_that_another_node_has_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against: a node that calls the store again reads it by a configuration that is out of date.
+    learnt: list[Event] = []
+    monkeypatch.setattr(FixedFeed, "learn", lambda _self, event: learnt.append(event), raising=False)
+
+    async def main(node: Node) -> None:
+        await node.wait_until(node.ready)
+        sent = ConfigurationReceived(configuration(2, single_route()))
+        node.process.node.updates.apply(sent)
+        assert learnt[-1] == sent
+
+    run_with_node(main)
+
+
 def test_node_follows_rollouts_and_includes_them_in_its_snapshot() -> None:
     order = RolloutOrder("desk", "v2", 12.0, 5, 6, RolloutState.CANARY)
 
