Build: paths and messages that are no text end no build

What callers saw: under a folder whose name has bytes of another encoding, or with a compiler that fails in one, the build ended with UnicodeDecodeError and left no program for the run line, so no node could start.

Cause: the output of the compiler and of the trials was decoded strictly; the trial printed the launcher's path.

Evidence: both new tests failed with UnicodeDecodeError before.

Why it works: the trial tells the path in hex, and bytes of messages that can't be decoded are escaped.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -19,7 +19,7 @@
 import time
 from pathlib import Path
 
-from launcher_build import place_launcher, remove
+from launcher_build import UNDECODABLE, place_launcher, remove
 
 ROOT = Path(__file__).resolve().parent.parent
 REQUIREMENTS = ROOT / "requirements-serve.txt"
@@ -58,6 +58,7 @@
             env=environment,
             capture_output=True,
             text=True,
+            errors=UNDECODABLE,
             timeout=TRIAL_TIMEOUT_S,
             check=False,
         )
--- a/deploy/launcher_build.py
+++ b/deploy/launcher_build.py
@@ -18,6 +18,10 @@
 LOAD_TIMEOUT_S = 30.0
 # As the linker names it, in a file name.
 LIBRARY_PREFIX = "libpython"
+# Prints the path of the program that runs; in hex, since a path may hold any bytes.
+TELL_PROGRAM = "import os; print(os.fsencode(os.readlink('/proc/self/exe')).hex())"
+# Messages may hold any bytes, too.
+UNDECODABLE = "backslashreplace"
 
 
 def place_launcher(source, program, trial_problem):
@@ -65,7 +69,13 @@
     environment = {**os.environ, "TMPDIR": str(program.parent)}
     try:
         compiled = subprocess.run(
-            command, env=environment, capture_output=True, text=True, timeout=COMPILE_TIMEOUT_S, check=False
+            command,
+            env=environment,
+            capture_output=True,
+            text=True,
+            errors=UNDECODABLE,
+            timeout=COMPILE_TIMEOUT_S,
+            check=False,
         )
     except (OSError, subprocess.TimeoutExpired) as error:
         return str(error)
@@ -74,12 +84,19 @@
 
 def load_problem(program):
     """Return why the interpreter doesn't run within ``program``, or an empty text if it does."""
-    command = [str(program), "-S", "-c", "import os; print(os.readlink('/proc/self/exe'))"]
+    command = [str(program), "-S", "-c", TELL_PROGRAM]
     try:
-        tried = subprocess.run(command, capture_output=True, text=True, timeout=LOAD_TIMEOUT_S, check=False)
+        tried = subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            errors=UNDECODABLE,
+            timeout=LOAD_TIMEOUT_S,
+            check=False,
+        )
     except (OSError, subprocess.TimeoutExpired) as error:
         return str(error)
-    runs_within = tried.stdout.rstrip("\n") == os.path.realpath(program)
+    runs_within = tried.stdout.rstrip("\n") == os.fsencode(os.path.realpath(program)).hex()
     return "" if runs_within else tried.stderr.strip() or f"it can't load {shared_library()}"
 
 
--- a/tests/real_nodes/test_launcher.py
+++ b/tests/real_nodes/test_launcher.py
@@ -191,3 +191,24 @@
     monkeypatch.setattr(launcher_build, "shared_library", lambda: str(library))
     place(tmp_path / BUILD.PROGRAM)
     assert str(library).encode() in (tmp_path / BUILD.PROGRAM).read_bytes()
+
+
+def test_launcher_is_made_under_a_path_that_is_no_text(tmp_path: Path) -> None:
+    # Guards against: a folder whose name has bytes of another encoding ends the build.
+    folder = Path(os.fsdecode(os.fsencode(tmp_path) + b"/caf\xe9"))
+    folder.mkdir()
+    place(folder / BUILD.PROGRAM)
+    assert is_launcher(folder / BUILD.PROGRAM)
+
+
+def test_compiler_whose_message_is_no_text_ends_no_build(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # Guards against: a compiler that fails in another encoding ends the build, where a link would do.
+    compiler = tmp_path / "compiler"
+    compiler.write_text("#!/bin/sh\nprintf 'caf\\351' >&2\nexit 1\n")
+    compiler.chmod(0o755)
+    monkeypatch.setattr(launcher_build, "COMPILERS", (str(compiler),))
+    place(tmp_path / BUILD.PROGRAM)
+    assert (tmp_path / BUILD.PROGRAM).is_symlink()
+    assert "warning: no launcher" in capsys.readouterr().err
