Settings: a list without any readable address keeps its former ones

What operators saw: nothing yet; found in review. A running node whose list of seeds came with nothing readable in it forgot all its seeds, where a list of another type kept them. A later value that couldn't be read was told of together with entries that were no longer in the file.

Cause: the list was kept as it stood in the file, and its entries were read after what held before was chosen.

Why it works: what is kept are the addresses that were read; a list that gives none keeps those of before. A list with some readable addresses is read as before, and each odd entry is told of once.

--- a/src/yokesill/serving/settings_reader.py
+++ b/src/yokesill/serving/settings_reader.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any, TypeVar
 
 from yokesill.serving.settings import Address, GatewaySettings, SettingsProblem
@@ -70,12 +71,8 @@
 
     def addresses(self, place: str) -> tuple[Address, ...]:
         """Return a list of addresses, without those that can't be read."""
-        listed: tuple[Any, ...] = self._read_optional(place, (), _parse_list, "a list of HOST:PORT is needed")
-        parsed = [_parse_address(each) for each in listed]
-        for index, address in enumerate(parsed):
-            if address is None:
-                self._add_problem(f"{place}.{index}", "HOST:PORT is needed", listed[index])
-        return tuple(each for each in parsed if each is not None)
+        parse = partial(self._parse_addresses, place)
+        return self._read_optional(place, (), parse, "a list of HOST:PORT is needed")
 
     def optional_address(self, place: str) -> Address | None:
         """Return an address; ``None`` if it is missing."""
@@ -98,6 +95,20 @@
         message = "two ports are needed, the first not above the second"
         return self._read_optional(place, range(0), _parse_port_range, message)
 
+    def _parse_addresses(self, place: str, value: Any) -> tuple[Address, ...] | None:
+        """Return the addresses of a list that can be read, or those that held before if none can."""
+        if not isinstance(value, list):
+            return None
+        addresses: list[Address] = []
+        for index, each in enumerate(value):
+            address = _parse_address(each)
+            if address is None:
+                self._add_problem(f"{place}.{index}", "HOST:PORT is needed", each)
+            else:
+                addresses.append(address)
+        former: tuple[Address, ...] = self._optional.values.get(place, ())
+        return tuple(addresses) or former
+
     def _get(self, place: str) -> Any:
         value: Any = self._values
         for part in place.split("."):
@@ -150,10 +161,6 @@
     return None
 
 
-def _parse_list(value: Any) -> tuple[Any, ...] | None:
-    return tuple(value) if isinstance(value, list) else None
-
-
 def _parse_text_list(value: Any) -> tuple[str, ...] | None:
     return tuple(str(each) for each in value) if isinstance(value, list) else None
 
--- a/tests/platform/test_optional_settings.py
+++ b/tests/platform/test_optional_settings.py
@@ -86,3 +86,26 @@
     # Guards against: a missing address beside a range of ports ends each start.
     settings = parse(SETTINGS.replace('ip = "10.1.0.9"', address), OptionalFields())
     assert str(settings.metrics) == "10.1.0.9:7380"
+
+
+@pytest.mark.parametrize("odd", ['["odd", ""]', "[5]", "[[]]"])
+def test_list_without_a_readable_address_keeps_what_held_before(odd: str) -> None:
+    # Guards against: a running node forgets its seeds by a list of which nothing can be read, and afterwards
+    # tells of entries that are no longer in the file.
+    fields = OptionalFields()
+    before = parse(settings_with("seedNodes", '["10.1.0.9:8106"]'), fields)
+    fields = OptionalFields(fields.values)
+    assert parse(settings_with("seedNodes", odd), fields).seeds == before.seeds
+    assert "seedNodes.0" in [each.place for each in fields.problems]
+    fields = OptionalFields(fields.values)
+    assert parse(settings_with("seedNodes", '"text"'), fields).seeds == before.seeds
+    assert [each.place for each in fields.problems] == ["seedNodes"]
+
+
+def test_addresses_that_stay_are_told_of_once() -> None:
+    # Guards against: after a list with an odd entry, another value is told of as if it had that entry.
+    fields = OptionalFields()
+    parse(settings_with("seedNodes", '["odd", "10.1.0.9:8106"]'), fields)
+    fields = OptionalFields(fields.values)
+    parse(settings_with("seedNodes", "5"), fields)
+    assert [each.place for each in fields.problems] == ["seedNodes"]
