Soak: a signal to a process that has ended does not take its status

Cause, by the record: the final fault had killed the node 0.08 s before; a late-seed SIGHUP was sent then. `send_signal` of the library first collects the status of a process that has ended, so that the one who waits for it gets 255, which is not that of a kill. A real end could have lost its status in the same way.

Signals go through a descriptor of the process now.

--- a/soak/site_nodes.py
+++ b/soak/site_nodes.py
@@ -1,6 +1,7 @@
 """Runs a site's nodes as its platform does: settings, late seeds, limits, and starts after each end."""
 
 import asyncio
+import contextlib
 import ctypes
 import os
 import random
@@ -38,12 +39,17 @@
 
 
 class NodeProcess:
-    """A process of a node, with what the record of its end needs."""
+    """A process of a node, with what the record of its end needs.
 
-    __slots__ = ("asked_to_end", "over_memory", "process", "signals_in_start", "usage")
+    Signals go through a descriptor of the process: the library's own ``send_signal`` first collects the
+    status of a process that has ended, which is then lost to the one who waits for it.
+    """
+
+    __slots__ = ("_descriptor", "asked_to_end", "over_memory", "process", "signals_in_start", "usage")
 
     def __init__(self, process: asyncio.subprocess.Process) -> None:
         self.process = process
+        self._descriptor = os.pidfd_open(process.pid)
         self.asked_to_end: signal.Signals | None = None
         self.over_memory = False
         self.signals_in_start: list[str] = []
@@ -54,6 +60,17 @@
         """Whether the process has not ended yet."""
         return self.process.returncode is None
 
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, without an effect if the process has ended."""
+        with contextlib.suppress(ProcessLookupError):
+            signal.pidfd_send_signal(self._descriptor, number)
+
+    async def wait(self) -> int:
+        """Return the status once the process has ended; to be called once."""
+        code = await self.process.wait()
+        os.close(self._descriptor)
+        return code
+
     @property
     def ended_as_asked(self) -> bool:
         """Whether somebody asked for the end; one that came just before a SIGKILL was its own."""
@@ -189,7 +206,7 @@
 
     async def _watch_end(self, number: int, current: NodeProcess) -> None:
         """Record the end of a process, and start the node again if nobody asked for that end."""
-        code = await current.process.wait()
+        code = await current.wait()
         if current.ended_as_asked:
             self._log.write("node_exited", node=number, code=code, asked=True)
             return
@@ -217,7 +234,7 @@
             current = self._current.get(number)
         if current is not None and current.running:
             current.asked_to_end = current.asked_to_end or signal.SIGKILL
-            current.process.kill()
+            current.send(signal.SIGKILL)
             await current.process.wait()
 
     async def stop(self, number: int) -> None:
@@ -244,7 +261,7 @@
         held = holds_hangup(current.process.pid)
         if not held and signal_number not in (signal.SIGSTOP, signal.SIGCONT):
             current.signals_in_start.append(signal_number.name)
-        current.process.send_signal(signal_number)
+        current.send(signal_number)
         self._log.write("node_signal", node=number, signal=signal_number.name, held=held)
 
     async def end_all(self) -> None:
@@ -289,7 +306,7 @@
             self._log.write("node_usage", node=number, **current.usage)
         if max(resident_mb + kernel_mb, peak_mb) > node.memory_mb and not current.asked_to_end:
             current.over_memory = True
-            current.process.kill()
+            current.send(signal.SIGKILL)
 
 
 def prepare(descriptors: int) -> None:
--- a/tests/soak/test_soak_site_day.py
+++ b/tests/soak/test_soak_site_day.py
@@ -18,6 +18,7 @@
 from soak.site import Trouble
 from soak.site_day import SiteDay
 from soak.site_layout import SiteLayout
+from soak.site_nodes import NodeProcess
 from soak.site_plan import DayPlan, PlannedTrouble
 from soak.site_run import DayTerms, day_of, play_day, problems_of
 
@@ -168,3 +169,18 @@
     while path.exists() and path.read_bytes():
         assert time.monotonic() < deadline_s
         time.sleep(0.01)
+
+
+def test_signal_to_a_process_that_has_ended_does_not_take_its_status() -> None:
+    # Guards against: a node that was killed, and then sent a signal, is taken for one that ended by itself.
+    async def end_and_signal() -> int:
+        command = (sys.executable, "-S", "-c", "import time; time.sleep(9)")
+        node = NodeProcess(await asyncio.create_subprocess_exec(*command))
+        node.send(signal.SIGKILL)
+        end_s = time.monotonic() + 0.1
+        while time.monotonic() < end_s:
+            node.send(signal.SIGHUP)
+        return await node.wait()
+
+    statuses = [asyncio.run(end_and_signal()) for _ in range(10)]
+    assert statuses == [-signal.SIGKILL] * 10
