--- a/src/yokesill/serving/gauges.py
+++ b/src/yokesill/serving/gauges.py
@@ -40,9 +40,8 @@
 
 def render_metrics(metrics: GatewayMetrics, sources: GaugeSources) -> bytes:
     """Set the gauges and return all metrics in the text exposition format."""
-    life_cycle, router, coordinator, client, output, following, settings, replies, callers, usage, *_ = (
-        sources
-    )
+    life_cycle, router, coordinator, client, output, following, settings = sources[:7]
+    replies, callers, usage = sources.reply_memory, sources.caller_memory, sources.usage
     gauge = metrics.gauge
     gauge("yokesill_cut_off", "Whether it reaches nothing", life_cycle.state == "cut_off")
     gauge("yokesill_version", "Configuration version", configuration_version(router))
