Build: what is tried runs captured in one place

Three calls of the same shape differed by their command and time only. No change of behaviour; tests/real_nodes/test_launcher.py, test_build.py and tests/forms pass.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -19,7 +19,7 @@
 import time
 from pathlib import Path
 
-from launcher_build import UNDECODABLE, place_launcher, remove
+from launcher_build import place_launcher, remove, run_captured
 
 ROOT = Path(__file__).resolve().parent.parent
 REQUIREMENTS = ROOT / "requirements-serve.txt"
@@ -52,16 +52,7 @@
     environment = {name: os.environ[name] for name in INHERITED_VARIABLES if name in os.environ}
     environment["PYTHONPATH"] = str(folder)
     try:
-        tried = subprocess.run(
-            [str(program), *TRIAL],
-            cwd=ROOT,
-            env=environment,
-            capture_output=True,
-            text=True,
-            errors=UNDECODABLE,
-            timeout=TRIAL_TIMEOUT_S,
-            check=False,
-        )
+        tried = run_captured([str(program), *TRIAL], TRIAL_TIMEOUT_S, cwd=ROOT, env=environment)
     except (OSError, subprocess.TimeoutExpired) as error:
         return str(error)
     if tried.returncode == 0:
--- a/deploy/launcher_build.py
+++ b/deploy/launcher_build.py
@@ -41,6 +41,12 @@
     partial.replace(program)
 
 
+def run_captured(command, timeout_s, **options):
+    """Run ``command`` and return it as ended, with its output as text, whatever bytes that has."""
+    captured = {"capture_output": True, "text": True, "errors": UNDECODABLE}
+    return subprocess.run(command, timeout=timeout_s, check=False, **captured, **options)
+
+
 def remove(path):
     """Remove a file, a link or a folder, if there is one."""
     if path.is_dir() and not path.is_symlink():
@@ -68,15 +74,7 @@
     # The compiler's temporary files.
     environment = {**os.environ, "TMPDIR": str(program.parent)}
     try:
-        compiled = subprocess.run(
-            command,
-            env=environment,
-            capture_output=True,
-            text=True,
-            errors=UNDECODABLE,
-            timeout=COMPILE_TIMEOUT_S,
-            check=False,
-        )
+        compiled = run_captured(command, COMPILE_TIMEOUT_S, env=environment)
     except (OSError, subprocess.TimeoutExpired) as error:
         return str(error)
     return f"{compiler} failed: {compiled.stderr.strip()}" if compiled.returncode else ""
@@ -86,14 +84,7 @@
     """Return why the interpreter doesn't run within ``program``, or an empty text if it does."""
     command = [str(program), "-S", "-c", TELL_PROGRAM]
     try:
-        tried = subprocess.run(
-            command,
-            capture_output=True,
-            text=True,
-            errors=UNDECODABLE,
-            timeout=LOAD_TIMEOUT_S,
-            check=False,
-        )
+        tried = run_captured(command, LOAD_TIMEOUT_S)
     except (OSError, subprocess.TimeoutExpired) as error:
         return str(error)
     runs_within = tried.stdout.rstrip("\n") == os.fsencode(os.path.realpath(program)).hex()
