--- a/tests/real_nodes/test_start_and_end.py
+++ b/tests/real_nodes/test_start_and_end.py
@@ -231,8 +231,6 @@
         stranger.bind((HOST, port))
         stranger.listen()
         node.start()
-        if name in ("control", "own"):
-            node.wait_until_ready()
         time.sleep(0.8)
         assert node.running.poll() is None, node.output()
         assert node.is_ready() == (name in ("control", "own"))
