--- a/review/rig2.py
+++ b/review/rig2.py
@@ -126,8 +126,23 @@
         # Called with each request, may return "drop" (act, and lose the answer), "refuse" (503) or "silent".
         self.judge = lambda host, message: self.mode
         self.address = None
+        # Stale reads are answered from the state of so many seconds ago.
+        self.stale_s = 0.0
+        # While set, nothing is answered; calls that wait then are never answered, also afterwards.
+        self.silent = False
+        self._silences = 0
+        self._past = [(now(), self.revision, {})]
         self._server = None
 
+    def set_silent(self, silent):
+        """Begin or end a time in which the store answers nothing."""
+        self.silent = silent
+        self._silences += silent
+
+    def _state_at(self, at):
+        """Return the revision and the objects as of a time."""
+        return next(((revision, objects) for when, revision, objects in reversed(self._past) if when <= at), self._past[0][1:])
+
     async def start(self, host="127.0.0.1"):
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, host, 0)
@@ -165,6 +180,7 @@
 
     def _note(self, kind, item, gone):
         self.history.append((self.revision, kind, item, gone))
+        self._past.append((now(), self.revision, dict(self.objects)))
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
@@ -173,6 +189,9 @@
             while (message := await read_message(reader)) is not None:
                 host = writer.get_extra_info("peername")[0]
                 verdict = self.judge(host, message)
+                silences = self._silences
+                if self.silent:
+                    await asyncio.sleep(3600)
                 if verdict == "silent":
                     await asyncio.sleep(3600)
                 if verdict == "reset":
@@ -182,6 +201,8 @@
                     status, body = 503, {}
                 else:
                     status, body = await self._answer(message)
+                if self._silences != silences:
+                    await asyncio.sleep(3600)
                 self.calls.append((now(), host, message.method.decode(), message.target.decode(), status))
                 if verdict == "drop":
                     await asyncio.sleep(3600)
@@ -201,13 +222,23 @@
         method = message.method.decode()
         body = json.loads(message.body) if message.body else {}
         if method == "GET" and len(parts) == 1:
+            stale = query.get("stale") == "1" and self.stale_s
+            revision, objects = self._state_at(now() - self.stale_s) if stale else (self.revision, self.objects)
+            if "watch" in query and stale:
+                since = int(query["watch"])
+                events = [
+                    {"object": item, "gone": gone}
+                    for rev, k, item, gone in self.history
+                    if k == parts[0] and since < rev <= revision
+                ]
+                return 200, {"events": events, "at": max(revision, since)}
             if "watch" in query:
                 return await self._watch(parts[0], int(query["watch"]), int(query.get("waitMs", "0")))
-            names = sorted(name for kind, name in self.objects if kind == parts[0])
+            names = sorted(name for kind, name in objects if kind == parts[0])
             names = [name for name in names if name > query.get("after", "")]
             page = names[:500]
-            items = [self.objects[(parts[0], name)] for name in page]
-            return 200, {"items": items, "more": len(names) > 500, "at": self.revision}
+            items = [objects[(parts[0], name)] for name in page]
+            return 200, {"items": items, "more": len(names) > 500, "at": revision}
         if method == "GET":
             item = self.objects.get((parts[0], parts[1]))
             return (200, item) if item else (404, {})
