--- a/review/rig2.py
+++ b/review/rig2.py
@@ -292,6 +292,7 @@
         self.zone = zone
         self.capacity = capacity
         self.behave = fleet.behave
+        self.version = fleet.version
         self.address = None
         self.connections = set()
         self._server = None
@@ -308,7 +309,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "configVersion": "v1",
+            "configVersion": self.version,
             "capacity": self.capacity,
             "state": state,
             "warmupLeftMs": 0,
@@ -347,6 +348,8 @@
         self.runs = []
         self.arrivals = []
         self.problems = []
+        # The version of the software of servers that are started from now on.
+        self.version = "v1"
         self._number = 0
 
     async def add(self, service, zone, behave=None, port=0):
