--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,8 @@
-"""FAILBACK: at the end of an evacuation, nodes send to servers whose entries say that they are cold.
+"""DRAIN: after the store was silent for some seconds, nodes learn of a leaving server too late.
 
-Two nodes in two zones, four servers of one service in each zone. The operator evacuates the second zone. Its
-servers turn cold and say so in the store, all within 0.2 s; 0.3 s later the operator takes the evacuation back.
-A cold server falls over when it gets well more requests in a second than the rule allows: it ends, and what it
-works on is lost.
+Three nodes of one zone, one service with four servers. The store answers nothing for 4.5 s; the long polls that
+wait in it then are never answered, also afterwards, while new calls work at once. Six seconds after its return one
+server says ``draining``, serves on for ``drainMs`` and a little longer, and ends.
 """
 
 import asyncio
@@ -16,50 +15,27 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from rig2 import (  # noqa: E402
-    CONTRACTS, Fleet, Message, Node, Server, Store, answer, configuration, http, most_in_window, now, read_body,
-    request, reset, route, run_case,
+    BOUNDS, Fleet, Message, Node, Store, answer, configuration, http, now, read_body, request, reset, route, run_case,
 )  # fmt: skip
 
-ZONES = {"gj-west-a": "gj-west", "gj-west-b": "gj-west"}
-SERVERS_PER_ZONE, REQUESTS_PER_S, WORK_S = 4, 80.0, 0.09
-# The bounds of the page with evacuations and cold servers.
-BOUNDS = {
-    "drainMs": 5000, "configApplyMs": 5000, "ackMs": 8000, "evacuateMs": 5000, "warmupOvershoot": 1.5,
-    "warmupSlack": 5, "retrySlack": 220,
-}  # fmt: skip
-WARMUP_S, WARMUP_PER_S = 3.0, 2.0
-LIMIT = WARMUP_PER_S * BOUNDS["warmupOvershoot"] + BOUNDS["warmupSlack"]
-# A server bears ``WARMUP_PER_S``; well above that, at one and a half times the rule's limit, it falls over.
-FALLS_OVER_ABOVE = 1.5 * LIMIT
-EVACUATED_S, TURN_COLD_WITHIN_S, REOPENED_AFTER_S = 8.0, 0.2, 0.3
-
-
-class ColdServer(Server):
-    """A server that may turn cold, and then falls over above the limit."""
-
-    cold_until = 0.0
-    fallen = False
+NODES, SERVERS, REQUESTS_PER_S, WORK_S = 3, 4, 20.0, 0.05
+DRAIN_S, CONTACT_S = BOUNDS["drainMs"] / 1000, BOUNDS["contactMs"] / 1000
+SILENT_S, STALE_READS_S, LITTLE_LONGER_S = 4.5, 3.0, 0.1
+CALM_S = CONTACT_S + 1.0
 
 
 async def behave(server, head, reader, writer):
-    """Run a request; end if too many came within a second while cold."""
+    """Run a request; a server that has ended resets whatever still comes."""
+    arrived = now()
     message = Message(head[0], head[1], await read_body(reader, head[1]))
     fleet = server.fleet
     if not fleet.expected(server, message, writer):
         return True
-    if server.fallen:
+    fleet.came.append((arrived, server.instance, message.headers[b"x-yokesill-request-id"].decode()))
+    if arrived >= fleet.ends_at.get(server.instance, float("inf")):
         reset(writer)
         return False
     fleet.ran(server, message)
-    at = now()
-    if at < server.cold_until:
-        fleet.while_cold.setdefault(server.instance, []).append(at)
-        recent = [each for each in fleet.while_cold[server.instance] if at - each < 1.0]
-        if len(recent) > FALLS_OVER_ABOVE:
-            server.fallen = True
-            fleet.record.write(f"{server.instance} falls over: {len(recent)} requests in a second while cold")
-            server.close(abort=True)
-            return False
     await asyncio.sleep(WORK_S)
     writer.write(answer(server, message, b"done"))
     await writer.drain()
@@ -68,43 +44,39 @@
 
 async def main(record, nodes, trouble):
     store = Store()
+    store.stale_s = STALE_READS_S
     await store.start()
     fleet = Fleet(store)
-    fleet.record, fleet.while_cold = record, {}
-    fleet.behave = behave
-    spec = configuration(
-        7, [route("keys", "a.example", "/q/", kind="non_idempotent", target_ms=350, service="dongle-desk")], []
-    )
-    spec["services"] = [
-        {"name": "dongle-desk", "healthPath": "/health", "maxConnections": 120, "warmupS": WARMUP_S,
-         "warmupPerS": WARMUP_PER_S}
-    ]  # fmt: skip
-    store.put("config", "main", spec)
-    for zone in ZONES:
-        for _ in range(SERVERS_PER_ZONE):
-            server = await fleet.add("dongle-desk", zone)
-            server.__class__ = ColdServer
-    for number, zone in enumerate(ZONES, 1):
-        contracts = [*CONTRACTS, "places"]
-        nodes.append(
-            Node(f"front-{zone}-1", store, zone=zone, zones=ZONES, host=f"127.0.1.{number}", bounds=BOUNDS, contracts=contracts)
-        )
+    fleet.behave, fleet.came, fleet.ends_at = behave, [], {}
+    routes = [route("one", "a.example", "/q/", kind="non_idempotent", target_ms=900, service="question-bank")]
+    store.put("config", "main", configuration(7, routes, ["question-bank"]))
+    for _ in range(SERVERS):
+        await fleet.add("question-bank", "upper-hill")
+    await asyncio.sleep(STALE_READS_S + 0.5)
+    nodes += [Node(f"front-upper-hill-{each}", store, host=f"127.0.1.{each}") for each in range(1, NODES + 1)]
     for node in nodes:
         node.seeds = [f"{each.host}:{each.control}" for each in nodes]
         await node.start()
     for node in nodes:
         if not await node.until_ready():
             raise RuntimeError("a node did not become ready")
-    await asyncio.sleep(6.0)
+    await asyncio.sleep(8.0)
+    if trouble:
+        store.set_silent(True)
+        record.write("the store answers nothing from now on")
+    await asyncio.sleep(SILENT_S)
+    if trouble:
+        store.set_silent(False)
+        record.write("the store answers new calls again")
+    await asyncio.sleep(CALM_S - 1.0)
 
     ids, answers, tasks, stop = itertools.count(1), [], [], asyncio.Event()
 
     async def one(node):
         request_id = f"q{next(ids)}"
-        sent = now()
         data = request("POST", f"/q/{request_id}", "a.example", request_id, body=b"x")
         status, _, _, how = await http(node.host, node.front, data, 6.0)
-        answers.append((request_id, sent, status))
+        answers.append((request_id, status))
         record.write(f"{node.name} answered {request_id} with {status or how}")
 
     async def load(node):
@@ -115,40 +87,32 @@
             await asyncio.sleep(max(0.0, due - now()))
 
     loads = [asyncio.create_task(load(node)) for node in nodes]
-    await asyncio.sleep(2.0)
-    if trouble:
-        store.put("evacuations", "gj-west-b", {"zone": "gj-west-b"})
-        record.write("the operator evacuates gj-west-b")
-    await asyncio.sleep(EVACUATED_S)
-    evacuated = [each for each in fleet.servers.values() if each.zone == "gj-west-b"]
-    if trouble:
-        for server in evacuated:
-            await asyncio.sleep(TURN_COLD_WITHIN_S / len(evacuated))
-            entry = dict(store.objects["servers", server.instance]["spec"])
-            entry["warmupLeftMs"] = round(WARMUP_S * 1000)
-            entry["callSeq"] += 1
-            server.cold_until = now() + WARMUP_S
-            revision = store.put("servers", server.instance, entry)
-            record.write(f"{server.instance} has turned cold; its entry in the store says so at revision {revision}")
-    await asyncio.sleep(REOPENED_AFTER_S)
-    if trouble:
-        store.remove("evacuations", "gj-west-b")
-        record.write(f"the operator takes the evacuation back, revision {store.revision}")
-    await asyncio.sleep(5.0)
+    await asyncio.sleep(1.0)
+    leaving = next(iter(fleet.servers.values()))
+    leaving.enter("draining")
+    taken_at = now()
+    fleet.ends_at[leaving.instance] = taken_at + DRAIN_S + LITTLE_LONGER_S
+    record.write(f"{leaving.instance} says draining; the store has taken it at revision {store.revision}")
+    await asyncio.sleep(7.0)
     stop.set()
     await asyncio.gather(*loads)
     await asyncio.gather(*tasks)
 
-    for at, instance, _, request_id, *_ in fleet.runs:
-        record.write(f"{instance} runs {request_id}", at)
-    most = {instance: most_in_window(times, 1.0) for instance, times in fleet.while_cold.items()}
-    record.write(f"most requests in a second at a cold server: {most}; the rule allows {LIMIT:g}")
-    ran = Counter(each[3] for each in fleet.runs)
-    lost = [each for each, _, status in answers if not 200 <= status < 300 and ran[each]]
-    record.write(f"answers: {dict(Counter(each[2] for each in answers))}; ran and lost: {len(lost)}")
-    if not trouble and any(not 200 <= status < 300 for _, _, status in answers):
-        raise RuntimeError("requests failed without the disruption")
-    return any(count > LIMIT for count in most.values())
+    late = []
+    for at, instance, request_id in fleet.came:
+        leaves = instance == leaving.instance and at > taken_at
+        record.write(
+            f"{request_id} reaches {instance}"
+            + (f", {at - taken_at:.3f} s after draining" if leaves else ""),
+            at,
+        )
+        if leaves and at - taken_at > DRAIN_S:
+            late.append((request_id, round(at - taken_at, 3)))
+    statuses = dict(answers)
+    failed = [each for each, _ in late if statuses.get(each) != 200]
+    record.write(f"answers: {dict(Counter(status for _, status in answers))}")
+    record.write(f"later than {DRAIN_S:g} s: {late}; of these not answered with 200: {len(failed)}")
+    return bool(late)
 
 
 run_case(main, FOLDER)
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -25,7 +26,7 @@
     return time.monotonic()
 
 
-def free_ports(host, count, first=None):
+def free_ports(host, count):
     """Return ``count`` free ports of a loopback address; consecutive ones."""
     while True:
         probe = socket.socket()
@@ -121,10 +122,6 @@
         self.objects = {}
         self.history = []
         self.changed = asyncio.Event()
-        self.mode = ""
-        self.calls = []
-        # Called with each request, may return "drop" (act, and lose the answer), "refuse" (503) or "silent".
-        self.judge = lambda host, message: self.mode
         self.address = None
         # Stale reads are answered from the state of so many seconds ago.
         self.stale_s = 0.0
@@ -141,7 +138,10 @@
 
     def _state_at(self, at):
         """Return the revision and the objects as of a time."""
-        return next(((revision, objects) for when, revision, objects in reversed(self._past) if when <= at), self._past[0][1:])
+        return next(
+            ((revision, objects) for when, revision, objects in reversed(self._past) if when <= at),
+            self._past[0][1:],
+        )
 
     async def start(self, host="127.0.0.1"):
         """Listen on a free port."""
@@ -152,11 +152,21 @@
         """Create or change an object; return its revision."""
         key = (kind, name)
         old = self.objects.get(key)
-        new = json.loads(json.dumps(old)) if old else {
-            "meta": {"name": name, "revision": 0, "made": self.revision + 1, "finalizers": [], "deleting": False},
-            "spec": None,
-            "status": None,
-        }
+        new = (
+            json.loads(json.dumps(old))
+            if old
+            else {
+                "meta": {
+                    "name": name,
+                    "revision": 0,
+                    "made": self.revision + 1,
+                    "finalizers": [],
+                    "deleting": False,
+                },
+                "spec": None,
+                "status": None,
+            }
+        )
         if spec is not None:
             new["spec"] = spec
         if status is not None:
@@ -187,25 +197,12 @@
     async def _serve(self, reader, writer):
         try:
             while (message := await read_message(reader)) is not None:
-                host = writer.get_extra_info("peername")[0]
-                verdict = self.judge(host, message)
                 silences = self._silences
                 if self.silent:
                     await asyncio.sleep(3600)
-                if verdict == "silent":
-                    await asyncio.sleep(3600)
-                if verdict == "reset":
-                    reset(writer)
-                    return
-                if verdict == "refuse":
-                    status, body = 503, {}
-                else:
-                    status, body = await self._answer(message)
+                status, body = await self._answer(message)
                 if self._silences != silences:
                     await asyncio.sleep(3600)
-                self.calls.append((now(), host, message.method.decode(), message.target.decode(), status))
-                if verdict == "drop":
-                    await asyncio.sleep(3600)
                 data = json.dumps(body).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
                 writer.write(head.encode() + data)
@@ -223,7 +220,9 @@
         body = json.loads(message.body) if message.body else {}
         if method == "GET" and len(parts) == 1:
             stale = query.get("stale") == "1" and self.stale_s
-            revision, objects = self._state_at(now() - self.stale_s) if stale else (self.revision, self.objects)
+            revision, objects = (
+                self._state_at(now() - self.stale_s) if stale else (self.revision, self.objects)
+            )
             if "watch" in query and stale:
                 since = int(query["watch"])
                 events = [
@@ -244,7 +243,9 @@
             return (200, item) if item else (404, {})
         name = parts[1] if len(parts) > 1 else body["meta"]["name"]
         old = self.objects.get((parts[0], name))
-        wanted = body.get("meta", {}).get("revision", query.get("revision")) if isinstance(body, dict) else None
+        wanted = (
+            body.get("meta", {}).get("revision", query.get("revision")) if isinstance(body, dict) else None
+        )
         if method == "POST":
             if old:
                 return 409, old
@@ -267,7 +268,11 @@
         end = now() + wait_ms / 1000
         while True:
             at = self.revision
-            events = [{"object": item, "gone": gone} for rev, k, item, gone in self.history if k == kind and rev > since]
+            events = [
+                {"object": item, "gone": gone}
+                for rev, k, item, gone in self.history
+                if k == kind and rev > since
+            ]
             left = end - now()
             if events or left <= 0:
                 return 200, {"events": events, "at": at}
@@ -374,7 +379,9 @@
 
     def expected(self, server, message, writer):
         """Whether a request names this server; any other is rejected."""
-        self.arrivals.append((now(), server.instance, message.headers.get(b"x-yokesill-request-id", b"").decode()))
+        self.arrivals.append(
+            (now(), server.instance, message.headers.get(b"x-yokesill-request-id", b"").decode())
+        )
         expected = message.headers.get(b"x-yokesill-expect-instance", server.instance.encode()).decode()
         if expected == server.instance:
             return True
@@ -425,7 +432,20 @@
 class Node:
     """One gateway node, in a process of its own."""
 
-    def __init__(self, name, store, zone="upper-hill", zones=None, host="127.0.0.1", seeds=(), memory_mb=300, max_fds=4100, bounds=None, contracts=None, cores=2):
+    def __init__(
+        self,
+        name,
+        store,
+        zone="upper-hill",
+        zones=None,
+        host="127.0.0.1",
+        seeds=(),
+        memory_mb=300,
+        max_fds=4100,
+        bounds=None,
+        contracts=None,
+        cores=2,
+    ):
         self.name, self.store, self.zone, self.host = name, store, zone, host
         self.zones = zones or {"upper-hill": "nairobi"}
         ports = free_ports(host, 8)
@@ -442,8 +462,10 @@
 
     def settings(self):
         """Return the settings file's text."""
+
         def line(name, value):
             return f"{name} = {json.dumps(value)}"
+
         store = "%s:%d" % tuple(self.store.address)
         rows = [
             line("nodeName", self.name), line("role", "gateway"), line("machineClass", "front"),
@@ -472,7 +494,12 @@
         line = next(iter(roles.values()))["run"].replace("{{listenAddrs.front}}", f"{self.host}:{self.front}")
         with self.log_path.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
-                *line.split(), cwd=ROOT, env=environment, stdout=output, stderr=output, stdin=asyncio.subprocess.DEVNULL
+                *line.split(),
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=output,
+                stdin=asyncio.subprocess.DEVNULL,
             )
         self.first = False
 
@@ -498,6 +525,10 @@
             self.process.kill()
             await self.process.wait()
 
+    def remove_folder(self):
+        """Remove the settings and the log."""
+        shutil.rmtree(self.folder, ignore_errors=True)
+
     def log(self):
         """Return the lines of the node's log."""
         return self.log_path.read_text(errors="replace").splitlines() if self.log_path.exists() else []
@@ -506,10 +537,6 @@
 # --- clients ---
 
 
-class Answer(tuple):
-    """``(status, headers, body, how)``: ``how`` is empty for a whole answer."""
-
-
 async def read_answer(reader, head_only=False):
     """Return the answer to one request: status, headers, body, and what is wrong with it."""
     try:
@@ -552,7 +579,9 @@
     lines += list(extra)
     if chunked:
         lines.append("Transfer-Encoding: chunked")
-        data = b"".join(b"%x\r\n%s\r\n" % (len(body[i : i + 700]), body[i : i + 700]) for i in range(0, len(body), 700))
+        data = b"".join(
+            b"%x\r\n%s\r\n" % (len(body[i : i + 700]), body[i : i + 700]) for i in range(0, len(body), 700)
+        )
         data += b"0\r\n\r\n"
     else:
         if body or method == "POST":
@@ -572,7 +601,9 @@
     }
 
 
-def route(name, host, prefix, kind="idempotent", timeout_ms=4000, target_ms=300, attempts=2, priority=1, **to):
+def route(
+    name, host, prefix, kind="idempotent", timeout_ms=4000, target_ms=300, attempts=2, priority=1, **to
+):
     """Return a route; ``to`` is ``service``, ``backends`` or ``gather`` with ``topK`` and ``minCoverage``."""
     return {
         "name": name, "host": host, "pathPrefix": prefix, "routeType": kind, "timeoutMs": timeout_ms,
@@ -604,7 +635,9 @@
 def most_in_window(times, window_s):
     """Return the largest number of times within any window of this length."""
     ordered = sorted(times)
-    return max((sum(1 for each in ordered if first <= each < first + window_s) for first in ordered), default=0)
+    return max(
+        (sum(1 for each in ordered if first <= each < first + window_s) for first in ordered), default=0
+    )
 
 
 def run_case(main, folder, limit_s=110.0):
@@ -620,6 +653,7 @@
         finally:
             for node in nodes:
                 await node.end()
+                node.remove_folder()
 
     try:
         broken = asyncio.run(bounded())
