--- a/review/4/case.py
+++ b/review/4/case.py
@@ -74,6 +74,7 @@
 
     async def one(node):
         request_id = f"q{next(ids)}"
+        record.write(f"{request_id} is sent to {node.name}")
         data = request("POST", f"/q/{request_id}", "a.example", request_id, body=b"x")
         status, _, _, how = await http(node.host, node.front, data, 6.0)
         answers.append((request_id, status))
@@ -98,6 +99,8 @@
     await asyncio.gather(*loads)
     await asyncio.gather(*tasks)
 
+    for at, instance, _, request_id, *_ in fleet.runs:
+        record.write(f"{instance} runs {request_id}", at)
     late = []
     for at, instance, request_id in fleet.came:
         leaves = instance == leaving.instance and at > taken_at
@@ -115,4 +118,4 @@
     return bool(late)
 
 
-run_case(main, FOLDER)
+run_case(main, FOLDER / "record.txt")
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -617,8 +617,8 @@
 class Record:
     """The case's ``record.txt``: what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self._path = Path(folder) / "record.txt"
+    def __init__(self, path):
+        self._path = Path(path)
         self._start = now()
         self._lines = []
 
@@ -640,10 +640,10 @@
     )
 
 
-def run_case(main, folder, limit_s=110.0):
+def run_case(main, record_path, limit_s=110.0):
     """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
+    record = Record(record_path)
     nodes = []
 
     async def bounded():
