A reply says nothing of a request that it does not name

Seen: callers of a route that may run once got 503 although a server had run their request, or it ran twice, when a surplus rejection that carries no request id arrived in the place of the next answer.

Cause: `read_reply` read what a reply says before it knew whom it means. A rejection, or 421, without an id counted as this request's, on any exchange of a kept connection, and the connection went back to the pool.

Fix: one place says which request a reply means (this one, another, none); two ids or an empty one are another's. A rejection without an id is believed on the first exchange of a connection only, since it can mean no other request there, and that connection is closed. A success that says "not executed" contradicts itself and is malformed.

--- a/soak/server.py
+++ b/soak/server.py
@@ -185,7 +185,8 @@
         refusal = self._refusal(request)
         if refusal:
             self._log_arrival(request, ran=False, signature="", status=refusal)
-            return Answer(self._encode(refusal, {NOT_RUN: "1"}))
+            echoed = {REQUEST_ID: request.headers[REQUEST_ID]} if request.headers.get(REQUEST_ID) else {}
+            return Answer(self._encode(refusal, {NOT_RUN: "1"} | echoed))
         self._waiting += 1
         try:
             await self._slots.acquire()
--- a/src/yokesill/upstreams/attempt_bytes.py
+++ b/src/yokesill/upstreams/attempt_bytes.py
@@ -2,13 +2,18 @@
 
 Decides which replies count as this attempt's answer, and which guarantee that the request did not run. Header
 names come from ``serving.header_names``. Stateless.
+
+Servers name the request in each reply. A faulty one may send a surplus reply late, in the place of the next
+one, so only a reply with the request's own id says anything about it. One exception: on a connection that has
+carried no other request, a rejection without an id can mean no other one.
 """
 
+import enum
 import math
 from typing import Any
 
 from yokesill.comm.http_reply import HttpReplyReader
-from yokesill.comm.http_status import MISDIRECTED, SERVER_ERROR
+from yokesill.comm.http_status import BAD_REQUEST, MISDIRECTED, SERVER_ERROR
 from yokesill.comm.numbers import MAX_NUMBER, parse_digits
 from yokesill.gateway.messages import Attempt, GatewayRequest, Load, ServerReply
 from yokesill.serving.header_names import HeaderNames
@@ -19,6 +24,14 @@
 LOAD_FIELDS_WITH_SERVICE_TIME = 4
 
 
+class _Addressee(enum.Enum):
+    """Which request the id in a reply names, in words for the log."""
+
+    THIS = "the answer names this request"
+    OTHER = "the answer names another request"
+    NONE = "the answer names no request"
+
+
 def encode_attempt(attempt: Attempt, names: HeaderNames, remaining_s: float) -> bytes:
     """Return an attempt's bytes: the caller's request with the remaining time as its deadline.
 
@@ -45,37 +58,68 @@
 
 
 def read_reply(
-    attempt: Attempt, reader: HttpReplyReader, headers: dict[bytes, bytes], names: HeaderNames
+    attempt: Attempt,
+    reader: HttpReplyReader,
+    headers: dict[bytes, bytes],
+    names: HeaderNames,
+    first_exchange: bool,
 ) -> ServerReply | Failure:
     """Interpret a server's reply to this attempt.
 
+    Parameters
+    ----------
+    attempt
+        The attempt that the reply was read for.
+    reader, headers
+        The whole reply, and its headers by name.
+    names
+        The names of the headers exchanged with servers.
+    first_exchange
+        Whether the connection has carried no request before this one.
+
     Returns
     -------
     ServerReply or Failure
-        ``Failure`` with ``NOT_RUN`` if the server declined the request; with ``MAY_HAVE_RUN`` if the reply
-        belongs to another request or must not be passed on.
+        ``Failure`` with ``NOT_RUN`` if the server declined this very request; with ``MAY_HAVE_RUN`` if the
+        reply may belong to another request, or must not be passed on.
     """
-    echoed = headers.get(names.request_id)
-    foreign = Failure(Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN, "the answer names another request")
-    # An answer to another request tells nothing about this one, not even that it did not run.
-    if echoed is not None and echoed.decode("latin-1") != attempt.request.request_id:
-        return foreign
-    if reader.status == MISDIRECTED:
-        return Failure(Reason.BACKEND_LEAVING, Verdict.NOT_RUN, "another server has its address")
-    if names.not_executed in headers:
-        return Failure(Reason.SHED, Verdict.NOT_RUN, f"not executed, status {reader.status}")
-    if echoed is None:
-        return foreign
+    addressee = _addressee(attempt, reader, names)
+    declined = _declined(reader.status, names.not_executed in headers)
+    is_told = addressee is _Addressee.THIS or (addressee is _Addressee.NONE and first_exchange)
+    if declined is not None and is_told:
+        return declined
+    if addressee is not _Addressee.THIS:
+        return Failure(Reason.FOREIGN_REPLY, Verdict.MAY_HAVE_RUN, addressee.value)
     signature = headers.get(names.signature)
     if reader.status < SERVER_ERROR:
         if b"content-encoding" in headers:
             return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, "an answer with a content coding")
         if signature is None:
             return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, "an answer without a signature")
+    if names.not_executed in headers:
+        return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, "not executed, but not a failure")
     load = _parse_load(headers.get(names.load))
     return ServerReply(reader.status, tuple(reader.headers), reader.body, signature, load)
 
 
+def _addressee(attempt: Attempt, reader: HttpReplyReader, names: HeaderNames) -> _Addressee:
+    """Return which request the id in a reply names."""
+    echoed = [value for name, value in reader.headers if name == names.request_id]
+    if not echoed:
+        return _Addressee.NONE
+    own = echoed == [attempt.request.request_id.encode("latin-1")]
+    return _Addressee.THIS if own else _Addressee.OTHER
+
+
+def _declined(status: int, not_executed: bool) -> Failure | None:
+    """Return what a reply says that declines a request, ``None`` for any other one."""
+    if status == MISDIRECTED:
+        return Failure(Reason.BACKEND_LEAVING, Verdict.NOT_RUN, "another server has its address")
+    if not_executed and status >= BAD_REQUEST:
+        return Failure(Reason.SHED, Verdict.NOT_RUN, f"not executed, status {status}")
+    return None
+
+
 def _needs_content_length(request: GatewayRequest) -> bool:
     """Whether a ``Content-Length`` is needed even for an empty body."""
     return request.method in (b"POST", b"PUT", b"PATCH")
--- a/src/yokesill/upstreams/connections.py
+++ b/src/yokesill/upstreams/connections.py
@@ -34,7 +34,7 @@
 
     ``reusable_until`` is when the server may close it as idle, and ``idle_since`` when it became idle, in
     seconds of the node's clock. ``opened_in_s`` is how long connecting took, which is a round trip.
-    Unfinished replies count towards ``memory``.
+    ``exchanges`` is how many requests it has carried. Unfinished replies count towards ``memory``.
     """
 
     __slots__ = (
@@ -42,6 +42,7 @@
         "_on_lost",
         "_pending",
         "_transport",
+        "exchanges",
         "idle_since",
         "opened_in_s",
         "reusable_until",
@@ -52,6 +53,7 @@
     ) -> None:
         self.reusable_until = 0.0
         self.opened_in_s = 0.0
+        self.exchanges = 0
         self.idle_since: float | None = None
         self._on_lost = on_lost
         self._memory = memory
@@ -64,6 +66,7 @@
 
     def start(self, request: bytes, bodiless: bool, on_end: OnReplyEnd) -> None:
         """Send a request; ``on_end`` is called once, never before this call returns."""
+        self.exchanges += 1
         self._pending = PendingReply(HttpReplyReader(bodiless, self._memory), on_end)
         if self._transport is not None:
             self._transport.write(request)
--- a/src/yokesill/upstreams/server_client.py
+++ b/src/yokesill/upstreams/server_client.py
@@ -224,10 +224,11 @@
 
     def _handle_reply(self, call: AttemptCall, reader: HttpReplyReader) -> None:
         headers = dict(reader.headers)
-        reply = read_reply(call.attempt, reader, headers, self._names)
+        first_exchange = call.connection is not None and call.connection.exchanges == 1
+        reply = read_reply(call.attempt, reader, headers, self._names, first_exchange)
         self._pop_call(call.attempt.number)
-        to_this_request = not isinstance(reply, Failure) or reply.verdict is Verdict.NOT_RUN
-        self._release(call, reader, headers, to_this_request)
+        settled = not isinstance(reply, Failure) or reply.verdict is Verdict.NOT_RUN
+        self._release(call, reader, headers, settled and self._names.request_id in headers)
         if isinstance(reply, Failure):
             event = "declined" if reply.verdict is Verdict.NOT_RUN else "failed"
             verdict = VERDICT_OF_STATE[self._table[(call.state, event)]]
@@ -239,9 +240,10 @@
     def _release(
         self, call: AttemptCall, reader: HttpReplyReader, headers: dict[bytes, bytes], to_this_request: bool
     ) -> None:
-        """Release the connection for reuse after a complete reply to this request, or close it.
+        """Release the connection for reuse after a complete reply that names this request, or close it.
 
-        After a reply to another request, the one to this request is still due on it.
+        After a reply to another request, the one to this request is still due on it. A server that names no
+        request is believed on new connections only.
         """
         connection, call.connection = call.connection, None
         if connection is None:
--- a/tests/forms/bindings.py
+++ b/tests/forms/bindings.py
@@ -409,7 +409,9 @@
     reader = http_reply.HttpReplyReader()
     reader.feed(data)
     attempt = _attempt(b"GET", [], b"")
-    read = attempt_bytes.read_reply(attempt, reader, dict(reader.headers), names.HEADER_NAMES)
+    read = attempt_bytes.read_reply(
+        attempt, reader, dict(reader.headers), names.HEADER_NAMES, first_exchange=True
+    )
     return read[:2] if isinstance(read, Failure) else read
 
 
--- a/tests/serving/test_application.py
+++ b/tests/serving/test_application.py
@@ -1,6 +1,7 @@
 """The ASGI application for callers in virtual time: reading, rejecting, answering and cancelling requests."""
 
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -9,7 +10,14 @@
 import pytest
 from conftest import run_virtual
 from harness import configuration, server, single_route
-from memory_servers import MemoryServer, MemoryStream, ReceivedRequest, Script, answer_normally
+from memory_servers import (
+    MemoryServer,
+    MemoryStream,
+    ReceivedRequest,
+    Script,
+    answer_bytes,
+    answer_normally,
+)
 
 from yokesill import logs
 from yokesill.callers.application import GatewayApplication
@@ -206,6 +214,40 @@
         run_application(main, script)
 
 
+@pytest.mark.parametrize("named", [True, False])
+def test_surplus_rejection_repeats_no_request_and_promises_nothing(named: bool) -> None:
+    # Guards against: a late surplus rejection, with another request's id or none, taken for the running
+    # request's: it ran twice, or its caller got 503 although it ran.
+    ran: Counter[str] = Counter()
+    surplus: dict[int, bytes] = {}
+
+    async def script(server: MemoryServer, stream: MemoryStream, request: ReceivedRequest) -> None:
+        request_id = request.header("request-id") or ""
+        rejection = answer_bytes(request_id if named else None, b"", "503 X", "Not-Executed: 1")
+        if len(server.received) % 5 == 0:
+            surplus[request.connection] = rejection
+            await stream.send(answer_bytes(request_id, b"", "503 X", "Not-Executed: 1"))
+            return
+        ran[request_id] += 1
+        if request.connection in surplus:
+            await stream.send(surplus.pop(request.connection))
+            await anyio.sleep(0.03)
+        await stream.send(answer_bytes(request_id))
+
+    async def main(served: ApplicationHarness) -> None:
+        served.driver.feed(ev.ServerListed(server("i-2", "desk")))
+        statuses: dict[str, int] = {}
+        for number in range(60):
+            headers = [each for each in GOOD if each[0] != b"request-id"]
+            headers.append((b"request-id", b"q%d" % number))
+            statuses[f"q{number}"] = (await served.ask(headers=headers, method="POST")).status
+        assert max(ran.values()) == 1
+        assert [each for each, status in statuses.items() if status == 503 and ran[each]] == []
+        assert 502 in statuses.values(), "no surplus rejection was met"
+
+    run_application(main, script, configuration(3, single_route(repeatable=False)))
+
+
 def test_disconnect_of_the_caller_cancels_its_request() -> None:
     async def silent(_server: MemoryServer, _stream: MemoryStream, _request: ReceivedRequest) -> None:
         return None
--- a/tests/soak/test_soak_standins.py
+++ b/tests/soak/test_soak_standins.py
@@ -301,6 +301,8 @@
         (answer,) = await answers(tmp_path, mode, headers)
         assert isinstance(answer, HttpMessage)
         assert (answer.start_line[1], "x-yokesill-not-executed" in answer.headers) == (status, True)
+        echoed, sent = (each.get("x-yokesill-request-id") for each in (answer.headers, headers))
+        assert echoed == sent
         assert [each["ran"] for each in events(tmp_path)] == [False]
 
     run(scenario)
