A server's status that promises "not run" is not passed on if it ran

Cause: the verdict sets the status of the node's own refusals only; a server's answer went out with its own status.

Evidence: test_status_that_promises_not_run_is_not_passed_on_... failed in 6 of 6 before (503 == 502 and so on); its counterpart, that 400, 404, 409, 500, 502 and 504 of servers reach the caller unchanged, held before and holds now.

Fix: one function on the way out turns such an answer into a refusal with the verdict `ran`: 502, unsigned, with the server's status in its detail.

--- a/src/yokesill/callers/answers.py
+++ b/src/yokesill/callers/answers.py
@@ -2,14 +2,25 @@
 
 This is the only module that maps refusals to statuses: 503 guarantees that no server ran the request, 502 and
 504 mean that one may have. The mapping relies on the verdict that the gateway sets in each failure.
+
+To callers four statuses are promises that the request has not run. A server that says so with the proper
+header never gets here as an answer; one that does here has run the request, whatever its status.
 """
 
 from typing import NamedTuple
 
 from yokesill.callers.headers import end_to_end_headers
-from yokesill.comm.http_status import BAD_GATEWAY, GATEWAY_TIMEOUT, NOT_FOUND, OK, UNAVAILABLE
+from yokesill.comm.http_status import (
+    BAD_GATEWAY,
+    GATEWAY_TIMEOUT,
+    NOT_FOUND,
+    NOT_RUN_STATUSES,
+    OK,
+    UNAVAILABLE,
+)
 from yokesill.gateway.events import FinalAnswer, Gathered, PassOn, Refuse
 from yokesill.gateway.messages import Headers
+from yokesill.gateway.requests import refusal
 from yokesill.serving.header_names import HeaderNames
 from yokesill.verdict import Reason, Verdict
 
@@ -23,6 +34,13 @@
     outcome: str
 
 
+def deliverable(final: FinalAnswer) -> FinalAnswer:
+    """Return the final answer, or a refusal in place of a server's answer that would promise "not run"."""
+    if isinstance(final, PassOn) and final.reply.status in NOT_RUN_STATUSES:
+        return Refuse(final.key, refusal.status_withheld(final.reply.status), final.summary)
+    return final
+
+
 def to_http(final: FinalAnswer, request_id: str, names: HeaderNames) -> HttpAnswer:
     """Return the HTTP response for a final answer."""
     match final:
--- a/src/yokesill/callers/application.py
+++ b/src/yokesill/callers/application.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from yokesill.callers.answers import HttpAnswer, to_http
+from yokesill.callers.answers import HttpAnswer, deliverable, to_http
 from yokesill.callers.headers import FIELD_LINE_BYTES, end_to_end_headers
 from yokesill.comm.http_status import BAD_REQUEST, CONTENT_TOO_LARGE, HEADERS_TOO_LARGE, UNAVAILABLE
 from yokesill.comm.numbers import parse_digits
@@ -188,7 +188,7 @@
             if isinstance(forwarded, HttpAnswer):
                 return forwarded
             request = forwarded
-        final = await self._driver.execute(request)
+        final = deliverable(await self._driver.execute(request))
         answer = to_http(final, request.request_id, self._names)
         self._observer.answered(request, final, answer.status, answer.outcome)
         return answer
--- a/src/yokesill/gateway/requests/refusal.py
+++ b/src/yokesill/gateway/requests/refusal.py
@@ -93,6 +93,12 @@
 # --- the whole request ---
 
 
+def status_withheld(status: int) -> Failure:
+    """Return the refusal in place of a server's answer whose ``status`` promises that it did not run."""
+    detail = f"the server ran it and answered {status}"
+    return Failure(Reason.BACKEND_ERROR, Verdict.RAN, detail, FAILED_RETRY_AFTER_MS)
+
+
 def request_refused(failures: list[Failure], verdict: Verdict, retry_after_ms: int) -> Failure:
     """Return the refusal for a request whose calls ended with ``failures``.
 
--- a/tests/serving/test_application.py
+++ b/tests/serving/test_application.py
@@ -248,6 +248,42 @@
     run_application(main, script, configuration(3, single_route(repeatable=False)))
 
 
+def answers_with(status: int, body: bytes = b"why") -> Script:
+    """Return a server that runs each request and answers it with ``status``."""
+
+    async def script(_server: MemoryServer, stream: MemoryStream, request: ReceivedRequest) -> None:
+        await stream.send(answer_bytes(request.header("request-id"), body, f"{status} X"))
+
+    return script
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_that_promises_not_run_is_not_passed_on_from_a_server_that_ran_it(
+    status: int, repeatable: bool
+) -> None:
+    # Guards against: a caller told by a server's own status that its request has not run, although it has.
+    async def main(served: ApplicationHarness) -> None:
+        answer = await served.ask(method="POST")
+        assert answer.status == 502
+        assert b"server-signature" not in answer.headers
+        assert answer.headers[b"request-id"] == b"r1"
+        assert b"(ran)" in answer.body and str(status).encode() in answer.body
+
+    run_application(main, answers_with(status), configuration(3, single_route(repeatable)))
+
+
+@pytest.mark.parametrize("status", [400, 404, 409, 500, 502, 504])
+def test_other_failures_of_a_server_reach_the_caller_unchanged(status: int) -> None:
+    # Guards against: a server's own answer replaced although its status promises nothing.
+    async def main(served: ApplicationHarness) -> None:
+        answer = await served.ask(method="POST")
+        assert (answer.status, answer.body) == (status, b"why")
+        assert answer.headers[b"server-signature"] == b"sig"
+
+    run_application(main, answers_with(status), configuration(3, single_route(repeatable=False)))
+
+
 def test_disconnect_of_the_caller_cancels_its_request() -> None:
     async def silent(_server: MemoryServer, _stream: MemoryStream, _request: ReceivedRequest) -> None:
         return None
