A number outside 100 to 599 is no status, and HTTP/2.0 no reply

Seen: servers that answered with the status 000, 001 or 099 held the caller's request until its deadline (504); with 600 or 999 the caller's connection was closed without an answer, and the log had an unhandled exception; `HTTP/2.0 200` was passed on as a good answer. No 000 reached a caller.

Cause: the parser yields any three digits. Below 200 they were taken for an interim reply, above 599 for an answer, which the HTTP library can't write.

Fix: the one reader of replies refuses such a head when it is read. The attempt fails as malformed, may have run, at once; an idempotent request goes elsewhere. `150` and silence stays an interim reply: 504 at the deadline is right for it.

--- a/src/yokesill/comm/http_reply.py
+++ b/src/yokesill/comm/http_reply.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from yokesill.comm.http_status import is_final_status, is_status
 from yokesill.comm.reply_memory import ReplyMemory
 
 # Limit the memory that one reply can use; ``ReplyMemory`` limits that of all together.
@@ -23,6 +24,8 @@
 FIELD_OVERHEAD_BYTES = 160
 # Statuses whose replies have no body, regardless of their headers (RFC 9112, section 6.3).
 BODILESS_STATUSES = frozenset({204, 304})
+# Replies of another major version are framed by other rules.
+MAJOR_VERSION = "1."
 
 
 class ReplyError(Exception):
@@ -175,9 +178,14 @@
         if self.complete or self._parser is None:
             return
         self.status = self._parser.get_status_code()
+        if not is_status(self.status):
+            raise ReplyError(f"a status of {self.status}")
+        version = self._parser.get_http_version()
+        if not version.startswith(MAJOR_VERSION):
+            raise ReplyError(f"a reply of HTTP/{version}")
         self.keep_alive = self._parser.should_keep_alive()
         self._head_done = True
-        if self._bodiless and self.status >= 200:
+        if self._bodiless and is_final_status(self.status):
             self._finish()
 
     def on_body(self, chunk: bytes) -> None:
@@ -199,7 +207,7 @@
         """Complete the reply; an interim reply (1xx) is discarded instead."""
         if self.complete:
             return
-        if self.status < 200:
+        if not is_final_status(self.status):
             self.headers, self._head_done, self._framed = [], False, False
             return
         self._finish()
--- a/src/yokesill/comm/http_status.py
+++ b/src/yokesill/comm/http_status.py
@@ -24,3 +24,16 @@
 
 # Statuses that promise a caller that its request has not run and never will.
 NOT_RUN_STATUSES = frozenset({REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY_REQUESTS, UNAVAILABLE})
+
+FIRST_STATUS, LAST_STATUS = 100, 599
+FIRST_FINAL_STATUS = 200
+
+
+def is_status(number: int) -> bool:
+    """Whether a number is a status at all; of others no reply begins (RFC 9110, section 15)."""
+    return FIRST_STATUS <= number <= LAST_STATUS
+
+
+def is_final_status(number: int) -> bool:
+    """Whether a number is the status of an answer, not that of an interim reply."""
+    return FIRST_FINAL_STATUS <= number <= LAST_STATUS
--- a/tests/serving/test_application.py
+++ b/tests/serving/test_application.py
@@ -18,6 +18,7 @@
     answer_bytes,
     answer_normally,
 )
+from odd_start_lines import NO_REPLY, with_start_line
 
 from yokesill import logs
 from yokesill.callers.application import GatewayApplication
@@ -35,6 +36,8 @@
 CONFIGURATION = configuration(3, single_route())
 Headers = list[tuple[bytes, bytes]]
 GOOD: Headers = [(b"host", b"Shop.Example:80"), (b"request-id", b"r1"), (b"request-deadline-ms", b"6000")]
+# Requests after which the budget of extra attempts allows some.
+EARNING_REQUESTS = 30
 
 
 class Answer:
@@ -284,6 +287,36 @@
     run_application(main, answers_with(status), configuration(3, single_route(repeatable=False)))
 
 
+@pytest.mark.parametrize("start_line", NO_REPLY)
+def test_odd_start_line_sends_an_idempotent_request_elsewhere_and_no_other(start_line: bytes) -> None:
+    # Guards against: a status outside 100 to 599 that closed the caller's connection without an answer, or
+    # held its request until the deadline.
+    def odd_answers(count: int) -> Script:
+        async def script(server: MemoryServer, stream: MemoryStream, request: ReceivedRequest) -> None:
+            answer = answer_bytes(request.header("request-id"))
+            is_odd = 0 < len(server.received) - EARNING_REQUESTS <= count
+            await stream.send(with_start_line(answer, start_line) if is_odd else answer)
+
+        return script
+
+    def expecting(status: int, sent: int) -> Callable[[ApplicationHarness], Awaitable[None]]:
+        async def main(served: ApplicationHarness) -> None:
+            served.driver.feed(ev.ServerListed(server("i-2", "desk")))
+            for _ in range(EARNING_REQUESTS):
+                assert (await served.ask()).status == 200
+            began = anyio.current_time()
+            assert (await served.ask(method="POST")).status == status
+            assert anyio.current_time() - began < 0.1
+            assert len(served.backend.received) - EARNING_REQUESTS == sent
+
+        return main
+
+    repeated, once = (configuration(3, single_route(each)) for each in (True, False))
+    run_application(expecting(200, sent=2), odd_answers(1), repeated)
+    run_application(expecting(502, sent=2), odd_answers(2), repeated)
+    run_application(expecting(502, sent=1), odd_answers(1), once)
+
+
 def test_disconnect_of_the_caller_cancels_its_request() -> None:
     async def silent(_server: MemoryServer, _stream: MemoryStream, _request: ReceivedRequest) -> None:
         return None
--- a/tests/serving/test_server_client.py
+++ b/tests/serving/test_server_client.py
@@ -15,6 +15,7 @@
     attempt,
     call,
 )
+from odd_start_lines import INTERIM, NO_REPLY, with_start_line
 
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.serving.header_names import HeaderNames
@@ -190,6 +191,39 @@
     with_server(script, main)
 
 
+@pytest.mark.parametrize("start_line", NO_REPLY)
+def test_odd_start_line_fails_the_attempt_at_once_and_closes_the_connection(start_line: bytes) -> None:
+    # Guards against: a status of 000 taken for an interim reply, so that the attempt took until its deadline,
+    # and one of 600 passed on as an answer.
+    async def script(_server: MemoryServer, stream: MemoryStream, request: ReceivedRequest) -> None:
+        await stream.send(with_start_line(answer_bytes(request.header("request-id")), start_line))
+
+    async def main(server: MemoryServer, client: ServerClient) -> None:
+        began = anyio.current_time()
+        assert_failed(await call(client, attempt(1)), Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN)
+        assert anyio.current_time() - began < 0.01
+        await anyio.sleep(0.01)
+        assert (server.opened, server.closed) == (1, 1)
+
+    with_server(script, main)
+
+
+@pytest.mark.parametrize("start_line", INTERIM)
+def test_interim_reply_is_skipped_and_waited_on(start_line: bytes) -> None:
+    # Guards against: an interim reply taken for the answer, or for none.
+    async def script(server: MemoryServer, stream: MemoryStream, request: ReceivedRequest) -> None:
+        await stream.send(start_line + b"\r\n\r\n")
+        if len(server.received) == 1:
+            await stream.send(answer_bytes(request.header("request-id")))
+
+    async def main(_server: MemoryServer, client: ServerClient) -> None:
+        answered = await call(client, attempt(1))
+        assert isinstance(answered, AttemptAnswered) and answered.reply.status == 200
+        assert_failed(await call(client, attempt(2)), Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN)
+
+    with_server(script, main)
+
+
 REJECTION = answer_bytes(None, b"", "503 Service Unavailable", "Not-Executed: 1")
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -92,6 +92,9 @@
         "reply",
         [
             pytest.param(b"nonsense\r\n\r\n", id="malformed"),
+            pytest.param(GOOD.replace(b"200 OK", b"000 X"), id="status-000"),
+            pytest.param(GOOD.replace(b"200 OK", b"600 X"), id="status-600"),
+            pytest.param(GOOD.replace(b"HTTP/1.1", b"HTTP/2.0"), id="version-2"),
             pytest.param(GOOD[:-20], id="truncated"),
             pytest.param(b"", id="early-closed"),
             pytest.param(b"HTTP/1.1 200 OK\r\n" + b"X: " + b"y" * 200_000 + b"\r\n\r\n", id="oversized-head"),
