An answer that can't be written ends as 502

Seen: a caller whose answer has a status or a header that the HTTP library refuses gets no answer and a closed connection, after an unhandled exception.

Cause: nothing on the way out asked whether an answer can be written.

Fix: `deliverable` refuses such an answer of a server (502, malformed, ran); another node's counts as a malformed message, and this node goes on by itself as after a lost coordinator.

--- a/src/yokesill/callers/answers.py
+++ b/src/yokesill/callers/answers.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from yokesill.callers.headers import end_to_end_headers
+from yokesill.callers.headers import are_writable, end_to_end_headers
 from yokesill.comm.http_status import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
@@ -17,6 +17,7 @@
     NOT_RUN_STATUSES,
     OK,
     UNAVAILABLE,
+    is_final_status,
 )
 from yokesill.gateway.events import FinalAnswer, Gathered, PassOn, Refuse
 from yokesill.gateway.messages import Headers
@@ -34,10 +35,23 @@
     outcome: str
 
 
+def is_writable(status: int, headers: Headers) -> bool:
+    """Whether an answer with this status and these headers is one of HTTP/1.1; the length is added later."""
+    return is_final_status(status) and are_writable(headers)
+
+
 def deliverable(final: FinalAnswer) -> FinalAnswer:
-    """Return the final answer, or a refusal in place of a server's answer that would promise "not run"."""
-    if isinstance(final, PassOn) and final.reply.status in NOT_RUN_STATUSES:
-        return Refuse(final.key, refusal.status_withheld(final.reply.status), final.summary)
+    """Return the final answer, or a refusal in place of a server's answer that must not reach a caller.
+
+    That is, one that would promise "not run", and one that can't be written.
+    """
+    if not isinstance(final, PassOn):
+        return final
+    reply = final.reply
+    if reply.status in NOT_RUN_STATUSES:
+        return Refuse(final.key, refusal.status_withheld(reply.status), final.summary)
+    if not is_writable(reply.status, end_to_end_headers(reply.headers)):
+        return Refuse(final.key, refusal.unwritable_answer(reply.status), final.summary)
     return final
 
 
--- a/src/yokesill/callers/headers.py
+++ b/src/yokesill/callers/headers.py
@@ -3,6 +3,7 @@
 Used in both directions, for requests to servers and for answers to callers. See RFC 9110, section 7.6.1.
 """
 
+import re
 from collections.abc import Iterable
 
 from yokesill.gateway.messages import Headers
@@ -24,6 +25,17 @@
         b"expect",
     }
 )
+# RFC 9110, section 5: a name is a token, and a value has no control characters but tabs.
+NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+VALUE = re.compile(rb"[^\x00-\x08\x0a-\x1f\x7f]*")
+
+
+def are_writable(headers: Headers) -> bool:
+    """Whether headers can stand in an answer as they are."""
+    return all(
+        NAME.fullmatch(name) and VALUE.fullmatch(value) and name.lower() not in HOP_BY_HOP
+        for name, value in headers
+    )
 
 
 def end_to_end_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/src/yokesill/coordinators/messages.py
+++ b/src/yokesill/coordinators/messages.py
@@ -7,7 +7,7 @@
 
 import cbor2
 
-from yokesill.callers.answers import HttpAnswer
+from yokesill.callers.answers import HttpAnswer, is_writable
 from yokesill.gateway.messages import GatewayRequest
 
 # Version of the encoding, the first item of both messages; a node rejects any other.
@@ -107,7 +107,10 @@
                 f"status {status!r}, body of type {type(body).__name__} and outcome {outcome!r}, "
                 "expected an integer, bytes and a string"
             )
-        return GatheredAnswer(HttpAnswer(status, _decode_headers(headers), body, outcome), float(gathering_s))
+        decoded = _decode_headers(headers)
+        if not is_writable(status, decoded):
+            raise ValueError(f"status {status} with headers {decoded!r:.200}, which no caller can be sent")
+        return GatheredAnswer(HttpAnswer(status, decoded, body, outcome), float(gathering_s))
     except (TypeError, ValueError, cbor2.CBORDecodeError) as error:
         raise ValueError(f"malformed answer: {error!r}") from error
 
--- a/src/yokesill/gateway/requests/refusal.py
+++ b/src/yokesill/gateway/requests/refusal.py
@@ -99,6 +99,12 @@
     return Failure(Reason.BACKEND_ERROR, Verdict.RAN, detail, FAILED_RETRY_AFTER_MS)
 
 
+def unwritable_answer(status: int) -> Failure:
+    """Return the refusal in place of a server's answer that is none of HTTP/1.1."""
+    detail = f"the server's answer can't be written, status {status}"
+    return Failure(Reason.MALFORMED_REPLY, Verdict.RAN, detail, FAILED_RETRY_AFTER_MS)
+
+
 def request_refused(failures: list[Failure], verdict: Verdict, retry_after_ms: int) -> Failure:
     """Return the refusal for a request whose calls ended with ``failures``.
 
--- a/tests/serving/test_coordinator.py
+++ b/tests/serving/test_coordinator.py
@@ -77,6 +77,21 @@
         decode_answer(encode_answer("id-2", GATHERED), "id-1")
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        *(HttpAnswer(status, (), b"", "answered") for status in (0, 99, 100, 199, 600, 999)),
+        HttpAnswer(200, ((b"x y", b"1"),), b"", "answered"),
+        HttpAnswer(200, ((b"x", b"1\r\ny: 2"),), b"", "answered"),
+        HttpAnswer(200, ((b"", b"1"),), b"", "answered"),
+    ],
+)
+def test_an_answer_that_cannot_be_written_to_a_caller_is_rejected(answer: HttpAnswer) -> None:
+    # Guards against: a coordinator's answer whose status or headers end the caller's connection unanswered.
+    with pytest.raises(ValueError, match="malformed"):
+        decode_answer(encode_answer("id-1", GatheredAnswer(answer, 0.1)), "id-1")
+
+
 # --- calling a coordinator ---
 
 Script = Callable[[MemoryServer, MemoryStream, ReceivedRequest], Awaitable[None]]
