Only a coordinator's own refusals mean that it did not run a request

Cause: each status but 200 of a coordinator counted as "not run", so that a request could be sent again although the other node had sent it. Nodes refuse with 4xx and 503, before they run anything; no other status of theirs is known, so none was seen to cause it.

Evidence: test_a_reply_that_no_coordinator_sends_may_have_run failed for 204, 302, 500 and 502.

Fix: any other status is a malformed reply that may have run.

--- a/src/yokesill/coordinators/client.py
+++ b/src/yokesill/coordinators/client.py
@@ -9,7 +9,7 @@
 import anyio
 
 from yokesill.comm.http_reply import HttpReplyReader
-from yokesill.comm.http_status import OK
+from yokesill.comm.http_status import BAD_REQUEST, OK, SERVER_ERROR, UNAVAILABLE
 from yokesill.comm.reply_memory import ReplyMemory
 from yokesill.coordinators.messages import GatheredAnswer, decode_answer
 from yokesill.upstreams.connection_limit import DEFAULT_MAX_CONNECTIONS
@@ -175,8 +175,10 @@
     if isinstance(outcome, Exception):
         return Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, repr(outcome))
     if outcome.status != OK:
-        detail = outcome.body.decode("latin-1").strip()
-        return Failure(Reason.OVERLOADED, Verdict.NOT_RUN, f"{outcome.status}: {detail}")
+        detail = f"{outcome.status}: {outcome.body.decode('latin-1').strip()}"
+        if BAD_REQUEST <= outcome.status < SERVER_ERROR or outcome.status == UNAVAILABLE:
+            return Failure(Reason.OVERLOADED, Verdict.NOT_RUN, detail)
+        return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, detail)
     try:
         return decode_answer(outcome.body, request_id)
     except ValueError as error:
--- a/tests/serving/test_coordinator.py
+++ b/tests/serving/test_coordinator.py
@@ -157,6 +157,17 @@
     assert "stopping" in outcomes[0].detail
 
 
+@pytest.mark.parametrize("status", [204, 302, 500, 502])
+def test_a_reply_that_no_coordinator_sends_may_have_run(status: int) -> None:
+    # Guards against: any status but 200 taken for a coordinator's refusal, so that the request ran twice.
+    async def odd(_server: MemoryServer, stream: MemoryStream, _heard: ReceivedRequest) -> None:
+        await stream.send(b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status)
+
+    outcomes, _, _ = call_coordinator(odd)
+    assert isinstance(outcomes[0], Failure)
+    assert (outcomes[0].reason, outcomes[0].verdict) == (Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN)
+
+
 def test_a_request_without_a_connection_was_not_run() -> None:
     outcomes, _, _ = call_coordinator(answering, refuse=True)
     assert isinstance(outcomes[0], Failure)
