A control reply whose status is none is a failure

Cause: the control path's HTTP library passes 600 to 999 on as statuses (000 and 099 it refuses). No caller was harmed: each use compares with the statuses that it knows.

Evidence: test_reply_whose_status_is_none_is_a_failure failed for 600 and 999.

--- a/src/yokesill/comm/http_client.py
+++ b/src/yokesill/comm/http_client.py
@@ -5,6 +5,7 @@
 import anyio
 import httpcore
 
+from yokesill.comm.http_status import is_final_status
 from yokesill.verdict import Failure, Reason, Verdict
 
 # Limits the memory that one reply can use.
@@ -64,6 +65,8 @@
             return Failure(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, f"{url}: {error!r}")
         if reply is None:
             return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, f"{url}: reply too large")
+        if not is_final_status(reply.status):
+            return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, f"{url}: a status of {reply.status}")
         return reply
 
     async def aclose(self) -> None:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -74,6 +74,19 @@
     assert call(send_whole) == HttpReply(200, {"content-length": "2"}, b"ok")
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_reply_whose_status_is_none_is_a_failure(status: bytes) -> None:
+    # Guards against: a number that is no status returned as the status of a reply.
+    async def send_odd(writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 " + status + b" X\r\ncontent-length: 2\r\n\r\nok")
+        await writer.drain()
+
+    result = call(send_odd)
+    assert isinstance(result, Failure)
+    assert result.verdict is Verdict.MAY_HAVE_RUN
+    assert result.reason in (Reason.MALFORMED_REPLY, Reason.CONNECTION_LOST)
+
+
 def test_reply_above_the_limit_is_given_up_while_it_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against: the size was checked when the whole reply had been read, and one without end never was.
     monkeypatch.setattr(http_client, "MAX_REPLY_BYTES", LIMIT_BYTES)
