--- a/soak/run.py
+++ b/soak/run.py
@@ -27,7 +27,10 @@
 OPERATOR_RETRY_S, ORDER_POLL_S = 0.3, 0.2
 BURST_FACTOR = 5.0
 LINK_MODES = ("silent", "one_way", "reset", "delay")
-SERVER_MODES = ("slow", "full", "dark", "fails", "loses_answers", "garbles", "endless")
+SERVER_MODES = (
+    *("slow", "full", "dark", "fails", "loses_answers", "garbles", "endless"),
+    *("odd_status", "false_promises", "late_rejections"),
+)
 # Bytes without end from callers: this many connections, each with this pause between its pieces.
 ENDLESS_CONNECTIONS, ENDLESS_PAUSE_S, SIGNAL_PAUSE_S = 4, 0.002, 0.05
 ENDLESS_PIECE = b"a: b\r\n" * 2000
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -56,10 +56,14 @@
     "rollout_good": ("rollout", 25.0, 25.0),
     "rollout_bad": ("rollout", 25.0, 25.0),
 }
-# What the bench of the users hardly plays: bytes without end, odd entries, signals in series, slow callers.
-# They are apart, since the schedule of a seed depends on its kinds.
+# What the bench of the users hardly plays: bytes without end, odd statuses and entries, rejections that come
+# in the place of other answers, signals in series, slow callers. They are apart, since the schedule of a seed
+# depends on its kinds.
 HAZARD_KINDS: dict[str, tuple[str, float, float]] = {
     "server_endless": ("server", 1.0, 4.0),
+    "server_odd_status": ("server", 1.0, 4.0),
+    "server_false_promises": ("server", 1.0, 4.0),
+    "server_late_rejections": ("server", 1.0, 4.0),
     "odd_entry": ("writer", 0.1, 0.1),
     "node_signals": ("node", 1.0, 4.0),
     "front_endless": ("front", 1.0, 3.0),
--- a/soak/server.py
+++ b/soak/server.py
@@ -25,6 +25,15 @@
 SHARD_WORK_S, DESK_WORK_S, SLOW_FACTOR = 0.006, 0.02, 15.0
 FAILING_SHARE, BAD_VERSION_FAILING_SHARE = 0.5, 0.4
 GARBLE_KINDS = ("short", "junk", "surplus", "other")
+# Start lines that begin no answer, and statuses that to callers say "not run", sent of requests that ran.
+ODD_START_LINES = (
+    b"HTTP/1.1 000 X",
+    b"HTTP/1.1 099 X",
+    b"HTTP/1.1 600 X",
+    b"HTTP/1.1 999 X",
+    b"HTTP/2.0 200 OK",
+)
+FALSE_PROMISES = (408, 429, 503)
 REQUEST_ID, DEADLINE, SIGNATURE, EXPECTED_INSTANCE, LOAD, NOT_RUN = (
     name.decode()
     for name in (
@@ -149,12 +158,12 @@
             return
         self._writers.add(writer)
         try:
-            while True:
+            for exchange in itertools.count():
                 async with asyncio.timeout(IDLE_TIMEOUT_S):
                     request = await read_message(reader)
                 if request is None:
                     return
-                answer = await self._answer(request)
+                answer = await self._answer(request, later=exchange > 0)
                 if answer is None:
                     writer.transport.abort()
                     return
@@ -172,8 +181,8 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(self, request: HttpMessage) -> Answer | None:
-        """Return the answer; ``None`` aborts the connection."""
+    async def _answer(self, request: HttpMessage, later: bool) -> Answer | None:
+        """Return the answer, to a ``later`` request of its connection or the first; ``None`` aborts it."""
         if request.start_line[1] == "/health":
             status = 503 if self.leaving else 200
             return Answer(self._encode(status, {"x-yokesill-instance-id": self.instance}))
@@ -194,7 +203,7 @@
             self._waiting -= 1
         self._running += 1
         try:
-            return await self._work(request)
+            return await self._work(request, later)
         finally:
             self._running -= 1
             self._slots.release()
@@ -206,7 +215,7 @@
             return 400
         return 503 if self.mode == "full" or self._waiting >= self.terms.queue else 0
 
-    async def _work(self, request: HttpMessage) -> Answer | None:
+    async def _work(self, request: HttpMessage, later: bool) -> Answer | None:
         request_id = request.headers[REQUEST_ID]
         signature = f"{self.instance}.{next(self._numbers)}"
         self._log_arrival(request, ran=True, signature=signature)
@@ -232,10 +241,20 @@
         if status != 200:
             self._log_done(signature, status)
             return Answer(self._signed(status, request_id, signature, b"failed"))
+        if self.mode == "false_promises" and self._strikes():
+            status = self._rng.choice(FALSE_PROMISES)
+            self._log_done(signature, status)
+            return Answer(self._signed(status, request_id, signature, b"failed"))
         content = self._signed(200, request_id, signature, self._body(work, request_id, signature))
         if self.mode == "endless":
             self._log_done(signature, 0)
             return Answer(content.replace(b"content-length", b"x-length"), endless=True)
+        if self.mode == "odd_status" and self._strikes():
+            self._log_done(signature, 0)
+            return Answer(self._rng.choice(ODD_START_LINES) + content[content.index(b"\r\n") :])
+        if self.mode == "late_rejections" and later and self._strikes():
+            self._log_done(signature, 0)
+            return Answer(self._late_rejection() + content)
         garble = self._rng.choice(GARBLE_KINDS) if self.mode == "garbles" and self._strikes() else ""
         # A truncated or unreadable answer does not count as an answer, so it is recorded with status 0.
         self._log_done(signature, 0 if garble in ("short", "junk", "other") else 200)
@@ -279,6 +298,11 @@
                 return Answer(self._last_answer or b"HTTP/1.1 200 OK\r\n\r\n", close=True)
         return Answer(content, close=self.leaving)
 
+    def _late_rejection(self) -> bytes:
+        """Return a surplus rejection, which names a request of before or, as some do, none."""
+        named = {REQUEST_ID: "an-earlier-request"} if self._rng.random() < 0.5 else {}
+        return self._encode(503, {NOT_RUN: "1"} | named)
+
     def _signed(self, status: int, request_id: str, signature: str, body: bytes) -> bytes:
         headers = {REQUEST_ID: request_id, SIGNATURE: signature}
         if self.terms.tells_load:
--- a/tests/soak/test_soak_standins.py
+++ b/tests/soak/test_soak_standins.py
@@ -255,7 +255,7 @@
 
 
 async def answers(
-    folder: Path, mode: str, headers: dict[str, str], times: int = 1
+    folder: Path, mode: str, headers: dict[str, str], times: int = 1, on_one_connection: bool = False
 ) -> list[HttpMessage | ValueError | None]:
     """Send requests to a shard server in a mode; return its answers, or the errors from reading them."""
     server = Server("i-1", "a0", "s1", EventLog(folder / "events.jsonl"), random.Random(3))
@@ -263,14 +263,17 @@
     listener = await asyncio.start_server(server._serve, "127.0.0.1", 0)
     address = listener.sockets[0].getsockname()[:2]
     found: list[HttpMessage | ValueError | None] = []
-    for _ in range(times):
-        reader, writer = await asyncio.open_connection(*address)
+    for number in range(times):
+        if not (number and on_one_connection):
+            reader, writer = await asyncio.open_connection(*address)
         writer.write(encode_message("GET /wide/x HTTP/1.1", headers))
         try:
             found.append(await read_message(reader))
         except (ValueError, ConnectionResetError) as error:
             found.append(ValueError(str(error)))
-        writer.close()
+        if not on_one_connection:
+            writer.close()
+    writer.close()
     return found
 
 
@@ -288,6 +291,27 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("mode", ["odd_status", "false_promises", "late_rejections"])
+def test_server_with_a_wrong_status_runs_each_request(tmp_path: Path, mode: str) -> None:
+    async def scenario() -> None:
+        first, second = await answers(tmp_path, mode, ID, times=2, on_one_connection=True)
+        logged = events(tmp_path)
+        assert [each["ran"] for each in logged if each["what"] == "arrived"] == [True, True]
+        statuses = {each["status"] for each in logged if each["what"] == "done"}
+        assert isinstance(first, HttpMessage) and isinstance(second, HttpMessage)
+        if mode == "false_promises":
+            assert int(first.start_line[1]) in statuses <= {408, 429, 503}
+            assert "x-yokesill-not-executed" not in first.headers
+        elif mode == "late_rejections":
+            assert (first.start_line[1], second.start_line[1]) == ("200", "503")
+            assert second.headers.get("x-yokesill-request-id") != ID["x-yokesill-request-id"]
+        else:
+            assert (first.start_line[0], first.start_line[1]) != ("HTTP/1.1", "200")
+            assert statuses == {0}
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     ("mode", "headers", "status"),
     [
