A wait that a silent registry had accepted is started anew on its return

Cause: failed checks beside a long poll meant nothing; the first one that was answered confirmed the view, and the lost long poll went on for up to 27 s. Until then changes were found by stale reads alone, seconds late.

Fix: a check that is not answered makes the long poll beside it doubtful, and the next check that is answered starts it anew: one call at full price for each silence.

--- a/soak/store.py
+++ b/soak/store.py
@@ -23,8 +23,8 @@
 # Less than the encoder bears.
 ODD_DEPTH = 400
 SLOW_S, DEAF_POLL_S = 0.6, 0.05
-# Stale reads are up to 2 s old: their view is refreshed every ``STALE_VIEW_TURNS`` turns of maintenance.
-MAINTENANCE_EVERY_S, STALE_VIEW_TURNS = 0.2, 10
+# Stale reads are up to 3 s old: their view is refreshed every ``STALE_VIEW_TURNS`` turns of maintenance.
+MAINTENANCE_EVERY_S, STALE_VIEW_TURNS = 0.2, 15
 # The last ``COPIES_KEPT`` copies are kept; a restore uses one at least ``COPY_AGE_S`` older than the newest.
 COPY_TURNS, COPIES_KEPT, COPY_AGE_S = 5, 12, 3.0
 TIMELINE_HEADER = "store-era"
@@ -157,6 +157,15 @@
             except TimeoutError:
                 continue
 
+    def stale_changes(self, kind: str, revision: int) -> tuple[int, Any]:
+        """Return the changes after ``revision`` up to the last ``refresh_stale_view``."""
+        if not self.forgotten_revision <= revision <= self.revision:
+            return GONE, None
+        until = max(revision, self._stale_view[0])
+        found = [each for each in self.history if each.kind == kind and revision < each.revision <= until]
+        events = [{"object": change.item, "gone": change.gone} for change in found]
+        return OK, {"events": events, "at": until}
+
     def _remember(self, kind: str, item: dict[str, Any], gone: bool) -> None:
         self.revision += 1
         self.history.append(Change(self.revision, time.monotonic(), kind, item, gone))
@@ -218,6 +227,10 @@
     slow_s: float = SLOW_S
     share: float = 1.0
 
+    def strikes(self, node: int) -> bool:
+        """Whether the fault is one for this node."""
+        return self.nodes is None or node in self.nodes
+
 
 class Store:
     """Serves the objects to the operator and each node, each on its own port, with faults."""
@@ -226,6 +239,7 @@
         terms = terms or StoreTerms()
         self.objects = Objects()
         self.fault = Fault()
+        self._silences: list[Fault] = []
         self._terms = terms
         self._writes, self._reads = CallRate(terms.writes_per_s), CallRate(terms.reads_per_s)
         self.refused: set[int] = set()
@@ -244,6 +258,8 @@
                     order.get("slow_s", SLOW_S),
                     order.get("share", 1.0),
                 )
+                if mode == "silent":
+                    self._silences.append(self.fault)
             case {"refuse": nodes}:
                 self.refused = set(nodes)
             case {"restore": True}:
@@ -299,7 +315,11 @@
         if node != OPERATOR and not self._admits(request):
             return REFUSALS["throttled"], None
         share = self.fault.share
+        silences = len(self._silences)
         answer = await self._answer(node, request)
+        if node != OPERATOR and any(each.strikes(node) for each in self._silences[silences:]):
+            # What waited when the store fell silent is never answered, not even when it is back.
+            await asyncio.sleep(3600)
         loses = mode == "loses_answers" and (share >= 1.0 or random.random() < share)
         if loses and node != OPERATOR and (request.start_line[0] != "GET" or share < 1.0):
             return None
@@ -312,8 +332,7 @@
 
     def _mode_for(self, node: int) -> str:
         """Return the mode for a node; a fault of some nodes does not strike the operator."""
-        struck = self.fault.nodes is None or node in self.fault.nodes
-        return self.fault.mode if struck else "sound"
+        return self.fault.mode if self.fault.strikes(node) else "sound"
 
     def _admits(self, request: HttpMessage) -> bool:
         """Whether the call is within the rate of its kind; stale reads are outside of it."""
@@ -328,6 +347,8 @@
         query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
         _, _, kind, *rest = [unquote(each) for each in parts.path.split("/")]
         if method == "GET" and not rest:
+            if "watch" in query and query.get("stale") == "1":
+                return self.objects.stale_changes(kind, int(query["watch"]))
             if "watch" in query:
                 return await self.objects.watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
             return OK, self.objects.page(kind, query.get("after", ""), query.get("stale") == "1")
--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -17,7 +17,7 @@
 from yokesill.registry.feeds import Batch, Feed, HistoryLost
 from yokesill.registry.ongoing_call import OngoingCall
 from yokesill.registry.restored_lists import SETTLING_S
-from yokesill.verdict import Failure
+from yokesill.verdict import Failure, Reason
 
 # Backoff between cheap calls while the registry doesn't answer. The maximum bounds how late a node detects
 # that it answers again.
@@ -45,7 +45,8 @@
     """Keeps the router up to date with one feed.
 
     A long poll that the registry accepts just before it becomes unresponsive is never answered, and its
-    connection stays open. A periodic cheap check therefore looks for changes that the long poll missed.
+    connection stays open. A periodic cheap check therefore looks for changes that the long poll missed. A
+    check that is not answered makes the long poll doubtful: it is started anew after the next one that is.
 
     Without ``watching`` it makes one cheap call to the registry and then relies on other nodes until
     ``set_watching`` makes it call the registry itself.
@@ -247,6 +248,8 @@
             outcome = await self._feed.peek(position)
             self._log_check(outcome)
             if isinstance(outcome, Failure):
+                if outcome.reason is not Reason.BACKEND_ERROR:
+                    self._ongoing.doubted = True
                 pause_s = min(FAILED_CHECK_PAUSE_S, self._check_interval_s)
                 continue
             timeline = outcome.timeline if isinstance(outcome, HistoryLost) else outcome.position.timeline
@@ -255,6 +258,7 @@
             relisting = isinstance(outcome, HistoryLost) or outcome.position.timeline != position.timeline
             if isinstance(outcome, Batch) and not outcome.events and not relisting:
                 self._confirm_unchanged()
+                self._restart_doubted_wait()
                 continue
             await anyio.sleep(CHECK_GRACE_S)
             if position == self._position and self._ongoing.under_way:
@@ -262,6 +266,15 @@
                 self._relist_next = relisting
                 self._ongoing.cancel()
 
+    def _restart_doubted_wait(self) -> None:
+        """Start a long poll anew that may have been lost, now that the registry answers again.
+
+        Until then changes would be found by checks alone, which may be seconds stale.
+        """
+        if self._ongoing.doubted and self._ongoing.waits and self._ongoing.under_way:
+            self._log.info("registry_wait_doubted", feed=self._feed_name, position=self.revision)
+            self._ongoing.cancel()
+
     def observe_timeline(self, timeline: int) -> None:
         """Record the registry's timeline as reported by another node."""
         self._availability.record_timeline(timeline)
--- a/src/yokesill/registry/ongoing_call.py
+++ b/src/yokesill/registry/ongoing_call.py
@@ -12,10 +12,15 @@
 
 
 class OngoingCall:
-    """Runs one cancellable call at a time; ``waits`` is whether the last one was a long poll."""
+    """Runs one cancellable call at a time.
+
+    ``waits`` is whether the last one was a long poll, and ``doubted`` whether another call beside it was not
+    answered: then it may have been lost as well.
+    """
 
     def __init__(self) -> None:
         self.waits = False
+        self.doubted = False
         self._started_at_s = 0.0
         self._scope: anyio.CancelScope | None = None
 
@@ -27,6 +32,7 @@
     async def run(self, call: Awaitable[Outcome], waits: bool) -> Outcome | None:
         """Await a call and return its outcome; ``None`` if it was cancelled."""
         self.waits = waits
+        self.doubted = False
         self._started_at_s = anyio.current_time()
         outcome: Outcome | None = None
         try:
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -32,7 +32,8 @@
     """Stores objects by kind and name; ``log`` has the changes since revision ``forgotten``.
 
     A list has pages of ``page`` objects, and an answer takes ``answer_s`` seconds. ``timeline`` increases
-    by one each time that the store is restored from a copy; answers don't name it if it is 0.
+    by one each time that the store is restored from a copy; answers don't name it if it is 0. Stale waits for
+    changes show the state of ``stale_s`` seconds ago. A wait that ``silence`` finds is never answered.
     """
 
     revision: int = 0
@@ -45,7 +46,10 @@
     lose_answers: int = 0
     calls: list[str] = field(default_factory=list)
     timeline: int = 0
+    stale_s: float = 0.0
+    silences: int = 0
     changed: anyio.Event | None = None
+    written_at_s: dict[int, float] = field(default_factory=dict)
 
     def full_price_calls(self) -> int:
         """Return the number of calls at full price; stale reads cost a tenth."""
@@ -77,6 +81,12 @@
         self.forgotten = self.revision
         self._notify_watches()
 
+    async def silence(self, for_s: float) -> None:
+        """Answer no call for some seconds, and none of those that wait now or that come meanwhile, ever."""
+        self.mode, self.silences = "silent", self.silences + 1
+        await anyio.sleep(for_s)
+        self.mode = "up"
+
     def take_copy(self) -> StoreCopy:
         """Return a copy of the current state."""
         return copy.deepcopy(StoreCopy(self.revision, self.objects, self.log, self.forgotten))
@@ -89,6 +99,7 @@
 
     def _append_to_log(self, kind: str, item: dict[str, Any], gone: bool) -> None:
         self.log.append((self.revision, kind, json.loads(json.dumps(item)), gone))
+        self.written_at_s[self.revision] = anyio.current_time()
         self._notify_watches()
 
     def _notify_watches(self) -> None:
@@ -104,7 +115,10 @@
         if self.mode in ("busy", "throttled"):
             await self._reply(stream, 503 if self.mode == "busy" else 429, None)
             return
+        silences = self.silences
         status, body = await self._answer(method, target, request.body)
+        if silences != self.silences:
+            await anyio.sleep_forever()
         await anyio.sleep(self.answer_s)
         if self.lose_answers and method != "GET":
             self.lose_answers -= 1
@@ -142,6 +156,8 @@
         if method == "PUT" and name is not None:
             self.put(kind, name, json.loads(content)["spec"])
             return 200, self.objects[(kind, name)]
+        if "watch" in query and "stale" in query:
+            return self._stale_changes(kind, int(query["watch"]))
         if "watch" in query:
             return await self._watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
         return self._list(kind, query.get("after", ""))
@@ -160,6 +176,15 @@
         items = [self.objects[(kind, each)] for each in names[: self.page]]
         return 200, {"items": items, "more": len(names) > self.page, "at": self.revision}
 
+    def _stale_changes(self, kind: str, revision: int) -> tuple[int, Any]:
+        """Return the changes after a revision, up to those of ``stale_s`` seconds ago."""
+        if not self.forgotten <= revision <= self.revision:
+            return 410, None
+        until_s = anyio.current_time() - self.stale_s
+        seen = [each for each in self.log if self.written_at_s[each[0]] <= until_s and each[0] > revision]
+        events = [{"object": item, "gone": gone} for _, of, item, gone in seen if of == kind]
+        return 200, {"events": events, "at": max([revision, *(at for at, *_ in seen)])}
+
     async def _watch(self, kind: str, revision: int, wait: float) -> tuple[int, Any]:
         with anyio.move_on_after(wait):
             while True:
--- a/tests/platform/test_following_the_store.py
+++ b/tests/platform/test_following_the_store.py
@@ -46,6 +46,11 @@
     return {"service": service, "address": "10.0.0.9:80", "zone": "z1", "capacity": 2, "state": state}
 
 
+# Stale reads may be seconds old. The users' bounds: after how long without disruption the store counts as
+# stable, and how soon nothing new may reach a server that leaves.
+STALE_READS_S, CONTACT_S, DRAIN_S = 3.0, 5.0, 3.0
+
+
 class FeedObserver:
     """Followers of the configuration and server feeds, and the events that they emit."""
 
@@ -235,6 +240,34 @@
     run_with_observer(main)
 
 
+@pytest.mark.parametrize("tenths", range(0, 50, 5))
+def test_change_after_a_silence_is_known_in_time_although_stale_reads_are_seconds_old(tenths: int) -> None:
+    # Guards against: waits that a silent store had accepted were relied on for up to 25 s more, so that a
+    # change was found by stale reads alone, later than the bound for servers that leave.
+    async def main(standin: StoreStandin, observer: FeedObserver) -> None:
+        standin.stale_s = STALE_READS_S
+        await anyio.sleep(10.0 + tenths / 10)
+        await standin.silence(4.5)
+        await anyio.sleep(CONTACT_S + 1.0)
+        standin.put("servers", "i-1", server_entry(state="draining"))
+        await anyio.sleep(DRAIN_S)
+        assert observer.servers()["i-1"]
+
+    run_with_observer(main)
+
+
+def test_silence_costs_each_feed_few_calls_at_full_price() -> None:
+    # Guards against: a wait that is given up again and again because checks failed once.
+    async def main(standin: StoreStandin, observer: FeedObserver) -> None:
+        await anyio.sleep(10.0)
+        before = standin.full_price_calls()
+        await standin.silence(4.5)
+        await anyio.sleep(15.0)
+        assert standin.full_price_calls() - before <= 2 * len(observer.followers)
+
+    run_with_observer(main)
+
+
 def test_checks_for_lost_watches_are_cheap_and_change_nothing() -> None:
     async def main(standin: StoreStandin, observer: FeedObserver) -> None:
         await anyio.sleep(60.0)
--- a/tests/soak/test_soak_standins.py
+++ b/tests/soak/test_soak_standins.py
@@ -280,6 +280,17 @@
 ID = {"x-yokesill-request-id": "x"}
 
 
+def test_stale_wait_shows_changes_up_to_the_last_refresh() -> None:
+    objects = Objects()
+    objects.put("config", "main", "spec", {"v": 1}, None)
+    objects.refresh_stale_view()
+    objects.put("config", "main", "spec", {"v": 2}, None)
+    status, body = objects.stale_changes("config", 0)
+    shown = [each["object"]["spec"] for each in body["events"]]
+    assert (status, body["at"], shown) == (200, objects.revision - 1, [{"v": 1}])
+    assert objects.stale_changes("config", objects.revision)[1] == {"events": [], "at": objects.revision}
+
+
 def test_sound_server_signs_and_records_request(tmp_path: Path) -> None:
     async def scenario() -> None:
         (answer,) = await answers(tmp_path, "sound", ID)
