What waited for a connection is not sent to a server that left meanwhile

Cause: an entry's removal read late, the time for which a removed server is a last resort, and the wait for a connection add up, and after that wait nobody looked at the server again.

Fix: the one place that writes attempts asks whether the server may still get work. If not, the attempt ends as never sent, and the request goes elsewhere or is refused with 503.

--- a/src/yokesill/gateway/attempt_outcomes.py
+++ b/src/yokesill/gateway/attempt_outcomes.py
@@ -4,7 +4,7 @@
   reports.
 - A server error (status 500 and above) is a failure of the server.
 - A rejection (``SHED``) only pauses the server, which is full at this moment; ``BACKEND_LEAVING`` takes it
-  out of service.
+  out of service. ``SERVER_LEFT`` says nothing that this node did not know.
 - A connection that is refused at once limits the connections to the server: it holds as many as it can, but
   is not failing.
 - Any other failure counts if it is evidence against the server at all (``servers.evidence``).
@@ -54,6 +54,8 @@
         server, now = attempt.server, step.now
         if failure.reason is Reason.SHED:
             server.shed(now)
+        elif failure.reason is Reason.SERVER_LEFT:
+            return
         elif failure.reason is Reason.BACKEND_LEAVING:
             server.leave()
         elif failure.reason is Reason.CONNECTION_REFUSED and attempt.server.connections.enabled:
--- a/src/yokesill/gateway/requests/service_call.py
+++ b/src/yokesill/gateway/requests/service_call.py
@@ -21,7 +21,9 @@
 MIN_TIME_TO_SEND_S = 0.003
 NEVER = float("inf")
 # Reasons for which the request never reached a server, so that the next attempt is not an extra attempt.
-NEVER_SENT = frozenset({Reason.OVERLOADED, Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED})
+NEVER_SENT = frozenset(
+    {Reason.OVERLOADED, Reason.CONNECT_FAILED, Reason.CONNECTION_REFUSED, Reason.SERVER_LEFT}
+)
 
 
 class ServiceCall:
--- a/src/yokesill/gateway/router.py
+++ b/src/yokesill/gateway/router.py
@@ -21,7 +21,7 @@
 from yokesill.gateway.attempt_outcomes import AttemptOutcomes
 from yokesill.gateway.context import GatewayContext, LiveAttempt
 from yokesill.gateway.crash_tracker import CrashTracker
-from yokesill.gateway.documents import Configuration, Route
+from yokesill.gateway.documents import Configuration, Route, ServerRecord
 from yokesill.gateway.limits.budget import BudgetLimits
 from yokesill.gateway.messages import GatewayRequest
 from yokesill.gateway.options import GatewayOptions
@@ -113,6 +113,10 @@
         """Return the number of estimates and budgets that are kept for routes and services."""
         return self._context.estimate_count()
 
+    def may_still_start(self, record: ServerRecord, now: float) -> bool:
+        """Whether an attempt that waited on this node may go to its server."""
+        return self._context.eligibility.may_still_start(record, now)
+
     def set_budget(self, limits: BudgetLimits) -> None:
         """Apply other limits; what was spent still counts unless the length of the window changes."""
         self._context.set_budget(limits)
--- a/src/yokesill/gateway/servers/eligibility.py
+++ b/src/yokesill/gateway/servers/eligibility.py
@@ -20,7 +20,7 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-from yokesill.gateway.documents import Configuration, Route, ServiceLimits
+from yokesill.gateway.documents import Configuration, Route, ServerRecord, ServiceLimits
 from yokesill.gateway.limits.node_shares import NodeShares
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.servers.cold_starts import ColdStarts
@@ -135,6 +135,21 @@
         allows = self.cold_starts.allows
         return [each for each in servers if not each.cold(now) or allows(each.record, rate, now)]
 
+    def may_still_start(self, record: ServerRecord, now: float) -> bool:
+        """Whether an attempt that waited on this node may go to its server: rules 1, 2 and 6 once more.
+
+        A removed server may be used within its grace, whichever other servers are listed by now.
+        """
+        servers = self._servers
+        server = servers.get(record.instance)
+        if server is None or record.zone in servers.evacuated:
+            return False
+        if record.service in servers.versions.gated and not any(
+            record.version in servers.versions.allowed(record.service, new, now) for new in (False, True)
+        ):
+            return False
+        return not server.leaving or _just_removed(server, self._options.removed_grace_s, now)
+
     def count_sent(self, server: ServerState, now: float) -> None:
         """Count an attempt, which may use up this node's share of a cold server."""
         if self._cold_requests_per_s(server.record.service) is not None and server.cold(now):
--- a/src/yokesill/serving/driver.py
+++ b/src/yokesill/serving/driver.py
@@ -12,6 +12,7 @@
 
 from yokesill.clock import Clock, running_clock
 from yokesill.gateway import events as ev
+from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.messages import Attempt, GatewayRequest
 from yokesill.gateway.router import GatewayRouter
 from yokesill.supervision import Supervisor
@@ -23,10 +24,12 @@
 class Client(Protocol):
     """Sends attempts to servers.
 
-    ``connections_changed`` is called with an instance and the number of open connections to it.
+    ``connections_changed`` is called with an instance and the number of open connections to it. ``may_start``
+    returns whether a server may still get work, and is asked before an attempt is written to it.
     """
 
     connections_changed: Callable[[str, int], None]
+    may_start: Callable[[ServerRecord], bool]
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; reports that it has started once attempts may be sent."""
@@ -60,6 +63,7 @@
         self.router = router
         self._client = client
         client.connections_changed = lambda instance, count: self.feed(ev.ConnectionsChanged(instance, count))
+        client.may_start = lambda server: router.may_still_start(server, self._clock())
         self._log_event = log_event
         self._timers: Timers[ev.TimerFired] = Timers(self.feed, supervisor)
         self._waiting: dict[str, anyio.Event] = {}
--- a/src/yokesill/upstreams/server_client.py
+++ b/src/yokesill/upstreams/server_client.py
@@ -15,6 +15,7 @@
 from yokesill.clock import Clock, running_clock
 from yokesill.comm.http_reply import HttpReplyReader, ReplyError
 from yokesill.comm.reply_memory import ReplyMemory
+from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.events import AttemptAnswered, AttemptFailed
 from yokesill.gateway.messages import Attempt
 from yokesill.serving.header_names import HeaderNames
@@ -51,6 +52,11 @@
         Bounds the memory of unfinished replies.
     max_connections
         How many connections to servers may be open.
+
+    Notes
+    -----
+    ``may_start`` is asked right before an attempt is written, which may have waited for its connection:
+    whether its server may still get work.
     """
 
     def __init__(
@@ -64,6 +70,7 @@
         self._supervisor = supervisor or Supervisor()
         self.connections_opened = 0
         self.connections_changed: Callable[[str, int], None] = lambda _instance, _count: None
+        self.may_start: Callable[[ServerRecord], bool] = lambda _server: True
         self._names = names
         self._dial = dial
         self._memory = memory or ReplyMemory()
@@ -203,6 +210,9 @@
     def _start(self, call: AttemptCall, connection: ServerConnection) -> None:
         now = self._clock()
         attempt = call.attempt
+        if not self.may_start(attempt.server):
+            self._turn_away(call, connection)
+            return
         call.connection = connection
         call.state = self._sent_state
         call.sent_at = now
@@ -210,6 +220,12 @@
         bodiless = attempt.request.method == b"HEAD"
         connection.start(request, bodiless, lambda outcome: self._on_end(call, outcome))
 
+    def _turn_away(self, call: AttemptCall, connection: ServerConnection) -> None:
+        """Pass a call's connection on, and end the call soon: this may run within another call's end."""
+        now = self._clock()
+        call.connections.release(connection, max(now, connection.reusable_until))
+        self._timers.set(now, lambda: self._fail(call, Reason.SERVER_LEFT, "its server left meanwhile"))
+
     def _on_end(self, call: AttemptCall, outcome: HttpReplyReader | Exception) -> None:
         if isinstance(outcome, ReplyError):
             self._fail(call, Reason.MALFORMED_REPLY, str(outcome))
--- a/src/yokesill/verdict.py
+++ b/src/yokesill/verdict.py
@@ -39,6 +39,8 @@
     # The server had dropped an idle connection.
     CONNECTION_FORGOTTEN = "connection_forgotten"
     TIMED_OUT = "timed_out"
+    # The server left while the attempt waited on this node for a connection; nothing was sent.
+    SERVER_LEFT = "server_left"
     SHED = "shed"
     BACKEND_LEAVING = "backend_leaving"
     SNAPSHOT_UNAVAILABLE = "snapshot_unavailable"
--- a/tests/serving/crash_fleet.py
+++ b/tests/serving/crash_fleet.py
@@ -114,6 +114,7 @@
 
     def __init__(self, fleet: "CrashFleet", node: str) -> None:
         self.connections_changed: Callable[[str, int], None] = lambda _instance, _count: None
+        self.may_start: Callable[[ServerRecord], bool] = lambda _server: True
         self._fleet = fleet
         self._node = node
         self._cancelled: set[int] = set()
--- a/tests/serving/fleet_of_nodes.py
+++ b/tests/serving/fleet_of_nodes.py
@@ -106,6 +106,7 @@
 
     def __init__(self, fleet: "Fleet", node: str) -> None:
         self.connections_changed: Callable[[str, int], None] = lambda _instance, _count: None
+        self.may_start: Callable[[ServerRecord], bool] = lambda _server: True
         self._fleet = fleet
         self._node = node
         self._cancelled: set[int] = set()
--- a/tests/serving/test_application.py
+++ b/tests/serving/test_application.py
@@ -317,6 +317,46 @@
     run_application(expecting(502, sent=1), odd_answers(1), once)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        ev.ServerListed(server("i-1", "desk", leaving=True)),
+        ev.ZoneEvacuated("z1"),
+        ev.ServerRemoved("i-1"),
+    ],
+)
+def test_request_that_waits_for_a_connection_is_not_sent_to_a_server_that_left_meanwhile(
+    change: ev.Event,
+) -> None:
+    # Guards against: a request that waited half a second for its server's connection was sent without another
+    # look at the server, later than the bound for servers that leave, and was lost with it.
+    async def script(server: MemoryServer, stream: MemoryStream, request: ReceivedRequest) -> None:
+        if len(server.received) == 1:
+            await anyio.sleep(0.4)
+        await stream.send(answer_bytes(request.header("request-id")))
+
+    async def main(served: ApplicationHarness) -> None:
+        if isinstance(change, ev.ServerRemoved):
+            # So late in the time for which a removed server is a last resort that the wait outlasts it.
+            served.driver.feed(change)
+            await anyio.sleep(served.driver.router.options.removed_grace_s - 0.2)
+        answers: dict[str, Answer] = {}
+
+        async def ask(name: str) -> None:
+            answers[name] = await served.ask(method="POST")
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask, "running")
+            await anyio.sleep(0.05)
+            tasks.start_soon(ask, "waiting")
+            await anyio.sleep(0.05)
+            served.driver.feed(change)
+        assert (answers["running"].status, answers["waiting"].status) == (200, 503)
+        assert len(served.backend.received) == 1
+
+    run_application(main, script, configuration(3, single_route(repeatable=False), connections=1))
+
+
 def test_disconnect_of_the_caller_cancels_its_request() -> None:
     async def silent(_server: MemoryServer, _stream: MemoryStream, _request: ReceivedRequest) -> None:
         return None
--- a/tests/serving/test_rollout_fleet.py
+++ b/tests/serving/test_rollout_fleet.py
@@ -11,6 +11,7 @@
 from harness import configuration, single_route
 
 from yokesill.gateway import events as ev
+from yokesill.gateway.documents import ServerRecord
 from yokesill.gateway.options import GatewayOptions
 from yokesill.gateway.router import GatewayRouter
 from yokesill.rollouts.orders import RolloutState
@@ -219,3 +220,4 @@
 class NoClient:
     def __init__(self) -> None:
         self.connections_changed: Callable[[str, int], None] = lambda _instance, _count: None
+        self.may_start: Callable[[ServerRecord], bool] = lambda _server: True
