Simpler: one rule for hop-by-hop headers, one place that shows changes

Read once more as a whole; behaviour as before, assertions unchanged.

- `are_writable` had its own pass over hop-by-hop names, and each passed-on answer was filtered twice.
The names and values are now all it looks at; another node's answer is compared with `end_to_end_headers`.
- The soak's store built the events of a wait in two places.
- Two tests had the same script, and one its own copy of `Node.ask`.

--- a/soak/store.py
+++ b/soak/store.py
@@ -145,13 +145,10 @@
         """
         end_s = time.monotonic() + wait_s
         while True:
-            if not self.forgotten_revision <= revision <= self.revision:
-                return GONE, None
-            found = [each for each in self.history if each.kind == kind and each.revision > revision]
+            status, body = self._changes(kind, revision, self.revision)
             remaining_s = end_s - time.monotonic()
-            if found or remaining_s <= 0:
-                events = [{"object": change.item, "gone": change.gone} for change in found]
-                return OK, {"events": events, "at": self.revision}
+            if status == GONE or body["events"] or remaining_s <= 0:
+                return status, body
             try:
                 await asyncio.wait_for(self.changed.wait(), remaining_s)
             except TimeoutError:
@@ -159,9 +156,11 @@
 
     def stale_changes(self, kind: str, revision: int) -> tuple[int, Any]:
         """Return the changes after ``revision`` up to the last ``refresh_stale_view``."""
+        return self._changes(kind, revision, max(revision, self._stale_view[0]))
+
+    def _changes(self, kind: str, revision: int, until: int) -> tuple[int, Any]:
         if not self.forgotten_revision <= revision <= self.revision:
             return GONE, None
-        until = max(revision, self._stale_view[0])
         found = [each for each in self.history if each.kind == kind and revision < each.revision <= until]
         events = [{"object": change.item, "gone": change.gone} for change in found]
         return OK, {"events": events, "at": until}
--- a/src/yokesill/callers/answers.py
+++ b/src/yokesill/callers/answers.py
@@ -36,7 +36,7 @@
 
 
 def is_writable(status: int, headers: Headers) -> bool:
-    """Whether an answer with this status and these headers is one of HTTP/1.1; the length is added later."""
+    """Whether an answer with this status and these headers is one of HTTP/1.1."""
     return is_final_status(status) and are_writable(headers)
 
 
@@ -50,7 +50,7 @@
     reply = final.reply
     if reply.status in NOT_RUN_STATUSES:
         return Refuse(final.key, refusal.status_withheld(reply.status), final.summary)
-    if not is_writable(reply.status, end_to_end_headers(reply.headers)):
+    if not is_writable(reply.status, reply.headers):
         return Refuse(final.key, refusal.unwritable_answer(reply.status), final.summary)
     return final
 
--- a/src/yokesill/callers/headers.py
+++ b/src/yokesill/callers/headers.py
@@ -32,10 +32,7 @@
 
 def are_writable(headers: Headers) -> bool:
     """Whether headers can stand in an answer as they are."""
-    return all(
-        NAME.fullmatch(name) and VALUE.fullmatch(value) and name.lower() not in HOP_BY_HOP
-        for name, value in headers
-    )
+    return all(NAME.fullmatch(name) and VALUE.fullmatch(value) for name, value in headers)
 
 
 def end_to_end_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/src/yokesill/coordinators/messages.py
+++ b/src/yokesill/coordinators/messages.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from yokesill.callers.answers import HttpAnswer, is_writable
+from yokesill.callers.headers import end_to_end_headers
 from yokesill.gateway.messages import GatewayRequest
 
 # Version of the encoding, the first item of both messages; a node rejects any other.
@@ -108,7 +109,8 @@
                 "expected an integer, bytes and a string"
             )
         decoded = _decode_headers(headers)
-        if not is_writable(status, decoded):
+        # The length and the fate of the caller's connection are this node's to say.
+        if not is_writable(status, decoded) or decoded != end_to_end_headers(decoded):
             raise ValueError(f"status {status} with headers {decoded!r:.200}, which no caller can be sent")
         return GatheredAnswer(HttpAnswer(status, decoded, body, outcome), float(gathering_s))
     except (TypeError, ValueError, cbor2.CBORDecodeError) as error:
--- a/tests/real_nodes/node_process.py
+++ b/tests/real_nodes/node_process.py
@@ -376,11 +376,12 @@
         request_id: str = "r1",
         timeout_s: float = 5.0,
         deadline_ms: str = "4000",
+        method: str = "GET",
     ) -> Answer:
         """Send a caller's request on a new connection."""
         headers = {"host": ROUTE_HOST, "x-yokesill-request-id": request_id}
         headers["x-yokesill-deadline-ms"] = deadline_ms
-        return call(self.front, "GET", path, headers, timeout_s)
+        return call(self.front, method, path, headers, timeout_s)
 
     def memory_mb(self, field: str = "VmHWM") -> float:
         """Return the peak resident memory in MB of a million bytes, as the settings count them."""
--- a/tests/real_nodes/test_odd_start_lines.py
+++ b/tests/real_nodes/test_odd_start_lines.py
@@ -5,14 +5,12 @@
 
 import pytest
 from node_process import (
-    ROUTE_HOST,
     Answer,
     Node,
     Reply,
     Request,
     Server,
     Surroundings,
-    call,
     configuration,
     message,
 )
@@ -47,9 +45,8 @@
 
 def ask(node: Node, method: str, path: str, request_id: str) -> tuple[Answer, float]:
     """Return the answer to a caller and how long it took, in seconds."""
-    headers = {"host": ROUTE_HOST, "x-yokesill-request-id": request_id, "x-yokesill-deadline-ms": "4000"}
     began_s = time.monotonic()
-    answer = call(node.front, method, path, headers, 5.0)
+    answer = node.ask(path, request_id, method=method)
     return answer, time.monotonic() - began_s
 
 
--- a/tests/serving/test_server_client.py
+++ b/tests/serving/test_server_client.py
@@ -227,6 +227,10 @@
 REJECTION = answer_bytes(None, b"", "503 Service Unavailable", "Not-Executed: 1")
 
 
+async def _reject_without_id(_server: MemoryServer, stream: MemoryStream, _request: ReceivedRequest) -> None:
+    await stream.send(REJECTION)
+
+
 def test_rejection_without_an_id_on_a_kept_connection_leaves_doubt_and_closes_it() -> None:
     # Guards against: a late surplus rejection without an id counted as the next request's, which then ran
     # twice or was answered 503 after it ran.
@@ -246,23 +250,17 @@
 def test_rejection_without_an_id_on_a_new_connection_is_believed_and_closes_it() -> None:
     # Guards against: a connection kept whose server doesn't name requests, so that a later rejection on it
     # can't be told from a surplus one.
-    async def script(_server: MemoryServer, stream: MemoryStream, _request: ReceivedRequest) -> None:
-        await stream.send(REJECTION)
-
     async def main(server: MemoryServer, client: ServerClient) -> None:
         for number in (1, 2):
             assert_failed(await call(client, attempt(number)), Reason.SHED, Verdict.NOT_RUN)
             await anyio.sleep(0.01)
         assert (server.opened, server.closed) == (2, 2)
 
-    with_server(script, main)
+    with_server(_reject_without_id, main)
 
 
 def test_rejection_without_an_id_is_believed_on_a_connection_that_another_attempt_opened() -> None:
     # Guards against: a connection counted as kept since it was opened for an attempt that ended meanwhile.
-    async def script(_server: MemoryServer, stream: MemoryStream, _request: ReceivedRequest) -> None:
-        await stream.send(REJECTION)
-
     async def main(server: MemoryServer, client: ServerClient) -> None:
         client.send(attempt(1), lambda _outcome: None)
         client.cancel(1)
@@ -270,7 +268,7 @@
         assert_failed(await call(client, attempt(2)), Reason.SHED, Verdict.NOT_RUN)
         assert (server.opened, len(server.received)) == (1, 1)
 
-    with_server(script, main)
+    with_server(_reject_without_id, main)
 
 
 def test_plain_503_is_an_answer() -> None:
