A node that starts asks which version serves instead of guessing by counts

What callers saw: of three nodes one was restarted while the servers of a later version stood beside those that serve, before any order.

Cause: a node that starts established the version of most servers, and of equal counts the lower name. Neither says which one serves. The nodes that ran before know it, but were asked only while the registry was away.

If none of them knows, it takes the version of the oldest entry, since later versions are started beside those that serve, says so in the log, and tells its guess to no other node.

--- a/src/yokesill/registry/peer_bootstrap.py
+++ b/src/yokesill/registry/peer_bootstrap.py
@@ -1,7 +1,8 @@
-"""Fetches a starting node's initial state from its seed nodes while the registry doesn't answer.
+"""Fetches from its seed nodes what a starting node can't learn from the registry.
 
-The snapshot may be older than the registry's state: ``serving.builder`` applies only the feeds for which the
-registry hasn't answered yet. ``run`` returns once the node is synchronised.
+That is the whole state while the registry doesn't answer, and which version of a service serves where
+several are listed without an order. A snapshot may be older than the registry's state: ``serving.builder``
+applies only the feeds for which the registry hasn't answered yet.
 """
 
 import random
@@ -10,7 +11,7 @@
 import anyio
 
 from yokesill.comm.http_status import OK
-from yokesill.gateway.events import Event
+from yokesill.gateway.events import Event, VersionsEstablished
 from yokesill.logs import get_logger
 from yokesill.registry.api_client import ApiClient
 from yokesill.registry.snapshots import decode_snapshot
@@ -24,6 +25,8 @@
 REGISTRY_HEAD_START_S = 0.8
 # Timeout of a call to one seed.
 CALL_TIMEOUT_S = 1.0
+# The same, connecting included, for a node that could serve but for the versions.
+SETTLE_CALL_TIMEOUT_S = 0.5
 # Pause after all seeds have been called.
 RETRY_PAUSE_S = 0.5
 
@@ -39,6 +42,8 @@
         Opens a connection.
     synchronised
         Returns whether this node has enough state to serve, from any source.
+    guesses_versions
+        Returns whether this node only guesses which version of some service serves.
     feed_router
         Applies an event of a snapshot.
     source
@@ -50,12 +55,14 @@
         seeds: tuple[Address, ...],
         connect: StreamConnector,
         synchronised: Callable[[], bool],
+        guesses_versions: Callable[[], bool],
         feed_router: Callable[[Event], None],
         source: random.Random,
     ) -> None:
         self._seeds = list(seeds)
         self._connect = connect
         self._synchronised = synchronised
+        self._guesses_versions = guesses_versions
         self._feed_router = feed_router
         self._random = source
         self._logged: set[tuple[Address, Reason]] = set()
@@ -75,28 +82,51 @@
                     return
             await anyio.sleep(RETRY_PAUSE_S * (0.5 + self._random.random()))
 
+    async def settle_versions(self) -> None:
+        """Adopt from the seeds which versions serve, where this node has only a guess.
+
+        Each seed is called once at most. If none of them knows, as after a loss of all nodes, it remains.
+        """
+        for seed in self._random.sample(self._seeds, len(self._seeds)):
+            if not self._guesses_versions():
+                return
+            with anyio.move_on_after(SETTLE_CALL_TIMEOUT_S):
+                await self._adopt_versions_of(seed)
+        if self._guesses_versions():
+            self._log.warning("versions_guessed")
+
+    async def _adopt_versions_of(self, seed: Address) -> None:
+        for event in await self._fetch_snapshot(seed, SETTLE_CALL_TIMEOUT_S):
+            if isinstance(event, VersionsEstablished):
+                self._feed_router(event)
+
     async def _fetch_from(self, seed: Address) -> bool:
         """Fetch and apply a seed's snapshot; return whether one was applied."""
+        events = await self._fetch_snapshot(seed, CALL_TIMEOUT_S)
+        if self._synchronised():
+            return False
+        for event in events:
+            self._feed_router(event)
+        return bool(events)
+
+    async def _fetch_snapshot(self, seed: Address, timeout_s: float) -> tuple[Event, ...]:
+        """Return the events of a seed's snapshot; none if it sent no proper one in time."""
         client = ApiClient(seed, self._connect)
-        reply = await client.fetch("GET", SNAPSHOT_PATH, CALL_TIMEOUT_S)
+        reply = await client.fetch("GET", SNAPSHOT_PATH, timeout_s)
         if isinstance(reply, Failure):
             self._log_failure(seed, reply)
-            return False
+            return ()
         if reply.status != OK:
             failure = Failure(Reason.NOT_READY, Verdict.NOT_RUN, f"the node returned status {reply.status}")
             self._log_failure(seed, failure)
-            return False
-        if self._synchronised():
-            return False
+            return ()
         try:
             events = decode_snapshot(reply.body)
         except ValueError as error:
             self._log.error("snapshot_rejected", seed=str(seed), problem=str(error))
-            return False
-        for event in events:
-            self._feed_router(event)
+            return ()
         self._log.info("snapshot_taken", seed=str(seed), bytes=len(reply.body))
-        return True
+        return events
 
     def _log_failure(self, seed: Address, failure: Failure) -> None:
         """Log a failure once per seed and reason; an unreachable region would else log twice a second."""
--- a/src/yokesill/rollouts/versions.py
+++ b/src/yokesill/rollouts/versions.py
@@ -41,7 +41,10 @@
         return self._active
 
     def set_listed(self, service: str, counts: Mapping[str, int], known: Iterable[str], now: float) -> None:
-        """Set how many servers of each version are listed, and all versions that still have known servers."""
+        """Set how many servers of each version are listed, and all versions that still have known servers.
+
+        ``counts`` begins with the version of the service's oldest server.
+        """
         if self._active:
             tracked = self._service(service)
             tracked.set_listed(counts, frozenset(known), now)
@@ -74,6 +77,11 @@
         tracked = self._services.items()
         return {name: tuple(sorted(each.established)) for name, each in tracked if each.certain}
 
+    @property
+    def has_guesses(self) -> bool:
+        """Whether the established versions of any service are a guess."""
+        return any(each.established and not each.certain for each in self._services.values())
+
     def retain(self, services: Collection[str]) -> None:
         """Drop all services that are not in ``services`` and have neither known servers nor an order."""
         for name, tracked in list(self._services.items()):
@@ -164,15 +172,15 @@
         """Establish the versions that serve, from the order if there is one or else from the servers alone.
 
         A node that starts during a roll-out takes every version but the target. Without an order, it takes
-        the version of the most servers; a tie goes to the lower version, compared by length first, so that 9
-        is lower than 10.
+        the version of the oldest server, since the servers of a later version are started beside those that
+        serve. That is a guess: entries that lapsed and came back count as new.
         """
         others = frozenset(self.counts) - self._target
         if others and self.order is not None:
             self.established, self.certain = others, True
         elif others:
-            most_common = min(others, key=lambda each: (-self.counts[each], len(each), each))
-            self.established, self.certain = frozenset({most_common}), len(others) == 1
+            oldest = next(each for each in self.counts if each in others)
+            self.established, self.certain = frozenset({oldest}), len(others) == 1
 
     def set_state(self, order: OrderId, state: RolloutState) -> None:
         restarted = self.state is not None and self.state.final and not state.final
--- a/src/yokesill/serving/builder.py
+++ b/src/yokesill/serving/builder.py
@@ -193,13 +193,20 @@
 
 
 def _create_peer_bootstrap(core: Core, registry: Registry) -> PeerBootstrap:
-    updates, following = registry.updates, registry.following
+    updates, following, versions = registry.updates, registry.following, core.router.servers.versions
 
     def apply_from_peer(event: Event) -> None:
         if following.awaits_first_answer(event):
             updates.apply(event)
 
-    return PeerBootstrap(core.settings.seeds, connect_tcp, updates.synchronised, apply_from_peer, core.source)
+    return PeerBootstrap(
+        core.settings.seeds,
+        connect_tcp,
+        updates.synchronised,
+        lambda: versions.has_guesses,
+        apply_from_peer,
+        core.source,
+    )
 
 
 def _create_side_services(
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -169,6 +169,7 @@
     async def _become_ready(self) -> None:
         await self._listening.wait()
         await self._until_synchronised()
+        await self.node.bootstrap.settle_versions()
         self.node.application.synchronised.set()
         self.life_cycle.apply_event("learnt")
         self._start_times.reached("ready")
--- a/tests/serving/test_snapshots.py
+++ b/tests/serving/test_snapshots.py
@@ -2,17 +2,18 @@
 
 import random
 from dataclasses import replace
+from typing import Any
 
 import anyio
 import cbor2
 import pytest
 from conftest import run_virtual
 from harness import gather_route, server, single_route
-from memory_servers import MemoryServer, MemoryStream, ReceivedRequest
+from memory_servers import MemoryServer, MemoryStream, ReceivedRequest, Script
 
 from yokesill.gateway import events as ev
 from yokesill.gateway.documents import Configuration, ServiceLimits
-from yokesill.registry.peer_bootstrap import PeerBootstrap
+from yokesill.registry.peer_bootstrap import SETTLE_CALL_TIMEOUT_S, PeerBootstrap
 from yokesill.registry.snapshots import decode_snapshot, encode_snapshot
 from yokesill.rollouts.orders import RolloutOrder, RolloutState
 from yokesill.serving.settings import Address
@@ -66,6 +67,7 @@
                 seeds,
                 peer.connect,
                 lambda: synchronised[0] or bool(applied),
+                lambda: False,
                 applied.append,
                 random.Random(1),
             )
@@ -97,3 +99,59 @@
 
 def test_no_event_is_applied_from_a_malformed_snapshot() -> None:
     assert bootstrap_from(b"nonsense") == []
+
+
+def settled_by(seeds: dict[int, bytes | None]) -> tuple[list[ev.Event], float]:
+    """Settle versions by seeds, which answer with the bytes given or never; return events and seconds."""
+    applied: list[ev.Event] = []
+    lasted_s = 0.0
+
+    def answer_with(body: bytes | None) -> Script:
+        async def script(_server: MemoryServer, stream: MemoryStream, _heard: ReceivedRequest) -> None:
+            if body is None:
+                await anyio.sleep_forever()
+            else:
+                await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        return script
+
+    async def run() -> None:
+        nonlocal lasted_s
+        async with anyio.create_task_group() as tasks:
+            peers = {port: MemoryServer(answer_with(body), tasks) for port, body in seeds.items()}
+
+            async def connect(host: str, port: int, *rest: Any) -> Any:
+                return await peers[port].connect(host, port, *rest)
+
+            bootstrap = PeerBootstrap(
+                tuple(Address("10.0.0.1", port) for port in seeds),
+                connect,
+                lambda: True,
+                lambda: not applied,
+                applied.append,
+                random.Random(1),
+            )
+            began_s = anyio.current_time()
+            await bootstrap.settle_versions()
+            lasted_s = anyio.current_time() - began_s
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+    return applied, lasted_s
+
+
+@pytest.mark.parametrize("others", [{}, {1: b"nonsense"}, {1: None}, {1: None, 2: None}])
+# Guards against a restarted node that guesses which version serves although another node knows it.
+def test_established_versions_are_taken_from_the_first_seed_that_knows_them(
+    others: dict[int, bytes | None],
+) -> None:
+    applied, lasted_s = settled_by({**others, 3: SNAPSHOT})
+    assert applied == [ev.VersionsEstablished(ESTABLISHED)]
+    assert lasted_s <= len(others) * SETTLE_CALL_TIMEOUT_S + 0.1
+
+
+# Guards against a node that stays out of service for good since no other node can tell which version serves.
+def test_start_goes_on_if_no_seed_knows_the_established_versions() -> None:
+    applied, lasted_s = settled_by({1: None, 2: None, 3: b"nonsense"})
+    assert applied == []
+    assert lasted_s <= 2 * SETTLE_CALL_TIMEOUT_S + 0.1
