A zone is reopened only once its servers are known anew

What callers saw: servers of an evacuated zone turned cold and said so; 0.3 s later the operator took the evacuation back.

Cause: feeds of the registry are applied when they are read, servers' changes up to 1.5 s later than operators'. The end of the evacuation overtook the servers' entries, which were older in the registry.

Now a watcher that reads the end of an evacuation reads the servers anew before it applies and reports it, and a node that is told of the end while it lacks the report's servers leaves it to the next report. The wait is bounded, since evacuations of other zones may stand behind it. Price: one call at full price a watcher and reopening.

--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -70,7 +70,8 @@
 
     Notes
     -----
-    ``on_read`` is called with the previous position and each batch that this node read from the registry.
+    ``before_applying`` is awaited with each batch that this node read from the registry before it is applied;
+    ``on_read`` is called with the previous position and the batch afterwards.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
     ) -> None:
         super().__init__(feed.name, feed_router)
         self.calls = 0
+        self.before_applying: Callable[[Batch], Awaitable[None]] = _continue_at_once
         self.on_read: Callable[[Position, Batch], None] = lambda _before, _batch: None
         self._feed = feed
         self._gathering_time_s = gathering_time_s
@@ -99,6 +101,8 @@
         self._last_check_failed = False
         self._logged_older_at: Position | None = None
         self._timeline_started = anyio.Event()
+        self._awaited_reads: list[anyio.Event] = []
+        self._read_wanted = anyio.Event()
 
     @property
     def lost(self) -> bool:
@@ -134,6 +138,18 @@
         self._ongoing.cancel()
         return True
 
+    async def read_anew(self) -> None:
+        """Return once the registry has answered a call at full price that began after this one.
+
+        Meanwhile neither a long poll nor the coalescing of changes delays the next call. It may take for ever
+        while this node relies on others or the registry doesn't answer.
+        """
+        read = anyio.Event()
+        self._awaited_reads.append(read)
+        self._read_wanted.set()
+        self._ongoing.cancel()
+        await read.wait()
+
     # --- calls ---
 
     async def _list_stale(self) -> None:
@@ -162,13 +178,23 @@
         """
         self.calls += 1
         from_position, listed = self._position, self._should_list()
-        outcome = await self._ongoing.run(self._fetch_next(listed), waits=not listed)
+        awaited, self._awaited_reads = self._awaited_reads, []
+        self._read_wanted = anyio.Event()
+        outcome = await self._ongoing.run(self._fetch_next(listed, bool(awaited)), waits=not listed)
+        if isinstance(outcome, Batch):
+            await self.before_applying(outcome)
+            self._process_answer(outcome, from_position, listed)
+        if isinstance(outcome, Batch) and not self._relist_next:
+            for each in awaited:
+                each.set()
+        else:
+            self._awaited_reads += awaited
         if outcome is None:
             return
         if isinstance(outcome, Batch):
-            self._process_answer(outcome, from_position, listed)
             if outcome.events:
-                await anyio.sleep(self._gathering_time_s)
+                with anyio.move_on_after(self._gathering_time_s):
+                    await self._read_wanted.wait()
         elif isinstance(outcome, HistoryLost):
             self._log.info("registry_history_lost", feed=self._feed_name, position=self.revision)
             self._availability.record_timeline(outcome.timeline)
@@ -343,7 +369,11 @@
         settled = self._settles_at_s is not None and anyio.current_time() >= self._settles_at_s
         return self._position is None or self._relist_next or settled
 
-    async def _fetch_next(self, listed: bool) -> Batch | HistoryLost | Failure:
+    async def _fetch_next(self, listed: bool, at_once: bool) -> Batch | HistoryLost | Failure:
         if listed or self._position is None:
             return await self._feed.list()
-        return await self._feed.changes(self._position, CHANGES_WAIT_S)
+        return await self._feed.changes(self._position, 0.0 if at_once else CHANGES_WAIT_S)
+
+
+async def _continue_at_once(_batch: Batch) -> None:
+    pass
--- a/src/yokesill/registry/following.py
+++ b/src/yokesill/registry/following.py
@@ -22,6 +22,7 @@
 from yokesill.registry.feed_states import EVACUATIONS, QUARANTINE, ROLLOUTS, SERVERS, WholeFeed
 from yokesill.registry.feeds import Feed, NodeContact
 from yokesill.registry.follower import FeedFollower
+from yokesill.registry.reopenings import ServersFirst
 from yokesill.registry.watch_link import WatchLink
 from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.serving.settings import GatewaySettings
@@ -101,6 +102,7 @@
                 availability=availability,
             )
             self._followers[name].on_restored = self._notify_restored
+        ServersFirst(self._followers, whole, settings.change_bound_s)
         self._watch: ZoneWatch | None = None
         if shared and settings.reports is not None:
             self._link = WatchLink(settings.reports)
--- a/src/yokesill/registry/zone_watch.py
+++ b/src/yokesill/registry/zone_watch.py
@@ -19,8 +19,9 @@
 from yokesill.registry.feed_states import WholeFeed
 from yokesill.registry.feeds import NodeContact
 from yokesill.registry.follower import FeedFollower
+from yokesill.registry.reopenings import awaits_servers
 from yokesill.registry.view_check import ViewCheck
-from yokesill.watchers.messages import Report, decode_report, encode_report
+from yokesill.watchers.messages import FeedReport, Report, decode_report, encode_report
 from yokesill.watchers.role import WatchRole, create_group, watch_role
 from yokesill.watchers.timing import WatchTiming
 
@@ -181,13 +182,24 @@
             return
         for each in report.feeds:
             self._catch_up.observe_timeline(each)
-        behind = [each for each in report.feeds if not self._catch_up.apply(each)]
+        behind, waiting = self._apply_feeds(report)
         current = report.current and not any(map(self._catch_up.outdated, report.feeds))
         if len(report.feeds) == len(self._followers):
-            self._group.record_report(report.node, current, not behind, now)
+            self._group.record_report(report.node, current, not behind and not waiting, now)
         for each in behind:
             self._catch_up.schedule_fetch(each.feed, member, self._tasks)
         watching = self.role is WatchRole.WATCHING
         for each in report.feeds:
             if current and self._view.differs(each.feed, each.position, each.digest, now):
                 self._catch_up.repair(each.feed, member, self._tasks, watching, now)
+
+    def _apply_feeds(self, report: Report) -> tuple[list[FeedReport], list[FeedReport]]:
+        """Apply a report's feeds; return those that are to be fetched, and those left to the next report."""
+        behind: list[FeedReport] = []
+        waiting: list[FeedReport] = []
+        for each in report.feeds:
+            if awaits_servers(each, behind):
+                waiting.append(each)
+            elif not self._catch_up.apply(each):
+                behind.append(each)
+        return behind, waiting
--- /dev/null
+++ b/tests/serving/test_reopened_zones.py
@@ -0,0 +1,74 @@
+"""A zone is reopened at a node only once the node knows what its servers had said before the reopening."""
+
+import anyio
+import pytest
+from zone import CHANGE_BOUND_S, Zone, run_in_zone
+
+ZONE, POLL_S, WARMUP_MS = "z2", 0.005, 3000
+SERVERS = tuple(f"i-{number}" for number in range(4))
+
+
+def turn_cold(zone: Zone, name: str) -> None:
+    zone.standin.put(
+        "servers", name, zone.standin.objects["servers", name]["spec"] | {"warmupLeftMs": WARMUP_MS}
+    )
+
+
+async def watch_reopening(zone: Zone, within_s: float) -> dict[str, set[str]]:
+    """Return, for each node that reopened the zone, the servers that it did not know to be cold then."""
+    found: dict[str, set[str]] = {}
+    end_s = anyio.current_time() + within_s
+    while anyio.current_time() < end_s:
+        for node in zone.nodes:
+            if ZONE not in node.evacuated and node.contact.node not in found:
+                found[node.contact.node] = {each for each in SERVERS if not node.servers[each].warmup_left_s}
+        await anyio.sleep(POLL_S)
+    return found
+
+
+# Guards against requests beyond their rate to servers that turned cold before the end of an evacuation: the
+# feed of servers is read later than that of evacuations.
+@pytest.mark.parametrize("reopened_after_s", [0.0, 0.05, 0.3, 0.8])
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+def test_zone_is_reopened_with_its_cold_servers_known(reopened_after_s: float, loss: float) -> None:
+    async def main(zone: Zone) -> None:
+        zone.standin.put("evacuations", ZONE, {})
+        await anyio.sleep(2 * CHANGE_BOUND_S)
+        zone.loss = loss
+        for name in SERVERS:
+            turn_cold(zone, name)
+            await anyio.sleep(0.05)
+        await anyio.sleep(reopened_after_s)
+        zone.standin.remove("evacuations", ZONE)
+        found = await watch_reopening(zone, CHANGE_BOUND_S)
+        assert found == {node.contact.node: set() for node in zone.nodes}
+
+    run_in_zone(main)
+
+
+# Guards against an evacuation that is held back with another zone's reopening while no servers can be read.
+def test_zone_is_evacuated_in_time_beside_a_reopening_although_servers_are_not_answered() -> None:
+    async def main(zone: Zone) -> None:
+        zone.standin.put("evacuations", ZONE, {})
+        await anyio.sleep(2 * CHANGE_BOUND_S)
+        zone.standin.silent_kind = "servers"
+        zone.standin.remove("evacuations", ZONE)
+        zone.standin.put("evacuations", "z3", {})
+        await anyio.sleep(0.95 * CHANGE_BOUND_S)
+        assert all("z3" in node.evacuated for node in zone.nodes)
+
+    run_in_zone(main)
+
+
+# Guards against a price for each reopening that grows with the nodes.
+def test_reopening_costs_each_watcher_one_more_call() -> None:
+    async def main(zone: Zone) -> None:
+        zone.standin.put("evacuations", ZONE, {})
+        await anyio.sleep(2 * CHANGE_BOUND_S)
+        before = zone.full_price_calls()
+        zone.standin.remove("evacuations", ZONE)
+        await anyio.sleep(2.0)
+        # For each watcher: the answered wait, the next one, a read of the servers, and their next wait.
+        assert zone.full_price_calls() - before <= 2 * 4
+
+    run_in_zone(main)
--- a/tests/serving/zone.py
+++ b/tests/serving/zone.py
@@ -19,6 +19,7 @@
 from yokesill.registry.feed_states import CONFIGURATION, EVACUATIONS, ROLLOUTS, SERVERS, WholeFeed
 from yokesill.registry.feeds import Feed, NodeContact
 from yokesill.registry.follower import FeedFollower
+from yokesill.registry.reopenings import ServersFirst
 from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.rollouts.orders import RolloutOrder
 from yokesill.serving.settings import Address
@@ -90,6 +91,7 @@
             )
             for name, feed in feeds.items()
         }
+        ServersFirst(self.followers, self._whole_feed, CHANGE_BOUND_S)
         self.watch = ZoneWatch(
             self.contact, self.followers, self._whole_feed, self._send, self._fetch, timing, source
         )
