--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -13,6 +13,7 @@
 from yokesill.gateway.events import Event
 from yokesill.positions import Position
 from yokesill.registry.availability import RegistryAvailability
+from yokesill.registry.awaited_reads import AwaitedReads
 from yokesill.registry.feed_view import FeedView
 from yokesill.registry.feeds import Batch, Feed, HistoryLost
 from yokesill.registry.ongoing_call import OngoingCall
@@ -101,8 +102,7 @@
         self._last_check_failed = False
         self._logged_older_at: Position | None = None
         self._timeline_started = anyio.Event()
-        self._awaited_reads: list[anyio.Event] = []
-        self._read_wanted = anyio.Event()
+        self._awaited_reads = AwaitedReads()
 
     @property
     def lost(self) -> bool:
@@ -144,9 +144,7 @@
         Meanwhile neither a long poll nor the coalescing of changes delays the next call. It may take for ever
         while this node relies on others or the registry doesn't answer.
         """
-        read = anyio.Event()
-        self._awaited_reads.append(read)
-        self._read_wanted.set()
+        read = self._awaited_reads.ask()
         self._ongoing.cancel()
         await read.wait()
 
@@ -178,23 +176,17 @@
         """
         self.calls += 1
         from_position, listed = self._position, self._should_list()
-        awaited, self._awaited_reads = self._awaited_reads, []
-        self._read_wanted = anyio.Event()
-        outcome = await self._ongoing.run(self._fetch_next(listed, bool(awaited)), waits=not listed)
+        at_once = self._awaited_reads.begin_call()
+        outcome = await self._ongoing.run(self._fetch_next(listed, at_once), waits=not listed)
         if isinstance(outcome, Batch):
             await self.before_applying(outcome)
             self._process_answer(outcome, from_position, listed)
-        if isinstance(outcome, Batch) and not self._relist_next:
-            for each in awaited:
-                each.set()
-        else:
-            self._awaited_reads += awaited
+        self._awaited_reads.end_call(isinstance(outcome, Batch) and not self._relist_next)
         if outcome is None:
             return
         if isinstance(outcome, Batch):
             if outcome.events:
-                with anyio.move_on_after(self._gathering_time_s):
-                    await self._read_wanted.wait()
+                await self._awaited_reads.pause(self._gathering_time_s)
         elif isinstance(outcome, HistoryLost):
             self._log.info("registry_history_lost", feed=self._feed_name, position=self.revision)
             self._availability.record_timeline(outcome.timeline)
