--- a/tests/real_nodes/test_odd_start_lines.py
+++ b/tests/real_nodes/test_odd_start_lines.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+from pathlib import Path
 
 import pytest
 from node_process import (
@@ -13,6 +14,7 @@
     Surroundings,
     configuration,
     message,
+    surroundings,
 )
 
 NO_REPLY = ["HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/2.0 200 OK"]
@@ -81,3 +83,25 @@
         answer, took_s = ask(node, "GET", "/read/x", f"r{number}")
         assert (answer.status, took_s < AT_ONCE_S) == (200, True)
     assert node.events("attempt_failed"), "no odd start line was met"
+
+
+@pytest.mark.parametrize("start_line", NO_REPLY)
+def test_odd_start_line_of_a_shard_leaves_that_part_out_of_a_wide_answer(
+    start_line: str, tmp_path: Path
+) -> None:
+    # Guards against: a part that is no answer, or a wide request that waits for it until its deadline.
+    with surroundings(servers=4) as around:
+        around.spread_over_shards(configuration())
+        sound, odd = around.servers[2:]
+        answer_oddly(odd, start_line)
+        node = Node(tmp_path, around.store).start().wait_until_ready()
+        try:
+            for number in range(6):
+                answer, took_s = ask(node, "GET", "/wide/x", f"w{number}")
+                assert (answer.status, took_s < AT_ONCE_S) == (200, True)
+                assert answer.headers["x-yokesill-missing-parts"] == "1"
+                assert answer.headers["x-yokesill-part-stamps"].startswith(sound.instance)
+                assert "," not in answer.headers["x-yokesill-part-stamps"]
+            assert odd.requests, "the odd server was not asked"
+        finally:
+            node.kill()
