Soak: servers of a version that stand beside the others before its order

The soak ordered each version before it started its servers, so that no node ever started beside a version without an order. The new kind rollout_staged starts them 6 s earlier, under names that come before the first version's.

--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,7 @@
 from soak.record import fault_fields, read_record
 from soak.report import write_report
 from soak.rollout_checkers import COMPLETED, ROLLED_BACK
-from soak.schedule import Fault
+from soak.schedule import ALONGSIDE_S, Fault
 from soak.slow_callers import hold_connections
 from soak.standin import EventLog, call
 
@@ -287,10 +287,17 @@
                 await asyncio.sleep(OPERATOR_RETRY_S)
 
     async def _order_rollout(self, standins: Standins, fault: Fault, duration_s: float) -> None:
-        version = f"s{next(self._ids) + 1}"
+        staged = fault.kind == "rollout_staged"
+        # Names have no order: that of a staged version comes before the first one's.
+        version = f"{'a' if staged else 's'}{next(self._ids) + 1}"
+        if staged:
+            standins.servers.send_command(rollout=version, bad=False)
+            await asyncio.sleep(ALONGSIDE_S)
+            duration_s -= ALONGSIDE_S
         order = {"service": DESK, "targetVersion": version, "durationS": round(duration_s - 5.0)}
         await self._write_until_stored("rollouts", DESK, order)
-        standins.servers.send_command(rollout=version, bad=fault.kind == "rollout_bad")
+        if not staged:
+            standins.servers.send_command(rollout=version, bad=fault.kind == "rollout_bad")
         await asyncio.sleep(duration_s)
         # An order that has reached no final state is withdrawn, and its servers drain.
         await self._write_until_stored("rollouts", DESK, None)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -56,6 +56,11 @@
     "rollout_good": ("rollout", 25.0, 25.0),
     "rollout_bad": ("rollout", 25.0, 25.0),
 }
+# Servers of the new version are listed ``ALONGSIDE_S`` before the order. Apart, as the hazards below.
+ALONGSIDE_S = 6.0
+STAGED_ROLLOUT_KINDS: dict[str, tuple[str, float, float]] = {
+    "rollout_staged": ("rollout", ALONGSIDE_S + 25.0, ALONGSIDE_S + 25.0),
+}
 # What the bench of the users hardly plays: bytes without end, odd statuses and entries, rejections that come
 # in the place of other answers, signals in series, slow callers. They are apart, since the schedule of a seed
 # depends on its kinds.
@@ -71,7 +76,8 @@
     "slow_callers": ("crowded", 5.0, 8.0),
 }
 MIXED_KINDS = KINDS | HAZARD_KINDS
-ALL_KINDS = KINDS | ROLLOUT_KINDS | HAZARD_KINDS
+ALL_ROLLOUT_KINDS = ROLLOUT_KINDS | STAGED_ROLLOUT_KINDS
+ALL_KINDS = KINDS | ALL_ROLLOUT_KINDS | HAZARD_KINDS
 # These kinds have their own planning functions and overlap with the other faults.
 SEPARATELY_PLANNED = ("server_drain", "store_restored")
 INITIAL_DELAY_S, FINAL_QUIET_S = 4.0, 3.0
@@ -251,12 +257,12 @@
 
 
 def _plan_rollouts(rng: random.Random, end_s: float, kinds: tuple[str, ...]) -> list[Fault]:
-    allowed = [kind for kind in kinds if kind in ROLLOUT_KINDS]
+    allowed = [kind for kind in kinds if kind in ALL_ROLLOUT_KINDS]
     faults: list[Fault] = []
     at_s = INITIAL_DELAY_S + 4.0
-    while allowed and at_s + ROLLOUT_KINDS[allowed[0]][2] <= end_s:
+    while allowed and at_s + ALL_ROLLOUT_KINDS[allowed[0]][2] <= end_s:
         kind = rng.choice(allowed)
-        until_s = at_s + ROLLOUT_KINDS[kind][2]
+        until_s = at_s + ALL_ROLLOUT_KINDS[kind][2]
         faults.append(Fault(kind, round(at_s, 3), round(until_s, 3), ()))
         at_s = until_s + ROLLOUT_GAP_S
     return faults
