Soak: zones that are evacuated, and cold servers when they are reopened

The soak evacuated no zones and knew no cold servers. The new kind zone_evacuated does both: the zone's servers turn cold one after the other shortly before the operator takes the evacuation back, under a burst of load; cold_servers_not_overrun judges what each of them gets in any second.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 from soak.processes import ROOT
 from soak.record import read_record
 from soak.run import Soak
-from soak.schedule import ALL_ROLLOUT_KINDS, HAZARD_KINDS, KINDS, ROLLOUT_KINDS, plan
+from soak.schedule import ALL_ROLLOUT_KINDS, EVACUATION_KINDS, HAZARD_KINDS, KINDS, ROLLOUT_KINDS, plan
 from soak.site_report import markdown_table
 from soak.site_run import DayTerms, play_day
 
@@ -113,7 +113,11 @@
 def _run(seed: int, minutes: float, nodes: int, kinds: tuple[str, ...], parent: Path) -> int:
     folder = parent / f"{seed}-{time.time():.0f}"
     folder.mkdir(parents=True)
-    layout = Layout(nodes=nodes, rollouts=any(kind in ALL_ROLLOUT_KINDS for kind in kinds))
+    layout = Layout(
+        nodes=nodes,
+        rollouts=any(kind in ALL_ROLLOUT_KINDS for kind in kinds),
+        evacuations=any(kind in EVACUATION_KINDS for kind in kinds),
+    )
     try:
         faults = plan(seed, minutes * 60, nodes, len(layout.slots()), kinds)
     except ValueError as error:
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -1,6 +1,7 @@
 """The checkers of all promises, by name."""
 
 from soak.answer_checkers import answered_in_time, whole_own_answers
+from soak.cold_checkers import cold_servers_not_overrun
 from soak.judging import Checked, Checker
 from soak.node_checkers import (
     configuration_in_force,
@@ -49,6 +50,7 @@
         bad_version_exposure,
         one_final_state,
         completed_cuts_nothing,
+        cold_servers_not_overrun,
     )
 }
 
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -22,6 +22,10 @@
 DEADLY_PATH_MARKER, DEADLY_WORK_S, RESTART_S = "/deadly-", 0.004, 1.0
 
 
+# What a cold server of the desk bears, and for how long it is cold.
+COLD_REQUESTS_PER_S, COLD_S = 2.0, 3.0
+
+
 class Bounds(NamedTuple):
     """The bounds of the deployment, used by both the settings files and the checkers."""
 
@@ -41,6 +45,14 @@
     canary_share: float = 0.1
     canary_slack: float = 20.0
     rollback_s: float = 5.0
+    evacuate_s: float = 5.0
+    warmup_overshoot: float = 1.5
+    warmup_slack: float = 5.0
+
+    @property
+    def cold_requests(self) -> float:
+        """How many requests a cold server may get in any second."""
+        return COLD_REQUESTS_PER_S * self.warmup_overshoot + self.warmup_slack
 
 
 def bounds_for(nodes: int) -> Bounds:
@@ -77,6 +89,7 @@
     shards: int = 8
     net: int = 20 + os.getpid() % 200
     rollouts: bool = False
+    evacuations: bool = False
 
     def address(self, block: int, number: int) -> str:
         """Return a loopback address; each block holds one kind of endpoint."""
@@ -126,11 +139,14 @@
     for number in (version, version - 1):
         probe = RouteTerms(f"/probe-{number}/", True, 2.0, 0.3)
         routes.append(_route(f"probe-{number}", probe, layout, shard_set))
-    services = [*layout.shard_set("a"), *layout.shard_set("b"), DESK]
+    names = [*layout.shard_set("a"), *layout.shard_set("b"), DESK]
+    services = [{"name": each, "healthPath": "/health", "maxConnections": 60} for each in names]
+    if layout.evacuations:
+        services[-1] |= {"warmupS": COLD_S, "warmupPerS": COLD_REQUESTS_PER_S}
     return {
         "configVersion": version,
         "routes": routes,
-        "services": [{"name": each, "healthPath": "/health", "maxConnections": 60} for each in services],
+        "services": services,
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 65536,
@@ -162,7 +178,13 @@
     ip = layout.node(number)
     seeds = [f"{layout.node(each)}:{CONTROL_PORT}" for each in range(min(3, layout.nodes))]
     contracts = ["base", "drain", "config", "cost", "retry", "recover", "scatter", "platform"]
-    rollout = ""
+    rollout, evacuations = "", ""
+    if layout.evacuations:
+        contracts.append("places")
+        evacuations = (
+            f"evacuateMs = {bounds.evacuate_s * 1000:.0f}\nwarmupOvershoot = {bounds.warmup_overshoot}\n"
+            f"warmupSlack = {bounds.warmup_slack}\n"
+        )
     if layout.rollouts:
         contracts.append("rollout")
         rollout = (
@@ -194,7 +216,7 @@
 retryBudgetRatio = {bounds.budget_ratio}
 retryWindowS = {bounds.budget_window_s}
 retrySlack = {bounds.budget_slack}
-{rollout}[platform]
+{rollout}{evacuations}[platform]
 address = "{layout.address(5, number)}:{STORE_PORT}"
 """
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -103,6 +103,15 @@
     path: str
 
 
+class TurnedCold(NamedTuple):
+    """A server that turned cold for a time."""
+
+    at_s: float
+    server: str
+    service: str
+    seconds: float
+
+
 class PartFailure(NamedTuple):
     """A part of a node that failed and was restarted; ``at_s`` is the time when the node's log was read."""
 
@@ -141,6 +150,7 @@
     started: tuple[Started, ...] = ()
     node_starts: dict[int, tuple[float, ...]] = {}  # noqa: RUF012
     crashes: tuple[Crash, ...] = ()
+    turned_cold: tuple[TurnedCold, ...] = ()
     part_failures: tuple[PartFailure, ...] = ()
     unasked_ends: tuple[UnaskedEnd, ...] = ()
 
@@ -229,6 +239,9 @@
         started=tuple(_from_event(Started, event, at_s=event["t"]) for event in by_kind["started"]),
         node_starts={node: tuple(times) for node, times in starts.items()},
         crashes=tuple(_from_event(Crash, event, at_s=event["t"]) for event in by_kind["crashed"]),
+        turned_cold=tuple(
+            _from_event(TurnedCold, event, at_s=event["t"]) for event in by_kind["turned_cold"]
+        ),
         unasked_ends=tuple(
             _from_event(UnaskedEnd, event, at_s=event["t"]) for event in by_kind["node_ended_unasked"]
         ),
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from soak.checkers import check
-from soak.layout import DESK, FRONT_PORT, OPERATOR_PORT, Layout, bounds_for, configuration
+from soak.layout import COLD_S, DESK, FRONT_PORT, OPERATOR_PORT, ZONES, Layout, bounds_for, configuration
 from soak.nodes import Nodes
 from soak.processes import Standin, Usage, memory_mb
 from soak.record import fault_fields, read_record
@@ -33,6 +33,10 @@
 )
 # Bytes without end from callers: this many connections, each with this pause between its pieces.
 ENDLESS_CONNECTIONS, ENDLESS_PAUSE_S, SIGNAL_PAUSE_S = 4, 0.002, 0.05
+# The servers of an evacuated zone turn cold this long before the operator takes the evacuation back.
+COLD_BEFORE_END_S = 0.35
+# More load as the zone is reopened: a server that is taken for a warm one gets more than a cold one bears.
+REOPENING_FACTOR = BURST_FACTOR
 ENDLESS_PIECE = b"a: b\r\n" * 2000
 SERIES = (signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP, signal.SIGUSR2)
 
@@ -142,15 +146,10 @@
             await self._change(standins, fault)
         elif kind.startswith("rollout_"):
             await self._order_rollout(standins, fault, duration_s)
-        elif kind == "load_burst":
-            standins.callers.send_command(factor=BURST_FACTOR)
-            await asyncio.sleep(duration_s)
-            standins.callers.send_command(factor=1.0)
-        elif kind == "deadly_request":
-            number = next(self._ids)
-            standins.callers.send_command(deadly=[number])
-            await asyncio.sleep(duration_s)
-            standins.callers.send_command(harmless=[number])
+        elif kind == "zone_evacuated":
+            await self._evacuate(standins, ZONES[fault.targets[0]], duration_s)
+        elif kind in ("load_burst", "deadly_request"):
+            await self._inject_caller_fault(standins.callers, kind, duration_s)
         elif kind == "odd_entry":
             standins.store.send_command(odd_entry=next(self._ids))
         elif kind == "front_endless":
@@ -173,6 +172,17 @@
         else:
             await self._inject_server_fault(standins.servers, fault, duration_s)
 
+    async def _inject_caller_fault(self, callers: Standin, kind: str, duration_s: float) -> None:
+        if kind == "load_burst":
+            callers.send_command(factor=BURST_FACTOR)
+            await asyncio.sleep(duration_s)
+            callers.send_command(factor=1.0)
+            return
+        number = next(self._ids)
+        callers.send_command(deadly=[number])
+        await asyncio.sleep(duration_s)
+        callers.send_command(harmless=[number])
+
     async def _inject_node_fault(self, node: int, kind: str, duration_s: float) -> None:
         if kind == "node_pause":
             self._nodes.send(node, signal.SIGSTOP)
@@ -303,6 +313,17 @@
         await self._write_until_stored("rollouts", DESK, None)
         standins.servers.send_command(final="withdrawn")
 
+    async def _evacuate(self, standins: Standins, zone: str, duration_s: float) -> None:
+        """Evacuate a zone, and take that back shortly after its servers have turned cold."""
+        await self._write_until_stored("evacuations", zone, {"zone": zone})
+        await asyncio.sleep(duration_s - COLD_BEFORE_END_S - COLD_S)
+        standins.servers.send_command(cold_zone=zone, seconds=COLD_S)
+        await asyncio.sleep(COLD_BEFORE_END_S)
+        standins.callers.send_command(factor=REOPENING_FACTOR)
+        await self._write_until_stored("evacuations", zone, None)
+        await asyncio.sleep(COLD_S)
+        standins.callers.send_command(factor=1.0)
+
     async def _watch_rollout_states(self, standins: Standins) -> None:
         """Report each recorded final state of an order to the servers at once."""
         path = self._folder / "events-store.jsonl"
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -1,9 +1,10 @@
 """Plans the faults of a run from a seed, without side effects, so that a seed repeats its schedule."""
 
 import random
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from soak.layout import DESK_SERVERS
+from soak.layout import DESK_SERVERS, ZONES
 
 # The target of each kind of fault, and its minimum and maximum duration in seconds.
 KINDS: dict[str, tuple[str, float, float]] = {
@@ -61,6 +62,9 @@
 STAGED_ROLLOUT_KINDS: dict[str, tuple[str, float, float]] = {
     "rollout_staged": ("rollout", ALONGSIDE_S + 25.0, ALONGSIDE_S + 25.0),
 }
+# A zone gets nothing for a time, and its servers have turned cold by the end. Apart, since it needs other
+# settings.
+EVACUATION_KINDS: dict[str, tuple[str, float, float]] = {"zone_evacuated": ("zone", 11.0, 11.0)}
 # What the bench of the users hardly plays: bytes without end, odd statuses and entries, rejections that come
 # in the place of other answers, signals in series, slow callers. They are apart, since the schedule of a seed
 # depends on its kinds.
@@ -77,7 +81,7 @@
 }
 MIXED_KINDS = KINDS | HAZARD_KINDS
 ALL_ROLLOUT_KINDS = ROLLOUT_KINDS | STAGED_ROLLOUT_KINDS
-ALL_KINDS = KINDS | ALL_ROLLOUT_KINDS | HAZARD_KINDS
+ALL_KINDS = KINDS | ALL_ROLLOUT_KINDS | EVACUATION_KINDS | HAZARD_KINDS
 # These kinds have their own planning functions and overlap with the other faults.
 SEPARATELY_PLANNED = ("server_drain", "store_restored")
 INITIAL_DELAY_S, FINAL_QUIET_S = 4.0, 3.0
@@ -136,7 +140,8 @@
     faults += _plan_operator_changes(rng, end_s, kinds)
     if "server_drain" in kinds:
         faults += _plan_drains(rng, end_s, servers)
-    faults += _plan_rollouts(rng, end_s, kinds)
+    for in_turn in (ALL_ROLLOUT_KINDS, EVACUATION_KINDS):
+        faults += _plan_in_turn(rng, end_s, {kind: in_turn[kind] for kind in kinds if kind in in_turn})
     herds = [each for each in faults if each.kind == "herd_kill"]
     faults += _plan_rolling_stops(rng, end_s, nodes, kinds, herds)
     faults += _plan_restores(rng, end_s, kinds, herds)
@@ -256,14 +261,19 @@
     ]
 
 
-def _plan_rollouts(rng: random.Random, end_s: float, kinds: tuple[str, ...]) -> list[Fault]:
-    allowed = [kind for kind in kinds if kind in ALL_ROLLOUT_KINDS]
+def _plan_in_turn(
+    rng: random.Random, end_s: float, allowed: Mapping[str, tuple[str, float, float]]
+) -> list[Fault]:
+    """Return faults one after the other, each with a pause behind it."""
+    names = list(allowed)
     faults: list[Fault] = []
     at_s = INITIAL_DELAY_S + 4.0
-    while allowed and at_s + ALL_ROLLOUT_KINDS[allowed[0]][2] <= end_s:
-        kind = rng.choice(allowed)
-        until_s = at_s + ALL_ROLLOUT_KINDS[kind][2]
-        faults.append(Fault(kind, round(at_s, 3), round(until_s, 3), ()))
+    while names and at_s + allowed[names[0]][2] <= end_s:
+        kind = rng.choice(names)
+        target_kind, _, lasts_s = allowed[kind]
+        until_s = at_s + lasts_s
+        targets = (rng.randrange(len(ZONES)),) if target_kind == "zone" else ()
+        faults.append(Fault(kind, round(at_s, 3), round(until_s, 3), targets))
         at_s = until_s + ROLLOUT_GAP_S
     return faults
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -131,6 +131,7 @@
         self._waiting = 0
         self._slots = asyncio.Semaphore(self.terms.slots)
         self._started_s = time.monotonic()
+        self._cold_until_s = self._started_s + self.terms.cold_s
         # Servers pause each at a time of its own; most have no pauses and draw no number.
         self._phase_s = self._started_s - (
             rng.random() * self.terms.pause_every_s if self.terms.pause_s else 0
@@ -264,8 +265,13 @@
         return answer
 
     def warmup_left_s(self) -> float:
-        """Return how much longer the server is slow from its start."""
-        return max(0.0, self._started_s + self.terms.cold_s - time.monotonic())
+        """Return how much longer the server is cold."""
+        return max(0.0, self._cold_until_s - time.monotonic())
+
+    def turn_cold(self, seconds: float) -> None:
+        """Be cold for a time from now on."""
+        self._cold_until_s = time.monotonic() + seconds
+        self._log.write("turned_cold", server=self.instance, service=self.service, seconds=seconds)
 
     def _work_of(self, path: str) -> Work:
         return self.terms.kinds.get(path.split("/", 2)[1], self.terms.work)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -12,6 +12,8 @@
 from soak.store import HEARTBEAT_S
 
 REUSE_AFTER_S = 2.0
+# Between the servers of a zone that turn cold.
+TURN_COLD_PAUSE_S = 0.02
 
 
 class SoakFleet(Fleet):
@@ -63,6 +65,8 @@
                 self._rollout_slots = self._spare_slots
                 for slot in self._rollout_slots:
                     await self.start(slot, DESK, version, bad)
+            case {"cold_zone": zone, "seconds": seconds}:
+                await self._turn_cold(zone, seconds)
             case {"final": state}:
                 await self._finish_rollout(state)
 
@@ -79,6 +83,14 @@
             return
         await asyncio.gather(*(self.drain(slot) for slot in rollout_slots))
 
+    async def _turn_cold(self, zone: str, seconds: float) -> None:
+        """Let a zone's servers turn cold one after the other; each says so in its entry."""
+        for slot, server in list(self.servers.items()):
+            if self._places[slot].zone == zone:
+                server.turn_cold(seconds)
+                await self._write_entry(slot, server)
+                await asyncio.sleep(TURN_COLD_PAUSE_S)
+
     def _desk_version(self) -> str:
         versions = [self.servers[slot].version for slot in self._desk_slots if slot in self.servers]
         return versions[0] if versions else FIRST_VERSION
