Simpler: a reopening that awaits the servers needs no list of its own

It is left to the next report only where the servers' feed is among those to be fetched, so the list of those already says that this node is behind.

--- a/src/yokesill/registry/zone_watch.py
+++ b/src/yokesill/registry/zone_watch.py
@@ -182,10 +182,10 @@
             return
         for each in report.feeds:
             self._catch_up.observe_timeline(each)
-        behind, waiting = self._apply_feeds(report)
+        behind = self._apply_feeds(report)
         current = report.current and not any(map(self._catch_up.outdated, report.feeds))
         if len(report.feeds) == len(self._followers):
-            self._group.record_report(report.node, current, not behind and not waiting, now)
+            self._group.record_report(report.node, current, not behind, now)
         for each in behind:
             self._catch_up.schedule_fetch(each.feed, member, self._tasks)
         watching = self.role is WatchRole.WATCHING
@@ -193,13 +193,13 @@
             if current and self._view.differs(each.feed, each.position, each.digest, now):
                 self._catch_up.repair(each.feed, member, self._tasks, watching, now)
 
-    def _apply_feeds(self, report: Report) -> tuple[list[FeedReport], list[FeedReport]]:
-        """Apply a report's feeds; return those that are to be fetched, and those left to the next report."""
+    def _apply_feeds(self, report: Report) -> list[FeedReport]:
+        """Apply a report's feeds; return those that are to be fetched.
+
+        A reopening that awaits the servers is left to the next report.
+        """
         behind: list[FeedReport] = []
-        waiting: list[FeedReport] = []
         for each in report.feeds:
-            if awaits_servers(each, behind):
-                waiting.append(each)
-            elif not self._catch_up.apply(each):
+            if not awaits_servers(each, behind) and not self._catch_up.apply(each):
                 behind.append(each)
-        return behind, waiting
+        return behind
