--- a/soak/run.py
+++ b/soak/run.py
@@ -224,6 +224,8 @@
         fault_name = fault.kind.removeprefix("store_")
         if fault_name.startswith("forgets_"):
             store.send_command(forget=fault_name.removeprefix("forgets_"))
+        elif fault_name == "loses_waits":
+            store.send_command(lose="waits")
         elif fault_name == "restored":
             store.send_command(mode="down")
             await asyncio.sleep(duration_s)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -65,6 +65,9 @@
 # A zone gets nothing for a time, and its servers have turned cold by the end. Apart, since it needs other
 # settings.
 EVACUATION_KINDS: dict[str, tuple[str, float, float]] = {"zone_evacuated": ("zone", 11.0, 11.0)}
+# The store loses the waits for changes that it has at a moment, and answers all other calls. Such waits are
+# no disturbance of the store: a change is due as ever.
+WAIT_KINDS: dict[str, tuple[str, float, float]] = {"store_loses_waits": ("waits", 0.1, 0.1)}
 # What the bench of the users hardly plays: bytes without end, odd statuses and entries, rejections that come
 # in the place of other answers, signals in series, slow callers. They are apart, since the schedule of a seed
 # depends on its kinds.
@@ -79,9 +82,9 @@
     # Not "front": callers of a node that slow ones crowd are judged as any others.
     "slow_callers": ("crowded", 5.0, 8.0),
 }
-MIXED_KINDS = KINDS | HAZARD_KINDS
+MIXED_KINDS = KINDS | HAZARD_KINDS | WAIT_KINDS
 ALL_ROLLOUT_KINDS = ROLLOUT_KINDS | STAGED_ROLLOUT_KINDS
-ALL_KINDS = KINDS | ALL_ROLLOUT_KINDS | EVACUATION_KINDS | HAZARD_KINDS
+ALL_KINDS = KINDS | ALL_ROLLOUT_KINDS | EVACUATION_KINDS | HAZARD_KINDS | WAIT_KINDS
 # These kinds have their own planning functions and overlap with the other faults.
 SEPARATELY_PLANNED = ("server_drain", "store_restored")
 INITIAL_DELAY_S, FINAL_QUIET_S = 4.0, 3.0
--- a/soak/store.py
+++ b/soak/store.py
@@ -239,6 +239,7 @@
         self.objects = Objects()
         self.fault = Fault()
         self._silences: list[Fault] = []
+        self._lost_waits = 0
         self._terms = terms
         self._writes, self._reads = CallRate(terms.writes_per_s), CallRate(terms.reads_per_s)
         self.refused: set[int] = set()
@@ -259,6 +260,8 @@
                 )
                 if mode == "silent":
                     self._silences.append(self.fault)
+            case {"lose": "waits"}:
+                self._lost_waits += 1
             case {"refuse": nodes}:
                 self.refused = set(nodes)
             case {"restore": True}:
@@ -314,8 +317,10 @@
         if node != OPERATOR and not self._admits(request):
             return REFUSALS["throttled"], None
         share = self.fault.share
-        silences = len(self._silences)
+        silences, lost_waits = len(self._silences), self._lost_waits
         answer = await self._answer(node, request)
+        if node != OPERATOR and lost_waits != self._lost_waits and "watch=" in request.start_line[1]:
+            await asyncio.sleep(3600)
         if node != OPERATOR and any(each.strikes(node) for each in self._silences[silences:]):
             # What waited when the store fell silent is never answered, not even when it is back.
             await asyncio.sleep(3600)
--- a/spec/check.py
+++ b/spec/check.py
@@ -51,6 +51,7 @@
     Run("watchers", ("BUG_PATIENCE",), defect=True),
     Run("watchers", ("BUG_LEVEL",), defect=True),
     Run("watchers", ("BUG_OLDER",), defect=True),
+    Run("watchers", ("BUG_STALE",), defect=True),
     Run("rollouts"),
     Run("rollouts", ("BUG_CONDITION",), defect=True),
     Run("rollouts", ("BUG_BARRIER",), defect=True),
--- a/spec/watchers.pml
+++ b/spec/watchers.pml
@@ -5,7 +5,8 @@
  *
  * Checked: the follower's position never decreases, and it has each change within BOUND steps, as long as
  * it reaches the registry (a follower that doesn't is out of touch).
- * Seeded defects: BUG_AGE, BUG_PATIENCE, BUG_LEVEL, BUG_OLDER.
+ * A watcher that is cut off may still be answered by reads that show an earlier state; they tell it nothing.
+ * Seeded defects: BUG_AGE, BUG_PATIENCE, BUG_LEVEL, BUG_OLDER, BUG_STALE.
  */
 #define WATCHERS 2
 #define REVISIONS 3
@@ -53,6 +54,9 @@
 inline watch(who, state, arrives, fetches) {
   if
   :: state == WELL -> known[who] = registry; age[who] = 0
+#ifdef BUG_STALE
+  :: state == CUT -> age[who] = 0
+#endif
   :: else ->
      if
      :: age[who] < AGE_LIMIT -> age[who]++
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -44,6 +44,7 @@
         nodes=feeds.StoredNodes(store),
         names=HEADER_NAMES,
         ready_path=READY_PATH,
+        read_position=store.read_position,
         set_registry_address=client.set_address,
         callers_socket=listening,
     )
--- a/src/yokesill/platform/names.py
+++ b/src/yokesill/platform/names.py
@@ -19,6 +19,8 @@
 ROLLOUTS_KIND = "rollouts"
 NODES_KIND = "yokesill-nodes"
 QUARANTINE_KIND = "yokesill-quarantine"
+# A kind without objects, whose list shows the store's position alone.
+POSITION_KIND = "yokesill-position"
 # In the store's answers; increases by one each time that the store is restored from an older copy.
 TIMELINE_HEADER = b"store-era"
 SWITCHED_OFF_VARIABLE = "YOKESILL_SWITCHED_OFF"
--- a/src/yokesill/platform/rollouts.py
+++ b/src/yokesill/platform/rollouts.py
@@ -53,11 +53,8 @@
         if isinstance(reply, Failure):
             return reply
         try:
-            item = (
-                None
-                if reply.status == NOT_FOUND
-                else item_of(reply.body, timeline=timeline_of(reply) or order.timeline)
-            )
+            timeline = timeline_of(reply) or order.timeline
+            item = None if reply.status == NOT_FOUND else item_of(reply.body, timeline=timeline)
         except (AttributeError, LookupError, TypeError, ValueError) as error:
             detail = f"the record of {order.service}: {error!r}"
             return Failure(Reason.MALFORMED_REPLY, Verdict.MAY_HAVE_RUN, detail)
--- a/src/yokesill/platform/settings.py
+++ b/src/yokesill/platform/settings.py
@@ -5,7 +5,7 @@
 from yokesill.gateway.limits.budget import BudgetLimits
 from yokesill.gateway.servers.cold_starts import ColdStartLimits
 from yokesill.rollouts.orders import RolloutLimits
-from yokesill.serving.settings import Address, GatewaySettings, SettingsProblem
+from yokesill.serving.settings import GatewaySettings, SettingsProblem
 from yokesill.serving.settings_reader import OptionalFields, SettingsReader
 
 # The contract under which operators evacuate zones, and the default of its time bound.
@@ -26,7 +26,8 @@
     except (ValueError, RecursionError) as error:
         return [SettingsProblem("(file)", str(error), unreadable=True)]
     callers, contracts = reader.address("listenAddrs.front"), reader.text_list("contracts")
-    own_port, reports, rollout_datagrams = _own_addresses(reader, callers)
+    host = reader.optional_text("ip", callers.host)
+    own_port, reports, rollout_datagrams = reader.port_addresses("portRange", host, 3)
     settings = GatewaySettings(
         node=reader.text("nodeName"),
         zone=reader.text("zone"),
@@ -82,11 +83,3 @@
         canary_slack=reader.number("bounds.canarySlack", defaults.canary_slack),
         rollback_s=reader.number("bounds.rollbackMs", defaults.rollback_s * 1000) / 1000,
     )
-
-
-def _own_addresses(reader: SettingsReader, callers: Address) -> tuple[Address | None, ...]:
-    """Return three addresses for communication between nodes; ``None`` for each that is missing."""
-    ports = reader.port_range("portRange")
-    host = reader.optional_text("ip", callers.host)
-    addresses = tuple(Address(host, port) for port in ports[:3])
-    return (*addresses, None, None, None)[:3]
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -10,7 +10,7 @@
 from yokesill.comm import http_status as http
 from yokesill.comm.numbers import parse_digits
 from yokesill.logs import get_logger
-from yokesill.platform.names import TIMELINE_HEADER
+from yokesill.platform.names import POSITION_KIND, TIMELINE_HEADER
 from yokesill.positions import Position
 from yokesill.registry.api_client import ApiClient, ApiReply
 from yokesill.registry.feeds import HistoryLost, Problem
@@ -58,7 +58,14 @@
         self._timeline = 0
         self._log = get_logger("registry")
 
-    async def list(self, kind: str, stale: bool = False) -> StoreView | Failure:
+    async def read_position(self, stale: bool, timeout_s: float) -> Position | Failure:
+        """Return the store's position; with ``stale`` it may be that of seconds ago."""
+        view = await self.list(POSITION_KIND, stale, timeout_s)
+        return view if isinstance(view, Failure) else view.at
+
+    async def list(
+        self, kind: str, stale: bool = False, timeout_s: float = CALL_TIMEOUT_S
+    ) -> StoreView | Failure:
         """Return a kind's objects from all pages, with the position of the first page."""
         items: list[StoredItem] = []
         problems: list[Problem] = []
@@ -67,7 +74,7 @@
         while True:
             query = "&".join(part for part in ("stale=1" if stale else "", after) if part)
             path = f"/objects/{kind}" + (f"?{query}" if query else "")
-            reply = await self._call("GET", path, CALL_TIMEOUT_S)
+            reply = await self._call("GET", path, timeout_s)
             if isinstance(reply, Failure) or reply.status != http.OK:
                 return _failure(reply)
             try:
--- a/src/yokesill/registry/feed_view.py
+++ b/src/yokesill/registry/feed_view.py
@@ -1,4 +1,8 @@
-"""A node's view of one feed of the registry: its position and when it was last confirmed as current.
+"""A node's view of one feed of the registry: its position and the moment as of which it is current.
+
+A view is current as of a moment only if an exact answer of the registry, to a call that began at that moment
+or later, shows no position that the view has not reached. Long polls that are not answered and stale reads
+show nothing, and neither do the answers for other feeds.
 
 Applies batches from the registry or from other nodes to the router. The position only increases; it restarts
 on a later timeline, after the registry was restored from an older copy. Owns the log lines about batches read
@@ -19,9 +23,9 @@
 class FeedView:
     """A node's view of one feed.
 
-    ``connected`` is whether the registry answered this node's last call. ``confirmed_at_s`` is when the
-    registry last confirmed that this view is current, in seconds of the node's clock. ``on_restored`` is
-    called with the new timeline when the registry was restored from an older copy.
+    ``connected`` is whether the registry answered this node's last call. ``confirmed_at_s`` is the moment as
+    of which this view is current, in seconds of the node's clock. ``on_restored`` is called with the new
+    timeline when the registry was restored from an older copy.
     """
 
     def __init__(self, feed: str, apply_event: Callable[[Event], None]) -> None:
@@ -41,6 +45,10 @@
         """The registry's position up to which the feed is known here; ``None`` before the first list."""
         return self._position
 
+    def is_current(self, since_s: float) -> bool:
+        """Return whether the registry answers and this view is current as of a moment after ``since_s``."""
+        return self.connected and self._position is not None and self.confirmed_at_s > since_s
+
     @property
     def revision(self) -> int | None:
         """The position's revision, for log lines and gauges."""
@@ -103,8 +111,9 @@
         )
         self.on_restored(position.timeline)
 
-    def _confirm(self) -> None:
-        self.confirmed_at_s = anyio.current_time()
+    def _confirm(self, asked_at_s: float) -> None:
+        """Record that this view is current as of a moment, when the exact call began that shows it."""
+        self.confirmed_at_s = max(self.confirmed_at_s, asked_at_s)
 
     def _set_connected(self, connected: bool, why: str) -> None:
         """Log when the registry is lost or regained, once per transition."""
--- a/src/yokesill/registry/feeds.py
+++ b/src/yokesill/registry/feeds.py
@@ -6,7 +6,7 @@
 """
 
 import abc
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from yokesill.gateway.events import Event
@@ -37,6 +37,11 @@
     timeline: int = 0
 
 
+# Reads the registry's position within some seconds. With ``stale`` the call is cheap, and the position may be
+# that of seconds ago; else it is the position of some moment after the call began.
+ReadPosition = Callable[[bool, float], Awaitable[Position | Failure]]
+
+
 def _learn_nothing(_event: Event) -> None:
     pass
 
--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -1,8 +1,9 @@
 """Follows one feed of the registry: lists it, waits for changes, and retries after failures.
 
-Decides when and how the registry is called: one long poll at a time, a cheap check beside it, and only cheap
-calls while the registry doesn't answer. ``feed_view`` holds the node's view of the feed, ``availability``
-selects the follower that probes an unreachable registry. Times are in seconds of the node's clock.
+Decides when and how the registry is called: one long poll at a time, and only cheap calls while the registry
+doesn't answer. ``feed_view`` holds the node's view of the feed, ``position_check`` has it compared with the
+registry's position, and ``availability`` selects the follower that probes an unreachable registry. Times are
+in seconds of the node's clock.
 """
 
 import random
@@ -18,7 +19,7 @@
 from yokesill.registry.feeds import Batch, Feed, HistoryLost
 from yokesill.registry.ongoing_call import OngoingCall
 from yokesill.registry.restored_lists import SETTLING_S
-from yokesill.verdict import Failure, Reason
+from yokesill.verdict import Failure
 
 # Backoff between cheap calls while the registry doesn't answer. The maximum bounds how late a node detects
 # that it answers again.
@@ -27,12 +28,6 @@
 MAX_PROBE_PAUSE_S = 1.2
 # How long the registry holds a long poll for changes; each one that ends costs a call.
 CHANGES_WAIT_S = 25.0
-# Interval of checks for a lost long poll; nodes derive theirs from the bound that they must keep.
-CHECK_INTERVAL_S = 2.2
-# How long a long poll may take to return changes that a check has seen.
-CHECK_GRACE_S = 0.5
-# A failed check is repeated sooner, since the registry may be failing.
-FAILED_CHECK_PAUSE_S = 0.7
 # Spreads the calls of all nodes when the registry answers again.
 RECOVERY_SPREAD_S = 0.3
 # How long a follower relies on another one's probes before it probes itself, doubled after each such probe:
@@ -45,9 +40,8 @@
 class FeedFollower(FeedView):
     """Keeps the router up to date with one feed.
 
-    A long poll that the registry accepts just before it becomes unresponsive is never answered, and its
-    connection stays open. A periodic cheap check therefore looks for changes that the long poll missed. A
-    check that is not answered makes the long poll doubtful: it is started anew after the next one that is.
+    The registry may lose a long poll that it has accepted, and its connection stays open. A ``PositionCheck``
+    therefore calls ``compare`` at an interval.
 
     Without ``watching`` it makes one cheap call to the registry and then relies on other nodes until
     ``set_watching`` makes it call the registry itself.
@@ -62,8 +56,6 @@
         Pause after each batch of changes, so that changes in quick succession are coalesced into one call.
     source
         Random source that spreads the calls of many nodes over time.
-    check_interval_s
-        Interval of checks for changes during a long poll.
     watching
         Whether this node calls the registry itself.
     availability
@@ -81,7 +73,6 @@
         feed_router: Callable[[Event], None],
         gathering_time_s: float,
         source: random.Random,
-        check_interval_s: float = CHECK_INTERVAL_S,
         watching: bool = True,
         availability: RegistryAvailability | None = None,
     ) -> None:
@@ -91,7 +82,6 @@
         self.on_read: Callable[[Position, Batch], None] = lambda _before, _batch: None
         self._feed = feed
         self._gathering_time_s = gathering_time_s
-        self._check_interval_s = check_interval_s
         self._random = source
         self._watching = watching
         self._availability = availability or RegistryAvailability()
@@ -99,7 +89,6 @@
         self._pause_s = INITIAL_PROBE_PAUSE_S
         self._hold_s = INITIAL_HOLD_S
         self._ongoing = OngoingCall()
-        self._last_check_failed = False
         self._logged_older_at: Position | None = None
         self._timeline_started = anyio.Event()
         self._awaited_reads = AwaitedReads()
@@ -112,7 +101,6 @@
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self._check_long_poll)
             task_group.start_soon(self._relist_when_settled)
             task_group.start_soon(self._relist_on_later_timeline)
             if not self._watching:
@@ -177,10 +165,11 @@
         self.calls += 1
         from_position, listed = self._position, self._should_list()
         at_once = self._awaited_reads.begin_call()
+        asked_at_s = anyio.current_time()
         outcome = await self._ongoing.run(self._fetch_next(listed, at_once), waits=not listed)
         if isinstance(outcome, Batch):
             await self.before_applying(outcome)
-            self._process_answer(outcome, from_position, listed)
+            self._process_answer(outcome, from_position, listed, asked_at_s)
         self._awaited_reads.end_call(isinstance(outcome, Batch) and not self._relist_next)
         if outcome is None:
             return
@@ -188,9 +177,7 @@
             if outcome.events:
                 await self._awaited_reads.pause(self._gathering_time_s)
         elif isinstance(outcome, HistoryLost):
-            self._log.info("registry_history_lost", feed=self._feed_name, position=self.revision)
-            self._availability.record_timeline(outcome.timeline)
-            self._relist_next = True
+            self._lose_history(outcome)
         else:
             self._set_connected(False, f"{outcome.reason}: {outcome.detail}")
             self._availability.call_failed(self)
@@ -226,7 +213,9 @@
                 self._availability.call_answered()
                 return
 
-    def _process_answer(self, batch: Batch, from_position: Position | None, listed: bool) -> None:
+    def _process_answer(
+        self, batch: Batch, from_position: Position | None, listed: bool, asked_at_s: float
+    ) -> None:
         """Apply an answer of the registry unless other nodes have sent a later state in the meantime.
 
         Changes can be applied to ``from_position`` only on the same timeline; on another one the feed is
@@ -244,54 +233,72 @@
                     self.on_read(before or Position(0, 0), batch)
             else:
                 self._log_older(batch)
-            self._confirm()
+            self._confirm(asked_at_s)
         self._set_connected(True, "")
         self._availability.call_answered()
         self._pause_s, self._hold_s = INITIAL_PROBE_PAUSE_S, INITIAL_HOLD_S
 
-    async def _check_long_poll(self) -> None:
-        """Check for changes that a long poll should have returned, and call again if there are any."""
-        pause_s = self._check_interval_s
-        while True:
-            await anyio.sleep(pause_s * (0.9 + 0.2 * self._random.random()))
-            pause_s = self._check_interval_s
-            position = self._position
-            if position is None or not self._ongoing.has_lasted(CHECK_GRACE_S):
-                continue
-            if self._availability.probed_by_another(self):
-                # Check when the registry answers again, since the probing follower may not detect that.
-                with anyio.move_on_after(INITIAL_HOLD_S):
-                    await self._availability.wait_until_probing_ends()
-            self.calls += 1
-            outcome = await self._feed.peek(position)
-            self._log_check(outcome)
-            if isinstance(outcome, Failure):
-                if outcome.reason is not Reason.BACKEND_ERROR:
-                    self._ongoing.doubted = True
-                pause_s = min(FAILED_CHECK_PAUSE_S, self._check_interval_s)
-                continue
-            timeline = outcome.timeline if isinstance(outcome, HistoryLost) else outcome.position.timeline
-            self._availability.record_timeline(timeline)
-            # Revisions of different timelines can't be compared.
-            relisting = isinstance(outcome, HistoryLost) or outcome.position.timeline != position.timeline
-            if isinstance(outcome, Batch) and not outcome.events and not relisting:
-                self._confirm_unchanged()
-                self._restart_doubted_wait()
-                continue
-            await anyio.sleep(CHECK_GRACE_S)
-            if position == self._position and self._ongoing.under_way:
-                self._log.info("registry_wait_swallowed", feed=self._feed_name, position=self.revision)
-                self._relist_next = relisting
-                self._ongoing.cancel()
+    # --- checks ---
+
+    async def wait_until_watching(self) -> None:
+        """Wait until this node calls the registry itself."""
+        while not self._watching:
+            await self._watching_changed.wait()
 
-    def _restart_doubted_wait(self) -> None:
-        """Start a long poll anew that may have been lost, now that the registry answers again.
+    async def compare(self, registry: Position, known: Position | None, asked_at_s: float) -> None:
+        """Compare this view with the registry's position, which an exact call has read.
 
-        Until then changes would be found by checks alone, which may be seconds stale.
+        The view is current as of that moment if it has reached the position. Else the feed is read beside its
+        long poll, which may be lost; most often only other feeds have changed, and the long poll goes on.
+
+        Parameters
+        ----------
+        registry
+            The registry's position.
+        known
+            This view's position when the call began.
+        asked_at_s
+            When the call began, in seconds of the node's clock.
         """
-        if self._ongoing.doubted and self._ongoing.waits and self._ongoing.under_way:
-            self._log.info("registry_wait_doubted", feed=self._feed_name, position=self.revision)
+        if known is None or self._position is None or self._relist_next or not self._watching:
+            return
+        if registry.timeline != known.timeline:
+            return
+        if registry < known:
+            self._relist_next = True
             self._ongoing.cancel()
+        elif self._position >= registry:
+            self._confirm(asked_at_s)
+            self._reconnect()
+        else:
+            await self._read_beside_long_poll(self._position)
+
+    async def _read_beside_long_poll(self, from_position: Position) -> None:
+        """Read the changes after a position exactly; restart the long poll if it has missed any."""
+        self.calls += 1
+        asked_at_s = anyio.current_time()
+        outcome = await self._feed.changes(from_position, 0.0)
+        if isinstance(outcome, HistoryLost):
+            self._lose_history(outcome)
+        elif isinstance(outcome, Batch):
+            await self.before_applying(outcome)
+            self._process_answer(outcome, from_position, False, asked_at_s)
+        missed = isinstance(outcome, HistoryLost) or (isinstance(outcome, Batch) and bool(outcome.events))
+        if missed and self._ongoing.waits and self._ongoing.under_way:
+            self._log.info("registry_wait_swallowed", feed=self._feed_name, position=self.revision)
+            self._ongoing.cancel()
+
+    def _reconnect(self) -> None:
+        """Restart a long poll that was started while the registry was lost, now that it answers."""
+        if not self.connected and self._ongoing.under_way:
+            self._set_connected(True, "")
+            self._ongoing.cancel()
+
+    def _lose_history(self, lost: HistoryLost) -> None:
+        """Make the next call a list, since the changes after this view's position are no longer kept."""
+        self._log.info("registry_history_lost", feed=self._feed_name, position=self.revision)
+        self._availability.record_timeline(lost.timeline)
+        self._relist_next = True
 
     def observe_timeline(self, timeline: int) -> None:
         """Record the registry's timeline as reported by another node."""
@@ -336,21 +343,6 @@
             position, known = list(batch.position), list(self._position or ())
             self._log.info("registry_answer_older", feed=self._feed_name, position=position, known=known)
 
-    def _log_check(self, outcome: Batch | HistoryLost | Failure) -> None:
-        """Log the first of several failed checks, unless the registry was already logged as lost."""
-        failed = isinstance(outcome, Failure)
-        if isinstance(outcome, Failure) and not self._last_check_failed and self.connected:
-            self._log.info("registry_check_failed", feed=self._feed_name, reason=outcome.reason)
-        self._last_check_failed = failed
-
-    def _confirm_unchanged(self) -> None:
-        """Record that the registry answers; restart a long poll that was started while it was lost."""
-        self._availability.call_answered()
-        self._confirm()
-        if not self.connected and self._ongoing.under_way:
-            self._set_connected(True, "")
-            self._ongoing.cancel()
-
     async def _probe(self) -> bool:
         """Return whether the registry answers a cheap call; made before any call at full price."""
         self.calls += 1
--- a/src/yokesill/registry/following.py
+++ b/src/yokesill/registry/following.py
@@ -20,8 +20,9 @@
 from yokesill.gateway.forwarding import Coordinator
 from yokesill.registry.availability import RegistryAvailability
 from yokesill.registry.feed_states import EVACUATIONS, QUARANTINE, ROLLOUTS, SERVERS, WholeFeed
-from yokesill.registry.feeds import Feed, NodeContact
+from yokesill.registry.feeds import Feed, NodeContact, ReadPosition
 from yokesill.registry.follower import FeedFollower
+from yokesill.registry.position_check import PositionCheck
 from yokesill.registry.reopenings import ServersFirst
 from yokesill.registry.watch_link import WatchLink
 from yokesill.registry.zone_watch import ZoneWatch
@@ -65,6 +66,8 @@
         Random source that spreads the calls of many nodes over time.
     supervisor
         Restarts each feed independently of the others.
+    read_position
+        Reads the registry's position, for checks of all feeds; without it nothing is checked.
 
     Notes
     -----
@@ -80,11 +83,11 @@
         few_watchers: bool,
         source: random.Random,
         supervisor: Supervisor | None = None,
+        read_position: ReadPosition | None = None,
     ) -> None:
         self._supervisor = supervisor or Supervisor()
         shared = few_watchers and settings.reports is not None and settings.peers is not None
         timing = WatchTiming.within(settings.change_bound_s)
-        check_s = timing.check_interval_s if shared else settings.check_interval_s
         self.contact = _contact(settings)
         self.on_restored: Callable[[], None] = lambda: None
         self._restored_timeline = 0
@@ -97,11 +100,15 @@
                 apply_event,
                 gathering_s,
                 source,
-                check_s,
                 watching=not shared,
                 availability=availability,
             )
             self._followers[name].on_restored = self._notify_restored
+        self._check: PositionCheck | None = None
+        if read_position is not None:
+            followers = self._followers.values()
+            interval_s = timing.check_interval_s
+            self._check = PositionCheck(followers, read_position, interval_s, availability, source)
         ServersFirst(self._followers, whole, settings.change_bound_s)
         self._watch: ZoneWatch | None = None
         if shared and settings.reports is not None:
@@ -112,7 +119,8 @@
     @property
     def calls(self) -> int:
         """Number of calls made to follow the registry."""
-        return sum(each.calls for each in self._followers.values())
+        checks = 0 if self._check is None else self._check.calls
+        return checks + sum(each.calls for each in self._followers.values())
 
     @property
     def role(self) -> str:
@@ -134,6 +142,8 @@
             keep_running = self._supervisor.keep_running
             for name, follower in self._followers.items():
                 task_group.start_soon(keep_running, f"feed_{name}", follower.run)
+            if self._check is not None:
+                task_group.start_soon(keep_running, "registry_check", self._check.run)
             if self._watch is not None:
                 task_group.start_soon(keep_running, "watch", self._link.run, self._watch, self._watch_alone)
 
--- a/src/yokesill/registry/ongoing_call.py
+++ b/src/yokesill/registry/ongoing_call.py
@@ -14,14 +14,11 @@
 class OngoingCall:
     """Runs one cancellable call at a time.
 
-    ``waits`` is whether the last one was a long poll, and ``doubted`` whether another call beside it was not
-    answered: then it may have been lost as well.
+    ``waits`` is whether the last one was a long poll.
     """
 
     def __init__(self) -> None:
         self.waits = False
-        self.doubted = False
-        self._started_at_s = 0.0
         self._scope: anyio.CancelScope | None = None
 
     @property
@@ -32,8 +29,6 @@
     async def run(self, call: Awaitable[Outcome], waits: bool) -> Outcome | None:
         """Await a call and return its outcome; ``None`` if it was cancelled."""
         self.waits = waits
-        self.doubted = False
-        self._started_at_s = anyio.current_time()
         outcome: Outcome | None = None
         try:
             with anyio.CancelScope() as self._scope:
@@ -46,7 +41,3 @@
         """Cancel the call in progress, if any."""
         if self._scope is not None:
             self._scope.cancel()
-
-    def has_lasted(self, seconds: float) -> bool:
-        """Return whether a call has been in progress for at least ``seconds``."""
-        return self.under_way and anyio.current_time() - self._started_at_s >= seconds
--- a/src/yokesill/registry/zone_watch.py
+++ b/src/yokesill/registry/zone_watch.py
@@ -160,11 +160,9 @@
             await self._send(member.reports, data)
 
     def _is_current(self, now: float) -> bool:
-        """Return whether others can rely on this node: the registry answers, and has confirmed recently."""
-        followers = self._followers.values()
-        confirmed_at_s = max(each.confirmed_at_s for each in followers)
-        known = all(each.connected and each.position is not None for each in followers)
-        return known and now - confirmed_at_s < self._timing.age_limit_s
+        """Return whether others can rely on this node: its views of all feeds are current."""
+        since_s = now - self._timing.age_limit_s
+        return all(each.is_current(since_s) for each in self._followers.values())
 
     # --- receiving ---
 
--- a/src/yokesill/serving/dependencies.py
+++ b/src/yokesill/serving/dependencies.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from yokesill.registry.feeds import Feed, NodeDirectory, QuarantineRecords, RolloutRecords
+from yokesill.registry.feeds import Feed, NodeDirectory, QuarantineRecords, ReadPosition, RolloutRecords
 from yokesill.serving.header_names import HeaderNames
 from yokesill.serving.settings import Address
 
@@ -20,7 +20,8 @@
     Without ``evacuations`` zones are never evacuated, and without ``rollouts`` there are no roll-outs.
     ``rollout_records`` stores the state of roll-outs. ``quarantine`` lists the requests that are not sent to
     any server and ``quarantine_records`` stores them; without these two, nodes exchange quarantines only with
-    each other. ``callers_socket`` already listens for callers; without it the node opens a socket itself.
+    each other. ``read_position`` reads the registry's position; without it views are not checked.
+    ``callers_socket`` already listens for callers; without it the node opens a socket itself.
     ``settings_not_understood`` counts the fields of the settings that can't be read.
     """
 
@@ -36,4 +37,5 @@
     rollout_records: RolloutRecords | None = None
     quarantine: Feed | None = None
     quarantine_records: QuarantineRecords | None = None
+    read_position: ReadPosition | None = None
     settings_not_understood: Callable[[], int] = lambda: 0
--- a/src/yokesill/serving/request_path.py
+++ b/src/yokesill/serving/request_path.py
@@ -129,6 +129,7 @@
         core.options.switches.few_watchers,
         core.source,
         core.supervisor,
+        dependencies.read_position,
     )
     return Registry(updates, following, RemoteCoordinators(core.options, core.router.servers))
 
--- a/src/yokesill/serving/settings.py
+++ b/src/yokesill/serving/settings.py
@@ -26,9 +26,6 @@
 # to a maximum.
 COALESCING_SHARE = 0.3
 MAX_COALESCING_DELAY_S = 1.5
-# Interval of checks for a lost long poll, as a share of the bound on recovery: the check, the grace of 0.5 s
-# and a new call fit into the bound (``docs/design/platform.md``). A check costs a tenth of a call.
-LONG_POLL_CHECK_SHARE = 0.55
 # Live servers restore their entries within this time after the registry has recovered; specified by the
 # platform.
 REREGISTRATION_TIME_S = 2.0
@@ -158,11 +155,6 @@
         bound_s = min(self.configuration_bound_s, self.leaving_bound_s)
         return bound_s if self.evacuation_bound_s is None else min(bound_s, self.evacuation_bound_s)
 
-    @property
-    def check_interval_s(self) -> float:
-        """Interval of checks for a lost long poll; see ``FeedFollower``."""
-        return LONG_POLL_CHECK_SHARE * self.recovery_bound_s
-
     @property
     def withdraw_time_s(self) -> float:
         """How long a stopping node still accepts callers while readiness probes detect the stop."""
--- a/src/yokesill/serving/settings_reader.py
+++ b/src/yokesill/serving/settings_reader.py
@@ -95,6 +95,11 @@
         message = "two ports are needed, the first not above the second"
         return self._read_optional(place, range(0), _parse_port_range, message)
 
+    def port_addresses(self, place: str, host: str, count: int) -> tuple[Address | None, ...]:
+        """Return the addresses of a range's first ports on a host; ``None`` for each that is missing."""
+        addresses = [Address(host, port) for port in self.port_range(place)[:count]]
+        return (*addresses, *[None] * (count - len(addresses)))
+
     def _parse_addresses(self, place: str, value: Any) -> tuple[Address, ...] | None:
         """Return the addresses of a list that can be read, or those that held before if none can."""
         if not isinstance(value, list):
--- a/tests/forms/bindings.py
+++ b/tests/forms/bindings.py
@@ -274,6 +274,8 @@
         return "history lost"
     if isinstance(outcome, Failure):
         return [outcome.reason, outcome.verdict]
+    if isinstance(outcome, Position):
+        return list(outcome)
     if not isinstance(outcome, registry.Batch):
         return _by_position(outcome)
     changes = feed_states.changes_to_wire(outcome.events)
@@ -596,6 +598,7 @@
     "registry.changes": _with_store(
         lambda store, feed, at, wait_s: FEEDS[feed](store).changes(Position(0, at), wait_s)
     ),
+    "registry.position": _with_store(lambda store, stale: store.read_position(stale, 1.0)),
     "registry.peek": _with_store(lambda store, feed, at: FEEDS[feed](store).peek(Position(0, at))),
     "registry.record_quarantine": _with_store(lambda store, name: feeds.StoredQuarantine(store).record(name)),
     "registry.lift_quarantine": _with_store(lambda store, name: feeds.StoredQuarantine(store).lift(name)),
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -14,7 +14,10 @@
 import anyio
 from memory_servers import MemoryServer, MemoryStream, ReceivedRequest
 
+from yokesill.platform.names import POSITION_KIND
+
 PAGE = 3
+POSITION_CALL = f"/objects/{POSITION_KIND}"
 CRLF = "\r\n"
 
 
@@ -32,9 +35,9 @@
     """Stores objects by kind and name; ``log`` has the changes since revision ``forgotten``.
 
     A list has pages of ``page`` objects, and an answer takes ``answer_s`` seconds. ``timeline`` increases
-    by one each time that the store is restored from a copy; answers don't name it if it is 0. Stale waits for
-    changes show the state of ``stale_s`` seconds ago. A wait that ``silence`` finds is never answered, nor is
-    any call for objects of ``silent_kind``.
+    by one each time that the store is restored from a copy; answers don't name it if it is 0. Stale calls
+    show the state of ``stale_s`` seconds ago, of which ``past`` has a copy. A wait that ``silence`` or
+    ``lose_waits`` finds is never answered, nor is any call for objects of ``silent_kind``.
     """
 
     revision: int = 0
@@ -50,13 +53,23 @@
     stale_s: float = 0.0
     silences: int = 0
     silent_kind: str = ""
+    lost_waits: dict[str, int] = field(default_factory=dict)
     changed: anyio.Event | None = None
     written_at_s: dict[int, float] = field(default_factory=dict)
+    past: list[tuple[float, int, dict[tuple[str, str], dict[str, Any]]]] = field(default_factory=list)
 
     def full_price_calls(self) -> int:
         """Return the number of calls at full price; stale reads cost a tenth."""
         return len([call for call in self.calls if "stale=1" not in call])
 
+    def calls_for_feeds(self) -> int:
+        """Return the number of calls at full price for objects, those of checks left out."""
+        return self.full_price_calls() - self.exact_checks()
+
+    def exact_checks(self) -> int:
+        """Return the number of exact reads of the position."""
+        return self.calls.count(f"GET {POSITION_CALL}")
+
     def put(self, kind: str, name: str, spec: Any) -> None:
         self.revision += 1
         before = self.objects.get((kind, name), {"meta": {"made": self.revision}, "status": None})
@@ -89,6 +102,10 @@
         await anyio.sleep(for_s)
         self.mode = "up"
 
+    def lose_waits(self, kind: str) -> None:
+        """Never answer the waits for changes of a kind that are under way; all other calls are answered."""
+        self.lost_waits[kind] = self.lost_waits.get(kind, 0) + 1
+
     def take_copy(self) -> StoreCopy:
         """Return a copy of the current state."""
         return copy.deepcopy(StoreCopy(self.revision, self.objects, self.log, self.forgotten))
@@ -97,11 +114,13 @@
         """Restore the state from a copy: later writes are lost, and their revisions are assigned again."""
         self.revision, self.objects, self.log, self.forgotten = copy.deepcopy(older)
         self.timeline += 1
+        self.past.append((anyio.current_time(), self.revision, dict(self.objects)))
         self._notify_watches()
 
     def _append_to_log(self, kind: str, item: dict[str, Any], gone: bool) -> None:
         self.log.append((self.revision, kind, json.loads(json.dumps(item)), gone))
         self.written_at_s[self.revision] = anyio.current_time()
+        self.past.append((anyio.current_time(), self.revision, dict(self.objects)))
         self._notify_watches()
 
     def _notify_watches(self) -> None:
@@ -162,7 +181,7 @@
             return self._stale_changes(kind, int(query["watch"]))
         if "watch" in query:
             return await self._watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
-        return self._list(kind, query.get("after", ""))
+        return self._list(kind, query.get("after", ""), *self._seen("stale" in query))
 
     def _answer_status(self, kind: str, name: str, body: Any) -> tuple[int, Any]:
         item = self.objects.get((kind, name))
@@ -173,10 +192,18 @@
         self.put_status(kind, name, body["status"])
         return 200, self.objects[(kind, name)]
 
-    def _list(self, kind: str, after: str) -> tuple[int, Any]:
-        names = sorted(each for of, each in self.objects if of == kind and each > after)
-        items = [self.objects[(kind, each)] for each in names[: self.page]]
-        return 200, {"items": items, "more": len(names) > self.page, "at": self.revision}
+    def _seen(self, stale: bool) -> tuple[int, dict[tuple[str, str], dict[str, Any]]]:
+        """Return the revision and the objects that a list shows."""
+        until_s = anyio.current_time() - self.stale_s
+        past = [(revision, objects) for at_s, revision, objects in self.past if at_s <= until_s]
+        return past[-1] if stale and self.stale_s and past else (self.revision, self.objects)
+
+    def _list(
+        self, kind: str, after: str, revision: int, objects: dict[tuple[str, str], dict[str, Any]]
+    ) -> tuple[int, Any]:
+        names = sorted(each for of, each in objects if of == kind and each > after)
+        items = [objects[(kind, each)] for each in names[: self.page]]
+        return 200, {"items": items, "more": len(names) > self.page, "at": revision}
 
     def _stale_changes(self, kind: str, revision: int) -> tuple[int, Any]:
         """Return the changes after a revision, up to those of ``stale_s`` seconds ago."""
@@ -188,6 +215,7 @@
         return 200, {"events": events, "at": max([revision, *(at for at, *_ in seen)])}
 
     async def _watch(self, kind: str, revision: int, wait: float) -> tuple[int, Any]:
+        lost = self.lost_waits.get(kind, 0)
         with anyio.move_on_after(wait):
             while True:
                 if not self.forgotten <= revision <= self.revision:
@@ -197,9 +225,13 @@
                     for at, of, item, gone in self.log
                     if of == kind and at > revision
                 ]
+                if lost != self.lost_waits.get(kind, 0):
+                    await anyio.sleep_forever()
                 if events:
                     return 200, {"events": events, "at": self.revision}
                 if self.changed is None or self.changed.is_set():
                     self.changed = anyio.Event()
                 await self.changed.wait()
+        if lost != self.lost_waits.get(kind, 0):
+            await anyio.sleep_forever()
         return 200, {"events": [], "at": self.revision}
--- a/tests/platform/test_following_the_store.py
+++ b/tests/platform/test_following_the_store.py
@@ -14,11 +14,14 @@
 from yokesill.platform.feeds import StoredNodes, configuration_feed, server_feed
 from yokesill.platform.store import MetadataStore
 from yokesill.registry.api_client import ApiClient
+from yokesill.registry.availability import RegistryAvailability
 from yokesill.registry.feeds import NodeContact
 from yokesill.registry.follower import FeedFollower
 from yokesill.registry.node_presence import REANNOUNCE_SPREAD_S, NodePresence
+from yokesill.registry.position_check import PositionCheck
 from yokesill.serving.settings import Address
 from yokesill.verdict import Failure
+from yokesill.watchers.timing import WatchTiming
 
 CONFIG: dict[str, Any] = {
     "configVersion": 7,
@@ -42,13 +45,19 @@
 }
 
 
-def server_entry(service: str = "s1", state: str = "ready") -> dict[str, Any]:
-    return {"service": service, "address": "10.0.0.9:80", "zone": "z1", "capacity": 2, "state": state}
-
-
 # Stale reads may be seconds old. The users' bounds: after how long without disruption the store counts as
 # stable, and how soon nothing new may reach a server that leaves.
 STALE_READS_S, CONTACT_S, DRAIN_S = 3.0, 5.0, 3.0
+CHECK_INTERVAL_S = WatchTiming.within(DRAIN_S).check_interval_s
+
+
+def most_checks(seconds: float) -> int:
+    """Return how many checks a node makes in some seconds at most: one an interval, with its jitter."""
+    return 1 + int(seconds / (0.9 * CHECK_INTERVAL_S))
+
+
+def server_entry(service: str = "s1", state: str = "ready") -> dict[str, Any]:
+    return {"service": service, "address": "10.0.0.9:80", "zone": "z1", "capacity": 2, "state": state}
 
 
 class FeedObserver:
@@ -60,9 +69,14 @@
         self.store = MetadataStore(ApiClient(Address("10.0.0.1", 80), self.server.connect))
         source = random.Random(3)
         feeds = (configuration_feed(self.store), server_feed(self.store))
-        self.followers = [FeedFollower(feed, self.events.append, 0.3, source) for feed in feeds]
+        registry = RegistryAvailability()
+        self.followers = [
+            FeedFollower(feed, self.events.append, 0.3, source, availability=registry) for feed in feeds
+        ]
         for follower in self.followers:
             tasks.start_soon(follower.run)
+        check = PositionCheck(self.followers, self.store.read_position, CHECK_INTERVAL_S, registry, source)
+        tasks.start_soon(check.run)
 
     def servers(self) -> dict[str, bool]:
         """Return whether each known server is leaving, from the events alone."""
@@ -128,9 +142,10 @@
         assert observer.versions() == [7, 9]
         assert observer.servers()["i-0"] is True
         assert "i-1" not in observer.servers()
-        before = standin.full_price_calls()
+        before, checks = standin.calls_for_feeds(), standin.exact_checks()
         await anyio.sleep(60.0)
-        assert standin.full_price_calls() - before <= 6
+        assert standin.calls_for_feeds() - before <= 6
+        assert standin.exact_checks() - checks <= most_checks(60.0)
 
     run_with_observer(main)
 
@@ -260,20 +275,22 @@
     # Guards against: a wait that is given up again and again because checks failed once.
     async def main(standin: StoreStandin, observer: FeedObserver) -> None:
         await anyio.sleep(10.0)
-        before = standin.full_price_calls()
+        before, checks = standin.calls_for_feeds(), standin.exact_checks()
         await standin.silence(4.5)
         await anyio.sleep(15.0)
-        assert standin.full_price_calls() - before <= 2 * len(observer.followers)
+        assert standin.calls_for_feeds() - before <= 2 * len(observer.followers)
+        assert standin.exact_checks() - checks <= most_checks(15.0) + 1
 
     run_with_observer(main)
 
 
-def test_checks_for_lost_watches_are_cheap_and_change_nothing() -> None:
+def test_checks_are_one_small_exact_call_for_all_feeds_and_change_nothing() -> None:
     async def main(standin: StoreStandin, observer: FeedObserver) -> None:
         await anyio.sleep(60.0)
-        checks = [call for call in standin.calls if "stale=1" in call]
-        assert 30 <= len(checks) <= 80
-        assert standin.full_price_calls() <= 12
+        # Stale reads show nothing: they are made only before this node knows that the store answers.
+        assert len([call for call in standin.calls if "stale=1" in call]) <= 1
+        assert 50 <= standin.exact_checks() <= most_checks(61.0)
+        assert standin.calls_for_feeds() <= 12
         assert observer.versions() == [7]
 
     run_with_observer(main)
--- a/tests/serving/test_registry_restored.py
+++ b/tests/serving/test_registry_restored.py
@@ -100,13 +100,14 @@
         store_copy = zone.standin.take_copy()
         zone.configure()
         await anyio.sleep(2.0)
-        before = zone.full_price_calls()
+        before, checks = zone.calls_for_feeds(), zone.exact_checks()
         zone.standin.restore(store_copy)
         zone.configure()
         await anyio.sleep(10.0)
         assert zone.stale_nodes() == []
         # Per watcher and feed: a long poll that ended, a list, another once settled, and two more long polls.
-        assert zone.full_price_calls() - before <= WATCHERS * FEEDS * 5
+        assert zone.calls_for_feeds() - before <= WATCHERS * FEEDS * 5
+        zone.assert_few_checks(checks, 10.0)
 
     run_in_zone(main, 60)
 
--- a/tests/serving/test_reopened_zones.py
+++ b/tests/serving/test_reopened_zones.py
@@ -65,10 +65,11 @@
     async def main(zone: Zone) -> None:
         zone.standin.put("evacuations", ZONE, {})
         await anyio.sleep(2 * CHANGE_BOUND_S)
-        before = zone.full_price_calls()
+        before, checks = zone.calls_for_feeds(), zone.exact_checks()
         zone.standin.remove("evacuations", ZONE)
         await anyio.sleep(2.0)
         # For each watcher: the answered wait, the next one, a read of the servers, and their next wait.
-        assert zone.full_price_calls() - before <= 2 * 4
+        assert zone.calls_for_feeds() - before <= 2 * 4
+        zone.assert_few_checks(checks, 2.0)
 
     run_in_zone(main)
--- a/tests/serving/test_view_check.py
+++ b/tests/serving/test_view_check.py
@@ -21,11 +21,12 @@
 def test_a_follower_with_missing_entries_fetches_the_feed_from_a_watcher() -> None:
     async def main(zone: Zone) -> None:
         follower = next(node for node in zone.nodes if not node.watching)
-        before = zone.full_price_calls()
+        before, checks = zone.calls_for_feeds(), zone.exact_checks()
         remove_entries(follower)
         await anyio.sleep(2.0)
         assert zone.stale_nodes() == []
-        assert zone.full_price_calls() == before
+        assert zone.calls_for_feeds() == before
+        zone.assert_few_checks(checks, 2.0)
 
     run_in_zone(main)
 
@@ -73,10 +74,11 @@
         zone.routes = [{**CONFIG_WITH_A_ROUTE["routes"][0], "service": "nobody"}]
         zone.configure()
         await anyio.sleep(2.0)
-        before = zone.full_price_calls()
+        before, checks = zone.calls_for_feeds(), zone.exact_checks()
         await anyio.sleep(60.0)
         # Two watchers with four lists each: three pages per list, and the long poll that each list cancels.
-        assert zone.full_price_calls() - before <= 2 * 4 * (3 + 1) + 14
+        assert zone.calls_for_feeds() - before <= 2 * 4 * (3 + 1) + 14
+        zone.assert_few_checks(checks, 60.0)
 
     run_in_zone(main)
 
--- a/tests/serving/test_zone_watch.py
+++ b/tests/serving/test_zone_watch.py
@@ -23,22 +23,24 @@
 
 def test_two_watchers_keep_twenty_nodes_up_to_date() -> None:
     async def main(zone: Zone) -> None:
-        before = zone.full_price_calls()
+        before, checks = zone.calls_for_feeds(), zone.exact_checks()
         for _ in range(20):
             zone.change()
             await anyio.sleep(1.5)
             assert zone.stale_nodes() == []
         # Every other change reopens a zone, before which each watcher reads the servers anew.
-        assert zone.full_price_calls() - before <= 2 * (FEEDS * 22 + 10)
+        assert zone.calls_for_feeds() - before <= 2 * (FEEDS * 22 + 10)
+        zone.assert_few_checks(checks, 20 * 1.5)
 
     run_in_zone(main)
 
 
 def test_calls_without_changes_are_few_and_independent_of_the_number_of_nodes() -> None:
     async def main(zone: Zone) -> None:
-        before = zone.full_price_calls()
+        before, checks = zone.calls_for_feeds(), zone.exact_checks()
         await anyio.sleep(60.0)
-        assert zone.full_price_calls() - before <= 14
+        assert zone.calls_for_feeds() - before <= 14
+        zone.assert_few_checks(checks, 60.0)
 
     run_in_zone(main, 40)
 
--- a/tests/serving/zone.py
+++ b/tests/serving/zone.py
@@ -11,14 +11,23 @@
 
 from yokesill.gateway import events as ev
 from yokesill.gateway.documents import Configuration, ServerRecord
-from yokesill.platform.feeds import configuration_feed, evacuation_feed, server_feed
+from yokesill.platform.feeds import configuration_feed, evacuation_feed, quarantine_feed, server_feed
+from yokesill.platform.names import POSITION_KIND
 from yokesill.platform.rollouts import read_order, rollout_feed
 from yokesill.platform.store import MetadataStore, item_of
 from yokesill.registry.api_client import ApiClient
 from yokesill.registry.availability import RegistryAvailability
-from yokesill.registry.feed_states import CONFIGURATION, EVACUATIONS, ROLLOUTS, SERVERS, WholeFeed
+from yokesill.registry.feed_states import (
+    CONFIGURATION,
+    EVACUATIONS,
+    QUARANTINE,
+    ROLLOUTS,
+    SERVERS,
+    WholeFeed,
+)
 from yokesill.registry.feeds import Feed, NodeContact
 from yokesill.registry.follower import FeedFollower
+from yokesill.registry.position_check import PositionCheck
 from yokesill.registry.reopenings import ServersFirst
 from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.rollouts.orders import RolloutOrder
@@ -42,12 +51,18 @@
 }
 
 
+def most_checks(seconds: float) -> int:
+    """Return how many checks one node makes in some seconds at most: one an interval, with its jitter."""
+    return 1 + int(seconds / (0.9 * WatchTiming.within(CHANGE_BOUND_S).check_interval_s))
+
+
 class ZoneNode:
     """One node with its state and its faults.
 
     ``store_mode`` is how the store answers it: ``up``, ``busy`` (503) or ``silent``. With ``drops_datagrams``
     it receives no datagrams; if ``dead`` it was killed; while ``paused`` it sends and receives nothing.
-    ``can_fetch`` is whether it can call other nodes.
+    ``can_fetch`` is whether it can call other nodes. Its calls for objects of ``silent_kind`` are never
+    answered.
     """
 
     def __init__(self, zone: "Zone", number: int, cores: float = 0.5) -> None:
@@ -55,6 +70,7 @@
         self.contact = NodeContact(f"n{number}", "z1", f"{host}:1", f"{host}:2", f"{host}:3", cores)
         self.zone = zone
         self.store_mode = "up"
+        self.silent_kind = ""
         self.drops_datagrams = self.dead = self.paused = False
         self.can_fetch = True
         self.fetched: list[str] = []
@@ -64,12 +80,12 @@
         self.configuration: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.orders: dict[str, RolloutOrder] = {}
-        self.full_price_calls = 0
+        self.quarantined: frozenset[str] = frozenset()
+        self.full_price_calls = self.exact_checks = 0
         server = MemoryServer(self._script, zone.tasks)
         store = MetadataStore(ApiClient(Address("10.9.9.9", 80), server.connect))
         source = random.Random(number)
         timing = WatchTiming.within(CHANGE_BOUND_S)
-        check_s = timing.check_interval_s
         feeds: dict[str, Feed] = {
             CONFIGURATION: configuration_feed(store),
             SERVERS: server_feed(store),
@@ -77,6 +93,8 @@
         }
         if zone.with_rollouts:
             feeds[ROLLOUTS] = rollout_feed(store)
+        if zone.with_quarantine:
+            feeds[QUARANTINE] = quarantine_feed(store)
         coalesce_s = {SERVERS: COALESCE_S}
         availability = RegistryAvailability()
         self.followers = {
@@ -85,12 +103,14 @@
                 self._apply_event,
                 coalesce_s.get(name, 0.3),
                 source,
-                check_s,
                 watching=False,
                 availability=availability,
             )
             for name, feed in feeds.items()
         }
+        self.check = PositionCheck(
+            self.followers.values(), store.read_position, timing.check_interval_s, availability, source
+        )
         ServersFirst(self.followers, self._whole_feed, CHANGE_BOUND_S)
         self.watch = ZoneWatch(
             self.contact, self.followers, self._whole_feed, self._send, self._fetch, timing, source
@@ -106,6 +126,7 @@
             async with anyio.create_task_group() as tasks:
                 for follower in self.followers.values():
                     tasks.start_soon(follower.run)
+                tasks.start_soon(self.check.run)
                 tasks.start_soon(self.watch.run)
 
     def kill(self) -> None:
@@ -119,8 +140,9 @@
     async def _script(self, server: MemoryServer, stream: MemoryStream, heard: ReceivedRequest) -> None:
         if "stale=1" not in heard.head.split("\r\n")[0]:
             self.full_price_calls += 1
+            self.exact_checks += f"/objects/{POSITION_KIND} " in heard.head
         await self.wait_until_resumed()
-        if self.store_mode == "silent":
+        if self.store_mode == "silent" or (self.silent_kind and f"/objects/{self.silent_kind}" in heard.head):
             await anyio.sleep_forever()
         if self.store_mode == "busy":
             await stream.send(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
@@ -150,6 +172,8 @@
             return ev.EvacuationsReplaced(self.evacuated)
         if feed == ROLLOUTS:
             return ev.RolloutsReplaced(tuple(self.orders.values()))
+        if feed == QUARANTINE:
+            return ev.QuarantineReplaced(self.quarantined)
         return ev.ConfigurationReceived(self.configuration) if self.configuration else None
 
     def _apply_event(self, event: ev.Event) -> None:
@@ -174,16 +198,31 @@
             self.orders[event.order.service] = event.order
         elif isinstance(event, ev.RolloutWithdrawn):
             self.orders.pop(event.service, None)
+        else:
+            self._apply_quarantine(event)
+
+    def _apply_quarantine(self, event: ev.Event) -> None:
+        if isinstance(event, ev.QuarantineReplaced):
+            self.quarantined = event.fingerprints
+        elif isinstance(event, ev.RequestQuarantined):
+            self.quarantined |= {event.fingerprint}
+        elif isinstance(event, ev.QuarantineLifted):
+            self.quarantined -= {event.fingerprint}
 
 
 class Zone:
     """The nodes, their store, and the network between them."""
 
     def __init__(
-        self, tasks: anyio.abc.TaskGroup, count: int, strong: frozenset[int], with_rollouts: bool = False
+        self,
+        tasks: anyio.abc.TaskGroup,
+        count: int,
+        strong: frozenset[int],
+        with_rollouts: bool = False,
+        with_quarantine: bool = False,
     ) -> None:
         self.tasks = tasks
-        self.with_rollouts = with_rollouts
+        self.with_rollouts, self.with_quarantine = with_rollouts, with_quarantine
         self.standin = StoreStandin()
         self.loss = 0.0
         self.send_delay_s = 0.0
@@ -230,11 +269,7 @@
     def change(self) -> None:
         """Make one change of each kind: configuration, evacuations, server draining, removed and added."""
         self.configure()
-        if "z2" in self._expected_evacuations():
-            self.standin.remove("evacuations", "z2")
-            self.standin.put("evacuations", "z1", {})
-        else:
-            self.standin.put("evacuations", "z2", {})
+        self._change_evacuations()
         if self.with_rollouts:
             self._change_orders()
         self.list_server("i-0", "draining" if not self._is_draining("i-0") else "ready")
@@ -242,6 +277,29 @@
         self.standin.remove("servers", gone)
         self.list_server(f"j-{self._version}")
 
+    def change_feed(self, feed: str) -> None:
+        """Make one change that only one feed shows."""
+        {
+            CONFIGURATION: self.configure,
+            SERVERS: lambda: self.list_server("i-0", "ready" if self._is_draining("i-0") else "draining"),
+            EVACUATIONS: self._change_evacuations,
+            ROLLOUTS: self._change_orders,
+            QUARANTINE: self._change_quarantine,
+        }[feed]()
+
+    def _change_evacuations(self) -> None:
+        if "z2" in self._names("evacuations"):
+            self.standin.remove("evacuations", "z2")
+            self.standin.put("evacuations", "z1", {})
+        else:
+            self.standin.put("evacuations", "z2", {})
+
+    def _change_quarantine(self) -> None:
+        if "f1" in self._names("yokesill-quarantine"):
+            self.standin.remove("yokesill-quarantine", "f1")
+        else:
+            self.standin.put("yokesill-quarantine", "f1", {})
+
     def _change_orders(self) -> None:
         """Order one roll-out, record its progress in the next call, and withdraw it in the one after."""
         item = self.standin.objects.get(("rollouts", "s1"))
@@ -260,8 +318,8 @@
             if kind == "rollouts"
         }
 
-    def _expected_evacuations(self) -> frozenset[str]:
-        return frozenset(name for kind, name in self.standin.objects if kind == "evacuations")
+    def _names(self, kind: str) -> frozenset[str]:
+        return frozenset(name for of, name in self.standin.objects if of == kind)
 
     def _is_draining(self, name: str) -> bool:
         return bool(self.standin.objects[("servers", name)]["spec"]["state"] == "draining")
@@ -278,8 +336,13 @@
             for node in self.nodes
             if not node.dead
             and (
-                (node.version, node.evacuated, node.orders)
-                != (self._version, self._expected_evacuations(), self._expected_orders())
+                (node.version, node.evacuated, node.orders, node.quarantined)
+                != (
+                    self._version,
+                    self._names("evacuations"),
+                    self._expected_orders(),
+                    self._names("yokesill-quarantine"),
+                )
                 or {name: each.leaving for name, each in node.servers.items()} != expected
             )
         ]
@@ -288,23 +351,38 @@
         return [node for node in self.nodes if node.watching and not node.dead]
 
     def full_price_calls(self) -> int:
+        """Return the number of calls at full price."""
         return sum(node.full_price_calls for node in self.nodes)
 
+    def calls_for_feeds(self) -> int:
+        """Return the number of calls at full price for feeds, those of checks left out."""
+        return self.full_price_calls() - self.exact_checks()
+
+    def exact_checks(self) -> int:
+        """Return the number of exact reads of the registry's position."""
+        return sum(node.exact_checks for node in self.nodes)
+
+    def assert_few_checks(self, before: int, seconds: float) -> None:
+        """Assert that both watchers have made no more checks since ``before`` than fit into some seconds."""
+        assert self.exact_checks() - before <= 2 * most_checks(seconds)
+
 
 def run_in_zone(
     main: Callable[[Zone], Awaitable[None]],
     count: int = 20,
     strong: frozenset[int] = frozenset(),
     with_rollouts: bool = False,
+    with_quarantine: bool = False,
 ) -> None:
     """Run ``main`` once a zone has settled; the nodes numbered in ``strong`` have four times the cores.
 
-    With ``with_rollouts`` the nodes follow roll-outs too, and each change orders, records or withdraws one.
+    With ``with_rollouts`` the nodes follow roll-outs too, and each change orders, records or withdraws one;
+    with ``with_quarantine`` they follow the quarantined requests.
     """
 
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
-            zone = Zone(tasks, count, strong, with_rollouts)
+            zone = Zone(tasks, count, strong, with_rollouts, with_quarantine)
             await anyio.sleep(6.0)
             assert zone.stale_nodes() == []
             assert len(zone.watchers()) == min(2, count)
