Which version serves is recorded in the registry, and asked for until somebody knows

What callers saw: while servers of a later version stood beside the serving ones without an order, nodes that started sent it all their requests (ROUTE): all nodes after a loss of all of them, or one whose seeds could not answer at that moment, where the serving version's entries had become the later ones. So did a version found bad once its order had been removed.

Cause: what a node knows for certain lived in the memory of nodes alone. A starting node asked each seed once, and its guess stood until its next start; a version that was listed alone counted as certain.

Now: one record in the registry, written under its revision by the nodes that call it, read by each node before it is ready. It outweighs what a listing shows; only a later order outweighs it. A node that guesses asks on, at most each 10 s. registry/version_settlement takes this over from peer_bootstrap.

Older nodes pass over the kind.

--- a/Makefile
+++ b/Makefile
@@ -58,13 +58,14 @@
 soak: $(VENV)/.installed
 	PYTHONPATH=src $(BIN)/python -m soak --replay --minutes $(MINUTES) $(if $(SEED),--seed $(SEED)) $(if $(KINDS),--kinds $(KINDS))
 
-# One minute at most each of seven seeds, of kinds whose verdict does not hang on how fast the machine is. The second one
+# One minute at most each of eight seeds, of kinds whose verdict does not hang on how fast the machine is. The second one
 # broke a promise 30 times while revisions of a restored registry were compared with those from before.
 HAZARD_KINDS := server_endless,odd_entry,node_signals,front_endless,node_hup,config_change
 SHORT_KINDS := deadly_request,node_suspend,node_hup,node_stop,config_change,server_drain
 STATUS_KINDS := server_odd_status,server_false_promises,server_late_rejections
 STAGED_KINDS := rollout_staged,node_kill
 EVACUATION_KINDS := zone_evacuated
+RESTART_KINDS := rollout_staged,herd_kill
 WAIT_KINDS := store_loses_waits,server_drain,config_change
 soak-short: $(VENV)/.installed
 	PYTHONPATH=src $(BIN)/python -m soak --seed 4 --minutes 1 --kinds $(SHORT_KINDS)
@@ -74,6 +75,7 @@
 	PYTHONPATH=src $(BIN)/python -m soak --seed 52 --minutes 0.75 --kinds $(STAGED_KINDS)
 	PYTHONPATH=src $(BIN)/python -m soak --seed 61 --minutes 0.75 --kinds $(EVACUATION_KINDS)
 	PYTHONPATH=src $(BIN)/python -m soak --seed 71 --minutes 1 --kinds $(WAIT_KINDS)
+	PYTHONPATH=src $(BIN)/python -m soak --seed 91 --minutes 0.75 --kinds $(RESTART_KINDS)
 	PYTHONPATH=src $(BIN)/python -m soak --seed 71 --minutes 1 --kinds $(WAIT_KINDS)
 
 clean:
--- a/soak/run.py
+++ b/soak/run.py
@@ -304,7 +304,10 @@
         version = f"{'a' if staged else 's'}{next(self._ids) + 1}"
         if staged:
             standins.servers.send_command(rollout=version, bad=False)
-            await asyncio.sleep(ALONGSIDE_S)
+            await asyncio.sleep(ALONGSIDE_S / 2)
+            # As if others of the same version had replaced them: their entries are the later ones now.
+            standins.store.send_command(renew=DESK, beside=version)
+            await asyncio.sleep(ALONGSIDE_S / 2)
             duration_s -= ALONGSIDE_S
         order = {"service": DESK, "targetVersion": version, "durationS": round(duration_s - 5.0)}
         await self._write_until_stored("rollouts", DESK, order)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -148,6 +148,7 @@
     herds = [each for each in faults if each.kind == "herd_kill"]
     faults += _plan_rolling_stops(rng, end_s, nodes, kinds, herds)
     faults += _plan_restores(rng, end_s, kinds, herds)
+    faults += _plan_restarts_before_orders(faults, nodes, kinds)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
@@ -207,6 +208,15 @@
     return faults
 
 
+def _plan_restarts_before_orders(faults: list[Fault], nodes: int, kinds: tuple[str, ...]) -> list[Fault]:
+    """Return a kill of all nodes before each staged order, once the former version has the later entries."""
+    if not {"rollout_staged", "herd_kill"} <= set(kinds):
+        return []
+    down_s = KINDS["herd_kill"][1]
+    kills_at_s = [each.at_s + ALONGSIDE_S / 2 + 0.5 for each in faults if each.kind == "rollout_staged"]
+    return [Fault("herd_kill", at_s, at_s + down_s, tuple(range(nodes))) for at_s in kills_at_s]
+
+
 def _plan_rolling_stops(
     rng: random.Random, end_s: float, nodes: int, kinds: tuple[str, ...], herds: list[Fault]
 ) -> list[Fault]:
--- a/soak/store.py
+++ b/soak/store.py
@@ -104,6 +104,14 @@
             self.forgotten_revision = self.history[len(self.history) - len(kept) - 1].revision
             self.history = kept
 
+    def renew_servers(self, service: str, beside: str) -> None:
+        """Make the entries of a service's servers anew, but for those of one version."""
+        for kind, name in list(self.items):
+            spec = self.items[kind, name]["spec"]
+            if kind == "servers" and spec["service"] == service and spec["configVersion"] != beside:
+                self.remove(kind, name)
+                self.put(kind, name, "spec", spec, None)
+
     def refresh_stale_view(self) -> None:
         """Make the current state the one that stale reads return."""
         self._stale_view = (self.revision, dict(self.items))
@@ -260,6 +268,8 @@
                 )
                 if mode == "silent":
                     self._silences.append(self.fault)
+            case {"renew": service, "beside": version}:
+                self.objects.renew_servers(service, version)
             case {"lose": "waits"}:
                 self._lost_waits += 1
             case {"refuse": nodes}:
--- a/src/yokesill/gateway/events.py
+++ b/src/yokesill/gateway/events.py
@@ -24,6 +24,7 @@
 from yokesill.gateway.messages import Attempt, GatewayRequest, RequestSummary, ServerReply
 from yokesill.rollouts.messages import RolloutDecisions
 from yokesill.rollouts.orders import RolloutOrder
+from yokesill.rollouts.version_record import Recorded
 from yokesill.verdict import Failure
 
 
@@ -173,6 +174,12 @@
     versions: Mapping[str, tuple[str, ...]]
 
 
+class VersionsRecorded(NamedTuple):
+    """The registry's record of the versions of each service that serve without an order."""
+
+    services: Recorded
+
+
 class ServerSuspected(NamedTuple):
     """The nodes together detected that a server is slow or failing; avoid it for ``for_s`` seconds."""
 
@@ -214,6 +221,7 @@
     | RolloutsReplaced
     | RolloutDecisionsReceived
     | VersionsEstablished
+    | VersionsRecorded
     | ServerSuspected
     | LossReported
     | AnswerReported
--- a/src/yokesill/gateway/state_updates.py
+++ b/src/yokesill/gateway/state_updates.py
@@ -166,6 +166,11 @@
     updates.context.servers.versions.adopt_established(event.versions)
 
 
+@apply_update.register
+def _(event: ev.VersionsRecorded, updates: StateUpdates, now: float, actions: Actions) -> None:
+    updates.context.servers.versions.adopt_recorded(event.services)
+
+
 @apply_update.register
 def _(event: ev.ServerSuspected, updates: StateUpdates, now: float, actions: Actions) -> None:
     updates.suspicion(event.instance, event.for_s, now, actions)
--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 from yokesill.gateway import events as ev
 from yokesill.platform.documents import read_configuration, read_server
@@ -15,6 +16,8 @@
     NODES_KIND,
     QUARANTINE_KIND,
     SERVERS_KIND,
+    VERSIONS_KIND,
+    VERSIONS_NAME,
 )
 from yokesill.platform.store import MetadataStore, StoredItem, StoreView
 from yokesill.positions import Position
@@ -27,6 +30,8 @@
     NodeEntry,
     Problem,
     QuarantineRecords,
+    StoredVersions,
+    VersionRecords,
     contact_of,
 )
 from yokesill.registry.reading import ConfigurationReader, read_each
@@ -128,6 +133,28 @@
         return await self._store.delete(QUARANTINE_KIND, fingerprint)
 
 
+class RecordedVersions(VersionRecords):
+    """The record of established versions."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        self._store = store
+
+    async def read(self, stale: bool) -> StoredVersions | Failure:
+        """See ``VersionRecords.read``."""
+        view = await self._store.list(VERSIONS_KIND, stale)
+        if isinstance(view, Failure):
+            return view
+        stored = [StoredVersions(Position(each.timeline, each.revision), each.spec) for each in view.items]
+        return stored[0] if stored else StoredVersions(None, None)
+
+    async def write(self, before: StoredVersions, value: Any) -> Failure | None:
+        """See ``VersionRecords.write``."""
+        if before.position is None:
+            return await self._store.put(VERSIONS_KIND, VERSIONS_NAME, value, replace=False)
+        reply = await self._store.put_at(VERSIONS_KIND, VERSIONS_NAME, before.position, spec=value)
+        return reply if isinstance(reply, Failure) else None
+
+
 class StoredNodes(NodeDirectory):
     """The directory of nodes, with one object per node."""
 
--- a/src/yokesill/platform/names.py
+++ b/src/yokesill/platform/names.py
@@ -19,6 +19,7 @@
 ROLLOUTS_KIND = "rollouts"
 NODES_KIND = "yokesill-nodes"
 QUARANTINE_KIND = "yokesill-quarantine"
+VERSIONS_KIND, VERSIONS_NAME = "yokesill-versions", "established"
 # A kind without objects, whose list shows the store's position alone.
 POSITION_KIND = "yokesill-position"
 # In the store's answers; increases by one each time that the store is restored from an older copy.
--- a/src/yokesill/platform/rollouts.py
+++ b/src/yokesill/platform/rollouts.py
@@ -49,7 +49,7 @@
     async def record(self, order: RolloutOrder) -> RolloutOrder | RevisionConflict | Failure:
         """See ``RolloutRecords.record``."""
         status = _status_of(order, self._unix_clock)
-        reply = await self._store.put_status(ROLLOUTS_KIND, order.service, order.position, status)
+        reply = await self._store.put_at(ROLLOUTS_KIND, order.service, order.position, status=status)
         if isinstance(reply, Failure):
             return reply
         try:
--- a/src/yokesill/platform/store.py
+++ b/src/yokesill/platform/store.py
@@ -138,17 +138,17 @@
         gone = isinstance(reply, ApiReply) and reply.status in (http.OK, http.NOT_FOUND)
         return None if gone else _failure(reply)
 
-    async def put_status(
-        self, kind: str, name: str, position: Position, status: dict[str, Any]
-    ) -> ApiReply | Failure:
-        """Replace an object's status if it is still at ``position``; the reply's status is 200, 404 or 409.
+    async def put_at(self, kind: str, name: str, position: Position, **part: Any) -> ApiReply | Failure:
+        """Replace an object's ``spec`` or ``status`` if it is still at ``position``.
+
+        The reply's status is 200, 404 or 409.
 
         The store compares only revisions, and on a later timeline the same revision is another change.
         """
         if position.timeline < self._timeline:
             return Failure(Reason.NOT_READY, Verdict.NOT_RUN, f"{name} was read on another timeline")
-        body = {"meta": {"name": name, "revision": position.revision}, "status": status}
-        path = f"/objects/{kind}/{quote(name, safe='')}/status"
+        body = {"meta": {"name": name, "revision": position.revision}, **part}
+        path = f"/objects/{kind}/{quote(name, safe='')}" + ("/status" if "status" in part else "")
         reply = await self._call("PUT", path, CALL_TIMEOUT_S, body)
         if isinstance(reply, ApiReply) and reply.status in (http.OK, http.NOT_FOUND, http.CONFLICT):
             return reply
--- a/src/yokesill/registry/feeds.py
+++ b/src/yokesill/registry/feeds.py
@@ -166,6 +166,28 @@
         """
 
 
+class StoredVersions(NamedTuple):
+    """The record of established versions as stored; ``position`` is ``None`` before the first write."""
+
+    position: Position | None
+    value: Any
+
+
+class VersionRecords(abc.ABC):
+    """Persistent storage of which versions of each service serve without an order, in one record."""
+
+    @abc.abstractmethod
+    async def read(self, stale: bool) -> StoredVersions | Failure:
+        """Return the record; with ``stale`` the call is cheap, and the record may be that of seconds ago."""
+
+    @abc.abstractmethod
+    async def write(self, before: StoredVersions, value: Any) -> Failure | None:
+        """Write the record if it is still ``before``.
+
+        Whether another node was first is not told: read it again.
+        """
+
+
 class QuarantineRecords(abc.ABC):
     """Persistent storage of the fingerprints of quarantined requests, which are not sent to servers."""
 
--- a/src/yokesill/registry/following.py
+++ b/src/yokesill/registry/following.py
@@ -28,6 +28,7 @@
 from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.serving.settings import GatewaySettings
 from yokesill.supervision import Supervisor
+from yokesill.watchers.role import WatchRole
 from yokesill.watchers.timing import WatchTiming
 
 # Pause after a batch of operators' changes, which are few and whose bound counts from the registry's answer.
@@ -132,6 +133,11 @@
         """Whether the registry answers this node or this node doesn't call it."""
         return not any(each.lost for each in self._followers.values())
 
+    @property
+    def calls_registry(self) -> bool:
+        """Whether this node calls the registry itself and it answers."""
+        return all(each.connected for each in self._followers.values()) and self.role != WatchRole.FOLLOWING
+
     def revisions(self) -> dict[str, int]:
         """Return the revision up to which each feed is known; 0 before the first list."""
         return {name: each.revision or 0 for name, each in self._followers.items()}
--- a/src/yokesill/registry/peer_bootstrap.py
+++ b/src/yokesill/registry/peer_bootstrap.py
@@ -1,8 +1,7 @@
-"""Fetches from its seed nodes what a starting node can't learn from the registry.
+"""Fetches the state from seed nodes while a starting node can't get it from the registry.
 
-That is the whole state while the registry doesn't answer, and which version of a service serves where
-several are listed without an order. A snapshot may be older than the registry's state: ``serving.builder``
-applies only the feeds for which the registry hasn't answered yet.
+A snapshot may be older than the registry's state: ``serving.builder`` applies only the feeds for which the
+registry hasn't answered yet.
 """
 
 import random
@@ -11,7 +10,7 @@
 import anyio
 
 from yokesill.comm.http_status import OK
-from yokesill.gateway.events import Event, VersionsEstablished
+from yokesill.gateway.events import Event
 from yokesill.logs import get_logger
 from yokesill.registry.api_client import ApiClient
 from yokesill.registry.snapshots import decode_snapshot
@@ -25,8 +24,6 @@
 REGISTRY_HEAD_START_S = 0.8
 # Timeout of a call to one seed.
 CALL_TIMEOUT_S = 1.0
-# The same, connecting included, for a node that could serve but for the versions.
-SETTLE_CALL_TIMEOUT_S = 0.5
 # Pause after all seeds have been called.
 RETRY_PAUSE_S = 0.5
 
@@ -42,8 +39,6 @@
         Opens a connection.
     synchronised
         Returns whether this node has enough state to serve, from any source.
-    guesses_versions
-        Returns whether this node only guesses which version of some service serves.
     feed_router
         Applies an event of a snapshot.
     source
@@ -55,14 +50,12 @@
         seeds: tuple[Address, ...],
         connect: StreamConnector,
         synchronised: Callable[[], bool],
-        guesses_versions: Callable[[], bool],
         feed_router: Callable[[Event], None],
         source: random.Random,
     ) -> None:
         self._seeds = list(seeds)
         self._connect = connect
         self._synchronised = synchronised
-        self._guesses_versions = guesses_versions
         self._feed_router = feed_router
         self._random = source
         self._logged: set[tuple[Address, Reason]] = set()
@@ -82,34 +75,16 @@
                     return
             await anyio.sleep(RETRY_PAUSE_S * (0.5 + self._random.random()))
 
-    async def settle_versions(self) -> None:
-        """Adopt from the seeds which versions serve, where this node has only a guess.
-
-        Each seed is called once at most. If none of them knows, as after a loss of all nodes, it remains.
-        """
-        for seed in self._random.sample(self._seeds, len(self._seeds)):
-            if not self._guesses_versions():
-                return
-            with anyio.move_on_after(SETTLE_CALL_TIMEOUT_S):
-                await self._adopt_versions_of(seed)
-        if self._guesses_versions():
-            self._log.warning("versions_guessed")
-
-    async def _adopt_versions_of(self, seed: Address) -> None:
-        for event in await self._fetch_snapshot(seed, SETTLE_CALL_TIMEOUT_S):
-            if isinstance(event, VersionsEstablished):
-                self._feed_router(event)
-
     async def _fetch_from(self, seed: Address) -> bool:
         """Fetch and apply a seed's snapshot; return whether one was applied."""
-        events = await self._fetch_snapshot(seed, CALL_TIMEOUT_S)
+        events = await self.fetch_snapshot(seed, CALL_TIMEOUT_S)
         if self._synchronised():
             return False
         for event in events:
             self._feed_router(event)
         return bool(events)
 
-    async def _fetch_snapshot(self, seed: Address, timeout_s: float) -> tuple[Event, ...]:
+    async def fetch_snapshot(self, seed: Address, timeout_s: float) -> tuple[Event, ...]:
         """Return the events of a seed's snapshot; none if it sent no proper one in time."""
         client = ApiClient(seed, self._connect)
         reply = await client.fetch("GET", SNAPSHOT_PATH, timeout_s)
--- a/src/yokesill/rollouts/node_orders.py
+++ b/src/yokesill/rollouts/node_orders.py
@@ -159,7 +159,7 @@
         if before is state:
             return []
         self.effective[order.service] = state
-        self._versions.set_state(order.id, state)
+        self._versions.set_state(order.id, state, order.timeline)
         return [OrderChange(order.id, before, state, False, "record" if state is order.state else "word")]
 
     def _drop(self, order: RolloutOrder) -> list[OrderChange]:
--- a/src/yokesill/rollouts/versions.py
+++ b/src/yokesill/rollouts/versions.py
@@ -2,16 +2,34 @@
 
 Inputs: the listed servers' versions, the order's effective state, and the versions established before. This
 is the only implementation of the table in ``docs/design/rollouts.md``.
+
+Which versions serve without an order is known from the registry's record and from orders that were completed;
+else from the listed servers where they have one version, or from a node that saw that; else it is a guess.
 """
 
+import enum
 from collections.abc import Collection, Iterable, Mapping
 
+from yokesill.positions import Position
 from yokesill.rollouts.orders import OrderId, RolloutState
+from yokesill.rollouts.version_record import NO_ORDER, Recorded, RecordedVersions
 
 Versions = frozenset[str]
 _NO_VERSIONS: Versions = frozenset()
 
 
+class Basis(enum.IntEnum):
+    """What the established versions rest on; each outweighs those before it.
+
+    ``GUESS``: the oldest entry. ``LISTING``: no other version was listed, here or at the node that told it.
+    ``RECORD``: the registry's record, or an order that was completed.
+    """
+
+    GUESS = 0
+    LISTING = 1
+    RECORD = 2
+
+
 class ServiceVersions:
     """The versions allowed for every service; times in seconds of the node's clock.
 
@@ -50,11 +68,14 @@
             tracked.set_listed(counts, frozenset(known), now)
             self._update_gated(service, tracked)
 
-    def set_state(self, order: OrderId, state: RolloutState) -> None:
-        """Set the effective state of a service's order, which replaces any other order of the service."""
+    def set_state(self, order: OrderId, state: RolloutState, timeline: int = 0) -> None:
+        """Set the effective state of a service's order, which replaces any other order of the service.
+
+        The order was created on ``timeline`` of the registry.
+        """
         if self._active:
             tracked = self._service(order.service)
-            tracked.set_state(order, state)
+            tracked.set_state(order, state, timeline)
             self._update_gated(order.service, tracked)
 
     def withdraw(self, service: str) -> None:
@@ -68,10 +89,31 @@
         """Adopt another node's established versions for services where this node has only a guess."""
         for service, names in versions.items() if self._active else ():
             tracked = self._service(service)
-            if not tracked.certain:
-                tracked.established, tracked.certain = frozenset(names), True
+            if not tracked.certain and tracked.adopt(frozenset(names), Basis.LISTING):
+                self._update_gated(service, tracked)
+
+    def adopt_recorded(self, recorded: Recorded) -> None:
+        """Adopt the registry's record, for services where this node knows nothing that outweighs it."""
+        for service, each in recorded.items() if self._active else ():
+            tracked = self._service(service)
+            outweighed = tracked.basis is not Basis.RECORD or tracked.since < each.since
+            if outweighed and tracked.adopt(frozenset(each.versions), Basis.RECORD):
+                tracked.since = each.since
                 self._update_gated(service, tracked)
 
+    def recordable(self) -> Recorded:
+        """Return the established versions for the registry's record, leaving out guesses."""
+        return {
+            name: RecordedVersions(tuple(sorted(each.established)), each.since)
+            for name, each in self._services.items()
+            if each.certain and each.established
+        }
+
+    @property
+    def services(self) -> Collection[str]:
+        """The services with known servers, an order or established versions."""
+        return self._services.keys()
+
     def established(self) -> dict[str, tuple[str, ...]]:
         """Return the established versions for a node that starts, leaving out guesses."""
         tracked = self._services.items()
@@ -123,14 +165,14 @@
 class _Service:
     """The versions and the order of one service.
 
-    ``certain`` means that the established versions are not a guess, and ``in_place`` that the order's target
-    is the version that already served. ``superseded`` are versions that others replaced without an order.
-    ``excluded`` are versions that the order ended for good: a target that was rolled back, or the versions
-    that a completed target replaced.
+    ``basis`` is what the established versions rest on, ``since`` the position at which the order was created
+    that established them, and ``in_place`` means that the order's target is the version that already served.
+    ``superseded`` are versions that others replaced without an order. ``excluded`` are versions that the
+    order ended for good: a target that was rolled back, or the versions that a completed target replaced.
     """
 
     __slots__ = (
-        "certain",
+        "basis",
         "counts",
         "established",
         "excluded",
@@ -138,6 +180,7 @@
         "in_place",
         "known",
         "order",
+        "since",
         "state",
         "superseded",
     )
@@ -145,11 +188,17 @@
     def __init__(self) -> None:
         self.established = self.superseded = self.excluded = self.known = _NO_VERSIONS
         self.counts: Mapping[str, int] = {}
-        self.certain = self.in_place = False
+        self.basis, self.since = Basis.GUESS, NO_ORDER
+        self.in_place = False
         self.gone_since_s: float | None = None
         self.order: OrderId | None = None
         self.state: RolloutState | None = None
 
+    @property
+    def certain(self) -> bool:
+        """Whether the established versions are not a guess."""
+        return self.basis is not Basis.GUESS
+
     @property
     def has_open_order(self) -> bool:
         """Whether there is an order whose state is not final."""
@@ -159,13 +208,27 @@
     def _target(self) -> Versions:
         return _NO_VERSIONS if self.order is None else frozenset({self.order.target})
 
+    def adopt(self, versions: Versions, basis: Basis) -> bool:
+        """Establish versions that the record or another node tells.
+
+        Versions that are not listed may have lapsed for a moment; they are given up as any that are gone.
+        Return ``False``, and change nothing, if others have replaced them already.
+        """
+        if versions <= self.superseded or self.state is RolloutState.COMPLETED:
+            return False
+        self.established, self.basis = versions, basis
+        self.in_place = self.order is not None and versions == self._target
+        if self.in_place:
+            self.excluded = _NO_VERSIONS
+        return True
+
     def set_listed(self, counts: Mapping[str, int], known: Versions, now: float) -> None:
         self.counts, self.known = counts, known
         if not self.established:
             self._establish_first()
         returned = self.superseded & frozenset(counts)
         if returned and self.order is None:
-            self.established, self.superseded, self.certain = returned, _NO_VERSIONS, True
+            self.established, self.superseded, self.basis = returned, _NO_VERSIONS, Basis.LISTING
         self._all_gone(self.established, now, 0.0)
 
     def _establish_first(self) -> None:
@@ -177,12 +240,13 @@
         """
         others = frozenset(self.counts) - self._target
         if others and self.order is not None:
-            self.established, self.certain = others, True
+            self.established, self.basis = others, Basis.LISTING
         elif others:
             oldest = next(each for each in self.counts if each in others)
-            self.established, self.certain = frozenset({oldest}), len(others) == 1
+            self.established = frozenset({oldest})
+            self.basis = Basis.LISTING if len(others) == 1 else Basis.GUESS
 
-    def set_state(self, order: OrderId, state: RolloutState) -> None:
+    def set_state(self, order: OrderId, state: RolloutState, timeline: int) -> None:
         restarted = self.state is not None and self.state.final and not state.final
         if self.order != order or restarted:
             self.forget_order()
@@ -191,7 +255,8 @@
         self.state = state
         if state is RolloutState.COMPLETED:
             self.excluded = self.established - self._target
-            self.established, self.superseded, self.certain = self._target, _NO_VERSIONS, True
+            self.established, self.superseded, self.basis = self._target, _NO_VERSIONS, Basis.RECORD
+            self.since = Position(timeline, order.created_revision)
         elif state is RolloutState.ROLLED_BACK and not self.in_place:
             self.excluded = self._target
 
@@ -201,7 +266,8 @@
         self.in_place = state is RolloutState.ORDERED and self.certain and self.established == target
         if not self.in_place and not (self.certain and self.established - target):
             others = (self.established | self.superseded | frozenset(self.counts)) - target
-            self.established, self.superseded, self.certain = others, _NO_VERSIONS, bool(others)
+            self.established, self.superseded = others, _NO_VERSIONS
+            self.basis = Basis.LISTING if others else Basis.GUESS
 
     def forget_order(self) -> None:
         self.order = self.state = None
@@ -231,4 +297,4 @@
         others = frozenset(self.counts) - self.excluded
         if self._all_gone(self.established - self.excluded, now, grace_s) and others:
             self.superseded, self.established = self.superseded | self.established, others
-            self.certain, self.gone_since_s = False, None
+            self.basis, self.gone_since_s = Basis.GUESS, None
--- a/src/yokesill/serving/builder.py
+++ b/src/yokesill/serving/builder.py
@@ -21,6 +21,7 @@
 from yokesill.registry.node_presence import NodePresence
 from yokesill.registry.peer_bootstrap import PeerBootstrap
 from yokesill.registry.stream_connection import connect_tcp
+from yokesill.registry.version_settlement import VersionSettlement
 from yokesill.serving.dependencies import Dependencies
 from yokesill.serving.driver import GatewayDriver
 from yokesill.serving.feed_updates import FeedUpdates
@@ -63,6 +64,7 @@
     rollouts: RolloutLink | None
     reachability: Reachability
     bootstrap: PeerBootstrap
+    settlement: VersionSettlement
     application: GatewayApplication
     listener: Listener
     coordinator: CoordinatorApplication
@@ -80,6 +82,7 @@
     rollouts: RolloutLink | None
     reachability: Reachability
     bootstrap: PeerBootstrap
+    settlement: VersionSettlement
     presence: NodePresence
 
 
@@ -141,8 +144,15 @@
     registry.updates.subscribe(partial(_apply_connection_limits, callers.listener, core.router))
     reachability = _create_reachability(core, callers.application, life_cycle)
     bootstrap = _create_peer_bootstrap(core, registry)
+    settlement = _create_version_settlement(core, registry, bootstrap)
     peer_changes = PeerChanges(
-        driver, registry.following, registry.remote_coordinators, findings, rollouts, reachability
+        driver,
+        registry.following,
+        registry.remote_coordinators,
+        findings,
+        rollouts,
+        reachability,
+        settlement,
     )
     presence = NodePresence(
         core.dependencies.nodes,
@@ -155,9 +165,10 @@
     def registry_restored() -> None:
         presence.announce_again()
         findings.record_again()
+        settlement.record_again()
 
     registry.following.on_restored = registry_restored
-    return _PeerServices(findings, rollouts, reachability, bootstrap, presence)
+    return _PeerServices(findings, rollouts, reachability, bootstrap, settlement, presence)
 
 
 def _create_rollout_link(core: Core, following: RegistryFollowing) -> RolloutLink | None:
@@ -193,7 +204,7 @@
 
 
 def _create_peer_bootstrap(core: Core, registry: Registry) -> PeerBootstrap:
-    updates, following, versions = registry.updates, registry.following, core.router.servers.versions
+    updates, following = registry.updates, registry.following
 
     def apply_from_peer(event: Event) -> None:
         if following.awaits_first_answer(event):
@@ -203,12 +214,24 @@
         core.settings.seeds,
         connect_tcp,
         updates.synchronised,
-        lambda: versions.has_guesses,
         apply_from_peer,
         core.source,
     )
 
 
+def _create_version_settlement(core: Core, registry: Registry, bootstrap: PeerBootstrap) -> VersionSettlement:
+    updates, following = registry.updates, registry.following
+    return VersionSettlement(
+        core.router.servers.versions,
+        core.dependencies.version_records,
+        bootstrap.fetch_snapshot,
+        updates.apply,
+        lambda: following.calls_registry and updates.synchronised(),
+        core.settings.seeds,
+        core.source,
+    )
+
+
 def _create_side_services(
     core: Core,
     registry: Registry,
--- a/src/yokesill/serving/peer_changes.py
+++ b/src/yokesill/serving/peer_changes.py
@@ -10,6 +10,7 @@
 from yokesill.gateway.events import NodesUpdated
 from yokesill.registry.feeds import NodeContact
 from yokesill.registry.following import RegistryFollowing
+from yokesill.registry.version_settlement import VersionSettlement
 from yokesill.serving.driver import GatewayDriver
 from yokesill.serving.findings import Findings
 from yokesill.serving.reachability import Reachability
@@ -19,7 +20,15 @@
 class PeerChanges:
     """Passes the contacts of all nodes to the components; see ``peers_changed``."""
 
-    __slots__ = ("_driver", "_findings", "_following", "_reachability", "_remote_coordinators", "_rollouts")
+    __slots__ = (
+        "_driver",
+        "_findings",
+        "_following",
+        "_reachability",
+        "_remote_coordinators",
+        "_rollouts",
+        "_settlement",
+    )
 
     def __init__(
         self,
@@ -29,6 +38,7 @@
         findings: Findings,
         rollouts: RolloutLink | None,
         reachability: Reachability,
+        settlement: VersionSettlement,
     ) -> None:
         self._driver = driver
         self._following = following
@@ -36,6 +46,7 @@
         self._findings = findings
         self._rollouts = rollouts
         self._reachability = reachability
+        self._settlement = settlement
 
     def peers_changed(self, contacts: Iterable[NodeContact]) -> None:
         """Replace the nodes that this node exchanges findings and requests with."""
@@ -44,6 +55,7 @@
         if self._rollouts is not None:
             self._rollouts.set_nodes(contacts)
         self._reachability.set_nodes(contacts)
+        self._settlement.set_nodes(contacts)
         self._remote_coordinators.set_nodes(contacts)
         coordinators = self._remote_coordinators.gathering(contacts)
         self._driver.feed(NodesUpdated(frozenset(each.node for each in contacts), coordinators))
--- a/src/yokesill/serving/process.py
+++ b/src/yokesill/serving/process.py
@@ -101,6 +101,7 @@
         self.settings = settings
         self._dependencies.set_registry_address(settings.registry)
         self.node.bootstrap.set_seeds(settings.seeds)
+        self.node.settlement.set_seeds(settings.seeds)
         self.node.router.set_budget(settings.budget)
 
     @property
@@ -116,6 +117,7 @@
             "presence": node.presence.run,
             "findings": node.findings.run,
             "bootstrap": node.bootstrap.run,
+            "versions": node.settlement.run,
             "reachability": node.reachability.run,
             "logs": self._flush_logs,
         }
@@ -169,7 +171,7 @@
     async def _become_ready(self) -> None:
         await self._listening.wait()
         await self._until_synchronised()
-        await self.node.bootstrap.settle_versions()
+        await self.node.settlement.settle()
         self.node.application.synchronised.set()
         self.life_cycle.apply_event("learnt")
         self._start_times.reached("ready")
--- a/tests/forms/bindings.py
+++ b/tests/forms/bindings.py
@@ -48,7 +48,13 @@
 from yokesill.registry import api_client, feed_states, feeds as registry, snapshots
 from yokesill.replication import messages as replication
 from yokesill.resources import hashing
-from yokesill.rollouts import datagrams as rollout_datagrams, messages as rollouts, order_figures, orders
+from yokesill.rollouts import (
+    datagrams as rollout_datagrams,
+    messages as rollouts,
+    order_figures,
+    orders,
+    version_record,
+)
 from yokesill.serving import rollout_view
 from yokesill.serving.builder import build_node
 from yokesill.serving.header_names import HeaderNames
@@ -302,6 +308,20 @@
     return run
 
 
+async def _read_versions(store: MetadataStore, stale: bool) -> Any:
+    stored = await feeds.RecordedVersions(store).read(stale)
+    assert not isinstance(stored, Failure)
+    recorded = version_record.decode_record(stored.value)
+    revision = None if stored.position is None else stored.position.revision
+    return [revision, {name: [list(each.versions), list(each.since)] for name, each in recorded.items()}]
+
+
+async def _write_versions(store: MetadataStore, revision: int | None, versions: list[str], since: int) -> Any:
+    before = registry.StoredVersions(None if revision is None else Position(0, revision), None)
+    record = {"s1": version_record.RecordedVersions(tuple(versions), Position(0, since))}
+    return await feeds.RecordedVersions(store).write(before, version_record.encode_record(record))
+
+
 FEEDS: dict[str, Callable[[MetadataStore], registry.Feed]] = {
     "configuration": feeds.configuration_feed,
     "servers": feeds.server_feed,
@@ -599,6 +619,8 @@
         lambda store, feed, at, wait_s: FEEDS[feed](store).changes(Position(0, at), wait_s)
     ),
     "registry.position": _with_store(lambda store, stale: store.read_position(stale, 1.0)),
+    "registry.versions": _with_store(_read_versions),
+    "registry.write_versions": _with_store(_write_versions),
     "registry.peek": _with_store(lambda store, feed, at: FEEDS[feed](store).peek(Position(0, at))),
     "registry.record_quarantine": _with_store(lambda store, name: feeds.StoredQuarantine(store).record(name)),
     "registry.lift_quarantine": _with_store(lambda store, name: feeds.StoredQuarantine(store).lift(name)),
--- a/tests/real_nodes/node_process.py
+++ b/tests/real_nodes/node_process.py
@@ -133,6 +133,14 @@
             self.items[(kind, name)] = {"meta": meta, "spec": spec, "status": status}
             self._changes.append((self.revision, kind, json.dumps(self.items[(kind, name)]), False))
 
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        with self._lock:
+            self.revision += 1
+            item = self.items.pop((kind, name))
+            item["meta"]["revision"] = self.revision
+            self._changes.append((self.revision, kind, json.dumps(item), True))
+
     def put_raw(self, kind: str, item: str) -> None:
         """Add the JSON of an object as another writer left it; ``REVISION`` in it stands for its revision."""
         with self._lock:
@@ -153,8 +161,11 @@
             name = rest[0] if rest else body["meta"]["name"]
             with self._lock:
                 known = (kind, name) in self.items
+                revision = body.get("meta", {}).get("revision")
                 if request.method == "POST" and known:
                     return _json("null", 409)
+                if revision is not None and revision != self.items[(kind, name)]["meta"]["revision"]:
+                    return _json(json.dumps(self.items[(kind, name)]), 409)
                 self.put(kind, name, body.get("spec"))
             return _json(json.dumps(self.items[(kind, name)]), 201 if request.method == "POST" else 200)
         return _json("null", 404)
--- a/tests/rollouts/test_service_versions.py
+++ b/tests/rollouts/test_service_versions.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from yokesill.positions import Position
 from yokesill.rollouts.orders import OrderId, RolloutState
+from yokesill.rollouts.version_record import RecordedVersions
 from yokesill.rollouts.versions import ServiceVersions
 
 GRACE_S = 2.0
@@ -269,3 +271,75 @@
     node.versions.withdraw("s")
     node.versions.retain(())
     assert (node.versions.established(), node.versions.gated) == ({}, set())
+
+
+RECORD = {"s": RecordedVersions(("v1",))}
+LISTINGS: list[Any] = [(), ("v1",), ("v2",), ("v1", "v2"), ("v2", "v1"), ("v2", "v3", "v1")]
+
+
+@pytest.mark.parametrize("others", [("v1", "v2"), ("v2", "v1"), ("v2", "v3", "v1")])
+@pytest.mark.parametrize("listed", LISTINGS)
+# Guards against: a starting node went by the entries alone, which may have lapsed or been replaced.
+def test_record_tells_a_starting_node_which_version_serves(
+    listed: tuple[str, ...], others: tuple[str, ...]
+) -> None:
+    node = Versions(*listed)
+    node.versions.adopt_recorded(RECORD)
+    node.set_listed(*others)
+    assert node.old() == {"v1"}
+    assert not node.versions.has_guesses
+
+
+@pytest.mark.parametrize("record_first", [True, False])
+@pytest.mark.parametrize(("state", "old", "new"), ALLOWED_VERSIONS)
+def test_record_and_order_together_allow_what_a_running_node_allows(
+    state: RolloutState, old: set[str], new: set[str], record_first: bool
+) -> None:
+    node = Versions("v2", "v1")
+    if record_first:
+        node.versions.adopt_recorded(RECORD)
+    node.set_state(state)
+    node.versions.adopt_recorded(RECORD)
+    assert (node.old(), node.new()) == (old, new)
+    node.versions.withdraw("s")
+    assert node.old() == ({"v2"} if state is COMPLETED else {"v1"})
+
+
+@pytest.mark.parametrize("state", [ORDERED, CANARY, SWITCHING, ROLLED_BACK])
+# Guards against: at a start every version but an order's target counted as the one that served before.
+def test_order_for_the_recorded_version_changes_nothing(state: RolloutState) -> None:
+    node = Versions("v1", "v2")
+    node.set_state(state, order=ORDER._replace(target="v1"))
+    node.versions.adopt_recorded(RECORD)
+    assert node.old() == {"v1"}
+
+
+def test_what_a_later_order_established_outweighs_the_record() -> None:
+    node = Versions("v1", "v2")
+    node.set_state(SWITCHING, COMPLETED)
+    node.versions.withdraw("s")
+    node.versions.adopt_recorded(RECORD)
+    assert node.old() == {"v2"}
+    assert node.versions.recordable() == {"s": RecordedVersions(("v2",), Position(0, 5))}
+    node.versions.adopt_recorded({"s": RecordedVersions(("v3",), Position(0, 9))})
+    node.set_listed("v2", "v3")
+    assert node.old() == {"v3"}
+
+
+def test_recorded_version_that_is_gone_is_replaced_and_not_taken_up_again() -> None:
+    node = Versions("v2")
+    node.versions.adopt_recorded(RECORD)
+    node.set_listed("v2")
+    assert node.old() == {"v1"}
+    node.now += GRACE_S
+    assert node.old() == {"v2"}
+    node.versions.adopt_recorded(RECORD)
+    node.now += GRACE_S
+    assert node.old() != {"v1"}
+    node.set_listed("v1", "v2")
+    assert node.old() == {"v1"}
+
+
+def test_guess_is_not_recorded() -> None:
+    node = Versions("v1", "v2")
+    assert node.versions.recordable() == {}
--- a/tests/serving/test_snapshots.py
+++ b/tests/serving/test_snapshots.py
@@ -13,9 +13,11 @@
 
 from yokesill.gateway import events as ev
 from yokesill.gateway.documents import Configuration, ServiceLimits
-from yokesill.registry.peer_bootstrap import SETTLE_CALL_TIMEOUT_S, PeerBootstrap
+from yokesill.registry.peer_bootstrap import PeerBootstrap
 from yokesill.registry.snapshots import decode_snapshot, encode_snapshot
+from yokesill.registry.version_settlement import CALL_TIMEOUT_S, VersionSettlement
 from yokesill.rollouts.orders import RolloutOrder, RolloutState
+from yokesill.rollouts.versions import ServiceVersions
 from yokesill.serving.settings import Address
 
 STATE = Configuration(
@@ -67,7 +69,6 @@
                 seeds,
                 peer.connect,
                 lambda: synchronised[0] or bool(applied),
-                lambda: False,
                 applied.append,
                 random.Random(1),
             )
@@ -123,16 +124,22 @@
             async def connect(host: str, port: int, *rest: Any) -> Any:
                 return await peers[port].connect(host, port, *rest)
 
-            bootstrap = PeerBootstrap(
-                tuple(Address("10.0.0.1", port) for port in seeds),
-                connect,
-                lambda: True,
-                lambda: not applied,
-                applied.append,
-                random.Random(1),
+            addresses = tuple(Address("10.0.0.1", port) for port in seeds)
+            source = random.Random(1)
+            bootstrap = PeerBootstrap(addresses, connect, lambda: True, applied.append, source)
+            versions = ServiceVersions(True, 1.0)
+            versions.set_listed("s1", {"v1": 1, "v2": 1}, ("v1", "v2"), 0.0)
+
+            def apply(event: ev.Event) -> None:
+                applied.append(event)
+                if isinstance(event, ev.VersionsEstablished):
+                    versions.adopt_established(event.versions)
+
+            settlement = VersionSettlement(
+                versions, None, bootstrap.fetch_snapshot, apply, lambda: False, addresses, source
             )
             began_s = anyio.current_time()
-            await bootstrap.settle_versions()
+            await settlement.settle()
             lasted_s = anyio.current_time() - began_s
             tasks.cancel_scope.cancel()
 
@@ -147,11 +154,11 @@
 ) -> None:
     applied, lasted_s = settled_by({**others, 3: SNAPSHOT})
     assert applied == [ev.VersionsEstablished(ESTABLISHED)]
-    assert lasted_s <= len(others) * SETTLE_CALL_TIMEOUT_S + 0.1
+    assert lasted_s <= len(others) * CALL_TIMEOUT_S + 0.1
 
 
 # Guards against a node that stays out of service for good since no other node can tell which version serves.
 def test_start_goes_on_if_no_seed_knows_the_established_versions() -> None:
     applied, lasted_s = settled_by({1: None, 2: None, 3: b"nonsense"})
     assert applied == []
-    assert lasted_s <= 2 * SETTLE_CALL_TIMEOUT_S + 0.1
+    assert lasted_s <= 2 * CALL_TIMEOUT_S + 0.1
