A reopened zone's servers count as cold until they are known as of then

Cause: a reopening waited for one read of the servers, a fifth of the bound at most, and then went on without it.

Now nothing waits. The router treats the servers of a reopened zone as cold, within its share of what a cold server bears, until the position of their feed has reached that of the reopening, by an own read or a report.

--- a/src/yokesill/gateway/events.py
+++ b/src/yokesill/gateway/events.py
@@ -138,6 +138,10 @@
     zone: str
 
 
+class ReopenedServersKnown(NamedTuple):
+    """The servers of all reopened zones are known as of the reopening."""
+
+
 class EvacuationsReplaced(NamedTuple):
     """All evacuated zones at one point in time."""
 
@@ -216,6 +220,7 @@
     | ZoneEvacuated
     | ZoneReopened
     | EvacuationsReplaced
+    | ReopenedServersKnown
     | RolloutOrdered
     | RolloutWithdrawn
     | RolloutsReplaced
--- a/src/yokesill/gateway/servers/eligibility.py
+++ b/src/yokesill/gateway/servers/eligibility.py
@@ -6,7 +6,8 @@
 1. of a version that a roll-out lets this request reach (``rollouts/versions``), even if no other is left,
 2. in no evacuated zone, even if no other server is left: operators must be able to rely on it,
 3. in a region that the route allows, since request bodies must not leave these regions,
-4. not cold, or within this node's share of a cold server's capacity (`ColdStarts`),
+4. not cold, nor in a reopened zone whose servers have not been read since, or within this node's share of a
+   cold server's capacity (`ColdStarts`),
 5. not yet tried by this request,
 6. listed and not leaving. A server whose entry vanished recently is eligible if no listed server is, since
    entries also vanish when the registry was unavailable (``GatewayOptions.removed_grace_s``).
@@ -132,8 +133,8 @@
         rate = self._cold_requests_per_s(service)
         if rate is None:
             return servers
-        allows = self.cold_starts.allows
-        return [each for each in servers if not each.cold(now) or allows(each.record, rate, now)]
+        allows, may_be_cold = self.cold_starts.allows, self._servers.may_be_cold
+        return [each for each in servers if not may_be_cold(each, now) or allows(each.record, rate, now)]
 
     def may_still_start(self, record: ServerRecord, now: float) -> bool:
         """Whether an attempt that waited on this node may go to its server: rules 1, 2 and 6 once more.
@@ -152,7 +153,9 @@
 
     def count_sent(self, server: ServerState, now: float) -> None:
         """Count an attempt, which may use up this node's share of a cold server."""
-        if self._cold_requests_per_s(server.record.service) is not None and server.cold(now):
+        if self._cold_requests_per_s(server.record.service) is not None and self._servers.may_be_cold(
+            server, now
+        ):
             self.cold_starts.sent(server.record, now)
 
     def _cold_requests_per_s(self, service: str) -> float | None:
--- a/src/yokesill/gateway/servers/server_table.py
+++ b/src/yokesill/gateway/servers/server_table.py
@@ -31,6 +31,7 @@
     """All servers.
 
     ``versions`` holds which versions of a service may be reached, ``distances`` the distances of zones.
+    ``unread_zones`` are reopened zones whose servers are not known as of the reopening.
     """
 
     def __init__(self, options: GatewayOptions) -> None:
@@ -41,6 +42,7 @@
         self._by_instance: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
         self._evacuated: frozenset[str] = frozenset()
+        self.unread_zones: frozenset[str] = frozenset()
         self._instance_at: dict[_ServiceAddress, str] = {}
         self._newly_replaced: list[str] = []
 
@@ -86,8 +88,13 @@
     def evacuate(self, zones: Iterable[str]) -> frozenset[str]:
         """Set the evacuated zones; return those that were added or reopened."""
         before, self._evacuated = self._evacuated, frozenset(zones)
+        self.unread_zones |= before - self._evacuated
         return before ^ self._evacuated
 
+    def may_be_cold(self, server: ServerState, now: float) -> bool:
+        """Whether a server is cold, or may have turned cold without its entry having been read yet."""
+        return server.record.zone in self.unread_zones or server.cold(now)
+
     def put(self, record: ServerRecord, now: float) -> bool:
         """Add or update a server; return whether anything but its warm-up changed.
 
--- a/src/yokesill/gateway/state_updates.py
+++ b/src/yokesill/gateway/state_updates.py
@@ -133,6 +133,11 @@
     updates.evacuations(updates.context.servers.evacuated - {event.zone}, actions)
 
 
+@apply_update.register
+def _(event: ev.ReopenedServersKnown, updates: StateUpdates, now: float, actions: Actions) -> None:
+    updates.context.servers.unread_zones = frozenset()
+
+
 @apply_update.register
 def _(event: ev.EvacuationsReplaced, updates: StateUpdates, now: float, actions: Actions) -> None:
     updates.evacuations(event.zones, actions)
--- a/src/yokesill/registry/feed_view.py
+++ b/src/yokesill/registry/feed_view.py
@@ -25,13 +25,15 @@
 
     ``connected`` is whether the registry answered this node's last call. ``confirmed_at_s`` is the moment as
     of which this view is current, in seconds of the node's clock. ``on_restored`` is called with the new
-    timeline when the registry was restored from an older copy.
+    timeline when the registry was restored from an older copy, ``on_applied`` with each batch that this view
+    has taken over, from whatever source.
     """
 
     def __init__(self, feed: str, apply_event: Callable[[Event], None]) -> None:
         self.connected = False
         self.confirmed_at_s = float("-inf")
         self.on_restored: Callable[[int], None] = lambda _timeline: None
+        self.on_applied: Callable[[Batch], None] = lambda _batch: None
         self._feed_name = feed
         self._apply_event = apply_event
         self._position: Position | None = None
@@ -98,6 +100,7 @@
             self._log.error("entry_rejected", place=problem.place, problem=problem.message)
         self._position = batch.position
         self._relist_next = False
+        self.on_applied(batch)
 
     def _start_timeline(self, before: Position, position: Position) -> None:
         """Let lists only add entries until the lost ones have had time to be written again."""
--- a/src/yokesill/registry/follower.py
+++ b/src/yokesill/registry/follower.py
@@ -7,17 +7,17 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 
 from yokesill.gateway.events import Event
 from yokesill.positions import Position
 from yokesill.registry.availability import RegistryAvailability
-from yokesill.registry.awaited_reads import AwaitedReads
 from yokesill.registry.feed_view import FeedView
 from yokesill.registry.feeds import Batch, Feed, HistoryLost
 from yokesill.registry.ongoing_call import OngoingCall
+from yokesill.registry.requested_read import RequestedRead
 from yokesill.registry.restored_lists import SETTLING_S
 from yokesill.verdict import Failure
 
@@ -63,8 +63,7 @@
 
     Notes
     -----
-    ``before_applying`` is awaited with each batch that this node read from the registry before it is applied;
-    ``on_read`` is called with the previous position and the batch afterwards.
+    ``on_read`` is called with the previous position and each batch that this node read from the registry.
     """
 
     def __init__(
@@ -78,7 +77,6 @@
     ) -> None:
         super().__init__(feed.name, feed_router)
         self.calls = 0
-        self.before_applying: Callable[[Batch], Awaitable[None]] = _continue_at_once
         self.on_read: Callable[[Position, Batch], None] = lambda _before, _batch: None
         self._feed = feed
         self._gathering_time_s = gathering_time_s
@@ -91,7 +89,7 @@
         self._ongoing = OngoingCall()
         self._logged_older_at: Position | None = None
         self._timeline_started = anyio.Event()
-        self._awaited_reads = AwaitedReads()
+        self._requested_read = RequestedRead()
 
     @property
     def lost(self) -> bool:
@@ -126,15 +124,11 @@
         self._ongoing.cancel()
         return True
 
-    async def read_anew(self) -> None:
-        """Return once the registry has answered a call at full price that began after this one.
-
-        Meanwhile neither a long poll nor the coalescing of changes delays the next call. It may take for ever
-        while this node relies on others or the registry doesn't answer.
-        """
-        read = self._awaited_reads.ask()
-        self._ongoing.cancel()
-        await read.wait()
+    def request_read(self) -> None:
+        """Make the next call at once and without waiting for changes, if this node calls the registry."""
+        if self._watching:
+            self._requested_read.ask()
+            self._ongoing.cancel()
 
     # --- calls ---
 
@@ -164,18 +158,18 @@
         """
         self.calls += 1
         from_position, listed = self._position, self._should_list()
-        at_once = self._awaited_reads.begin_call()
+        at_once = self._requested_read.begin_call()
         asked_at_s = anyio.current_time()
         outcome = await self._ongoing.run(self._fetch_next(listed, at_once), waits=not listed)
         if isinstance(outcome, Batch):
-            await self.before_applying(outcome)
             self._process_answer(outcome, from_position, listed, asked_at_s)
-        self._awaited_reads.end_call(isinstance(outcome, Batch) and not self._relist_next)
+        elif at_once:
+            self._requested_read.ask()
         if outcome is None:
             return
         if isinstance(outcome, Batch):
             if outcome.events:
-                await self._awaited_reads.pause(self._gathering_time_s)
+                await self._requested_read.pause(self._gathering_time_s)
         elif isinstance(outcome, HistoryLost):
             self._lose_history(outcome)
         else:
@@ -281,7 +275,6 @@
         if isinstance(outcome, HistoryLost):
             self._lose_history(outcome)
         elif isinstance(outcome, Batch):
-            await self.before_applying(outcome)
             self._process_answer(outcome, from_position, False, asked_at_s)
         missed = isinstance(outcome, HistoryLost) or (isinstance(outcome, Batch) and bool(outcome.events))
         if missed and self._ongoing.waits and self._ongoing.under_way:
@@ -357,7 +350,3 @@
         if listed or self._position is None:
             return await self._feed.list()
         return await self._feed.changes(self._position, 0.0 if at_once else CHANGES_WAIT_S)
-
-
-async def _continue_at_once(_batch: Batch) -> None:
-    pass
--- a/src/yokesill/registry/following.py
+++ b/src/yokesill/registry/following.py
@@ -23,7 +23,7 @@
 from yokesill.registry.feeds import Feed, NodeContact, ReadPosition
 from yokesill.registry.follower import FeedFollower
 from yokesill.registry.position_check import PositionCheck
-from yokesill.registry.reopenings import ServersFirst
+from yokesill.registry.reopenings import ReopenedZones
 from yokesill.registry.watch_link import WatchLink
 from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.serving.settings import GatewaySettings
@@ -110,7 +110,7 @@
             followers = self._followers.values()
             interval_s = timing.check_interval_s
             self._check = PositionCheck(followers, read_position, interval_s, availability, source)
-        ServersFirst(self._followers, whole, settings.change_bound_s)
+        ReopenedZones(self._followers, whole, feeds[SERVERS].apply_event)
         self._watch: ZoneWatch | None = None
         if shared and settings.reports is not None:
             self._link = WatchLink(settings.reports)
--- a/src/yokesill/registry/zone_watch.py
+++ b/src/yokesill/registry/zone_watch.py
@@ -19,7 +19,6 @@
 from yokesill.registry.feed_states import WholeFeed
 from yokesill.registry.feeds import NodeContact
 from yokesill.registry.follower import FeedFollower
-from yokesill.registry.reopenings import awaits_servers
 from yokesill.registry.view_check import ViewCheck
 from yokesill.watchers.messages import FeedReport, Report, decode_report, encode_report
 from yokesill.watchers.role import WatchRole, create_group, watch_role
@@ -192,12 +191,5 @@
                 self._catch_up.repair(each.feed, member, self._tasks, watching, now)
 
     def _apply_feeds(self, report: Report) -> list[FeedReport]:
-        """Apply a report's feeds; return those that are to be fetched.
-
-        A reopening that awaits the servers is left to the next report.
-        """
-        behind: list[FeedReport] = []
-        for each in report.feeds:
-            if not awaits_servers(each, behind) and not self._catch_up.apply(each):
-                behind.append(each)
-        return behind
+        """Apply a report's feeds; return those that are to be fetched."""
+        return [each for each in report.feeds if not self._catch_up.apply(each)]
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -98,3 +98,21 @@
     assert isinstance(harness.finals[key], ev.Refuse)
     harness.advance(5.1)
     assert len(harness.attempts(harness.arrive())) == 1
+
+
+# Guards against requests beyond their rate to servers of a reopened zone that have turned cold unread.
+def test_servers_of_a_reopened_zone_are_limited_until_they_are_known() -> None:
+    harness = node("n0", frozenset({"n0"}), "warm")
+    harness.feed(ev.ZoneEvacuated("z2"))
+    harness.feed(ev.ZoneReopened("z2"))
+    keys = [harness.arrive() for _ in range(20)]
+    assert 0 < sum(len(harness.attempts(key)) for key in keys) <= LIMIT_PER_S
+    harness.feed(ev.ReopenedServersKnown())
+    assert harness.attempts(harness.arrive())
+
+
+def test_servers_of_other_zones_are_not_limited_beside_a_reopening() -> None:
+    harness = node("n0", frozenset({"n0"}), "warm")
+    harness.feed(ev.ZoneEvacuated("z1"))
+    harness.feed(ev.ZoneReopened("z1"))
+    assert all(harness.attempts(harness.arrive()) for _ in range(20))
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -37,7 +37,8 @@
     A list has pages of ``page`` objects, and an answer takes ``answer_s`` seconds. ``timeline`` increases
     by one each time that the store is restored from a copy; answers don't name it if it is 0. Stale calls
     show the state of ``stale_s`` seconds ago, of which ``past`` has a copy. A wait that ``silence`` or
-    ``lose_waits`` finds is never answered, nor is any call for objects of ``silent_kind``.
+    ``lose_waits`` finds is never answered, nor is any call for objects of ``silent_kind``. ``kind_modes``
+    says of a kind that its calls are ``silent``, ``busy`` or, with ``one page``, silent after a list's first.
     """
 
     revision: int = 0
@@ -53,6 +54,7 @@
     stale_s: float = 0.0
     silences: int = 0
     silent_kind: str = ""
+    kind_modes: dict[str, str] = field(default_factory=dict)
     lost_waits: dict[str, int] = field(default_factory=dict)
     changed: anyio.Event | None = None
     written_at_s: dict[int, float] = field(default_factory=dict)
@@ -133,8 +135,16 @@
         self.calls.append(f"{method} {target}")
         if self.mode == "silent" or (self.silent_kind and f"/objects/{self.silent_kind}" in target):
             await anyio.sleep_forever()
-        if self.mode in ("busy", "throttled"):
-            await self._reply(stream, 503 if self.mode == "busy" else 429, None)
+        kind_mode = self.kind_modes.get(target.partition("?")[0].rpartition("/")[2], "")
+        if kind_mode == "silent" or (
+            kind_mode == "one page" and "watch" not in target and "after=" in target
+        ):
+            await anyio.sleep_forever()
+        if kind_mode == "one page" and "watch" in target:
+            await self._reply(stream, 410, None)
+            return
+        if kind_mode == "busy" or self.mode in ("busy", "throttled"):
+            await self._reply(stream, 429 if self.mode == "throttled" else 503, None)
             return
         silences = self.silences
         status, body = await self._answer(method, target, request.body)
--- a/tests/serving/zone.py
+++ b/tests/serving/zone.py
@@ -28,7 +28,7 @@
 from yokesill.registry.feeds import Feed, NodeContact
 from yokesill.registry.follower import FeedFollower
 from yokesill.registry.position_check import PositionCheck
-from yokesill.registry.reopenings import ServersFirst
+from yokesill.registry.reopenings import ReopenedZones
 from yokesill.registry.zone_watch import ZoneWatch
 from yokesill.rollouts.orders import RolloutOrder
 from yokesill.serving.settings import Address
@@ -79,6 +79,8 @@
         self.servers: dict[str, ServerRecord] = {}
         self.configuration: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
+        # Reopened zones whose servers this node treats as cold.
+        self.unread_zones: frozenset[str] = frozenset()
         self.orders: dict[str, RolloutOrder] = {}
         self.quarantined: frozenset[str] = frozenset()
         self.full_price_calls = self.exact_checks = 0
@@ -111,7 +113,7 @@
         self.check = PositionCheck(
             self.followers.values(), store.read_position, timing.check_interval_s, availability, source
         )
-        ServersFirst(self.followers, self._whole_feed, CHANGE_BOUND_S)
+        ReopenedZones(self.followers, self._whole_feed, self._apply_event)
         self.watch = ZoneWatch(
             self.contact, self.followers, self._whole_feed, self._send, self._fetch, timing, source
         )
@@ -186,12 +188,10 @@
             self.servers[event.record.instance] = event.record
         elif isinstance(event, ev.ServerRemoved):
             self.servers.pop(event.instance, None)
-        elif isinstance(event, ev.EvacuationsReplaced):
-            self.evacuated = event.zones
-        elif isinstance(event, ev.ZoneEvacuated):
-            self.evacuated |= {event.zone}
-        elif isinstance(event, ev.ZoneReopened):
-            self.evacuated -= {event.zone}
+        elif isinstance(event, ev.EvacuationsReplaced | ev.ZoneEvacuated | ev.ZoneReopened):
+            self._apply_evacuation(event)
+        elif isinstance(event, ev.ReopenedServersKnown):
+            self.unread_zones = frozenset()
         elif isinstance(event, ev.RolloutsReplaced):
             self.orders = {each.service: each for each in event.orders}
         elif isinstance(event, ev.RolloutOrdered):
@@ -201,6 +201,16 @@
         else:
             self._apply_quarantine(event)
 
+    def _apply_evacuation(self, event: ev.EvacuationsReplaced | ev.ZoneEvacuated | ev.ZoneReopened) -> None:
+        before = self.evacuated
+        if isinstance(event, ev.EvacuationsReplaced):
+            self.evacuated = event.zones
+        elif isinstance(event, ev.ZoneEvacuated):
+            self.evacuated |= {event.zone}
+        else:
+            self.evacuated -= {event.zone}
+        self.unread_zones |= before - self.evacuated
+
     def _apply_quarantine(self, event: ev.Event) -> None:
         if isinstance(event, ev.QuarantineReplaced):
             self.quarantined = event.fingerprints
