A node that guesses which version serves asks others, not itself

What callers saw: a node that had started beside one that could not answer kept its guess for longer than others needed to answer again.

Cause: a node is among its own seeds, so that about every other question went to itself, after pauses that double.

Now the node's own address is left out.

--- a/src/yokesill/registry/version_settlement.py
+++ b/src/yokesill/registry/version_settlement.py
@@ -45,6 +45,8 @@
         Applies an event.
     may_write
         Returns whether this node calls the registry and has its state.
+    own
+        This node's address for calls of other nodes, which is often among the seeds.
     seeds
         Nodes to ask.
     source
@@ -58,6 +60,7 @@
         fetch_snapshot: FetchSnapshot,
         apply_event: Callable[[Event], None],
         may_write: Callable[[], bool],
+        own: Address | None,
         seeds: tuple[Address, ...],
         source: random.Random,
     ) -> None:
@@ -66,6 +69,7 @@
         self._fetch_snapshot = fetch_snapshot
         self._apply_event = apply_event
         self._may_write = may_write
+        self._own = own
         self._seeds = seeds
         self._nodes: tuple[Address, ...] = ()
         self._random = source
@@ -98,7 +102,8 @@
             return
         with anyio.move_on_after(CALL_TIMEOUT_S):
             await self._read_record(stale=not self._versions.has_guesses)
-        for seed in self._random.sample(self._seeds, len(self._seeds)):
+        others = self._others()
+        for seed in self._random.sample(others, len(others)):
             if not self._versions.has_guesses:
                 return
             await self._ask(seed)
@@ -122,9 +127,13 @@
     async def _ask_again(self) -> None:
         """Read the record and ask one node, any that is known."""
         await self._read_record(stale=not self._restored)
-        nodes = list(dict.fromkeys((*self._seeds, *self._nodes)))
-        if self._versions.has_guesses and nodes:
-            await self._ask(self._random.choice(nodes))
+        others = self._others(self._nodes)
+        if self._versions.has_guesses and others:
+            await self._ask(self._random.choice(others))
+
+    def _others(self, nodes: tuple[Address, ...] = ()) -> list[Address]:
+        """Return the seeds and some more nodes, each once, without this one."""
+        return [each for each in dict.fromkeys((*self._seeds, *nodes)) if each != self._own]
 
     async def _ask(self, node: Address) -> None:
         """Adopt what another node knows for certain; its own guesses it keeps to itself."""
--- a/src/yokesill/serving/builder.py
+++ b/src/yokesill/serving/builder.py
@@ -227,6 +227,7 @@
         bootstrap.fetch_snapshot,
         updates.apply,
         lambda: following.calls_registry and updates.synchronised(),
+        core.settings.peers,
         core.settings.seeds,
         core.source,
     )
--- a/tests/serving/test_snapshots.py
+++ b/tests/serving/test_snapshots.py
@@ -136,7 +136,7 @@
                     versions.adopt_established(event.versions)
 
             settlement = VersionSettlement(
-                versions, None, bootstrap.fetch_snapshot, apply, lambda: False, addresses, source
+                versions, None, bootstrap.fetch_snapshot, apply, lambda: False, None, addresses, source
             )
             began_s = anyio.current_time()
             await settlement.settle()
--- a/tests/serving/test_version_settlement.py
+++ b/tests/serving/test_version_settlement.py
@@ -81,8 +81,9 @@
         if listed:
             self.set_listed(*listed)
         source = random.Random(number)
+        seeds = (self.address, Address("10.0.0.1", 1))
         self.settlement = VersionSettlement(
-            self.versions, fleet.records, self._fetch, self._apply, lambda: True, (), source
+            self.versions, fleet.records, self._fetch, self._apply, lambda: True, self.address, seeds, source
         )
 
     def set_listed(self, *listed: str) -> None:
@@ -92,6 +93,7 @@
         return set(self.versions.allowed("s", False, anyio.current_time()))
 
     async def _fetch(self, address: Address, _timeout_s: float) -> tuple[ev.Event, ...]:
+        assert address != self.address
         self.asked += 1
         other = next(each for each in self.fleet.nodes if each.address == address)
         if other.stopped:
@@ -213,6 +215,26 @@
     run_fleet(main)
 
 
+# Guards against: a node is among its own seeds, and every other question went to itself.
+def test_node_asks_others_only() -> None:
+    async def main(fleet: Fleet) -> None:
+        fleet.records.mode = "failing"
+        knowing = await fleet.start("v1")
+        knowing.set_listed("v2", "v1")
+        for _ in range(10):
+            knowing.stopped = True
+            node = await fleet.start("v2", "v1")
+            knowing.stopped = False
+            others = [each for each in fleet.nodes if each not in (knowing, node)]
+            for each in others:
+                each.stopped = True
+            node.settlement.set_nodes([])
+            await anyio.sleep(TURN_S + CALL_TIMEOUT_S)
+            assert node.serving() == {"v1"}
+
+    run_fleet(main)
+
+
 def test_questions_become_rare_while_nobody_knows() -> None:
     async def main(fleet: Fleet) -> None:
         nodes = [await fleet.start("v2", "v1") for _ in range(3)]
