--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -61,6 +61,10 @@
         return DOWN
 
 
+# A busy machine may take this long to start a node.
+START_LIMIT_S = 5.0
+
+
 class Backend:
     """A server that answers while ``open`` is set and keeps the request heads that it read."""
 
@@ -136,6 +140,17 @@
         answer = await self.exchange(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", self.settings.probes)
         return answer.startswith(b"HTTP/1.1 200")
 
+    async def wait_until_listening(self) -> None:
+        """Wait until the start has come as far as the probes' port, some seconds at most."""
+        probes = self.settings.probes
+        with anyio.move_on_after(START_LIMIT_S):
+            while True:
+                with contextlib.suppress(ConnectionRefusedError):
+                    _, writer = await asyncio.open_connection(probes.host, probes.port)
+                    writer.close()
+                    return
+                await asyncio.sleep(0.02)
+
     async def wait_until(self, condition: Callable[[], Awaitable[bool]]) -> None:
         while not await condition():
             await asyncio.sleep(0.02)
@@ -151,6 +166,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(node.process.run)
             await asyncio.sleep(0.2)
+            await node.wait_until_listening()
             await main(node)
             tasks.cancel_scope.cancel()
         server.close()
