--- a/tests/serving/test_current_views.py
+++ b/tests/serving/test_current_views.py
@@ -1,5 +1,7 @@
 """A view counts as current only by exact answers of the registry, whatever its waits and stale reads show."""
 
+from collections.abc import Awaitable, Callable
+
 import anyio
 import pytest
 from zone import CHANGE_BOUND_S, Zone, run_in_zone
@@ -24,10 +26,18 @@
 QUIET_S = 6.0
 
 
-def run_with_all_feeds(main) -> None:  # type: ignore[no-untyped-def]
+def run_with_all_feeds(main: Callable[[Zone], Awaitable[None]]) -> None:
     run_in_zone(main, NODES, with_rollouts=True, with_quarantine=True)
 
 
+async def late_nodes(zone: Zone, moment: int, *feeds: str) -> list[tuple[int, str]]:
+    """Change some feeds; return the moment with each node that does not know the changes in time."""
+    for feed in feeds:
+        zone.change_feed(feed)
+    await anyio.sleep(ARRIVAL_LIMIT_S)
+    return [(moment, node) for node in zone.stale_nodes()]
+
+
 @pytest.mark.parametrize("quiet_s", [0.0, QUIET_S])
 @pytest.mark.parametrize("stale_s", [0.0, 3.0, 5.5, 10.0])
 @pytest.mark.parametrize("feed", FEEDS)
@@ -41,9 +51,7 @@
             await anyio.sleep(5.0 + CHECK_INTERVAL_S * moment / MOMENTS)
             zone.standin.lose_waits(KINDS[feed])
             await anyio.sleep(quiet_s)
-            zone.change_feed(feed)
-            await anyio.sleep(ARRIVAL_LIMIT_S)
-            late += [(moment, node) for node in zone.stale_nodes()]
+            late += await late_nodes(zone, moment, feed)
         assert late == []
 
     run_with_all_feeds(main)
@@ -60,10 +68,7 @@
                 await anyio.sleep(0.7 + CHECK_INTERVAL_S * moment / MOMENTS / 10)
                 for kind in KINDS.values():
                     zone.standin.lose_waits(kind)
-            for feed in FEEDS:
-                zone.change_feed(feed)
-            await anyio.sleep(ARRIVAL_LIMIT_S)
-            late += [(moment, node) for node in zone.stale_nodes()]
+            late += await late_nodes(zone, moment, *FEEDS)
         assert late == []
 
     run_with_all_feeds(main)
@@ -80,10 +85,7 @@
             await anyio.sleep(5.0 + CHECK_INTERVAL_S * moment / MOMENTS)
             await zone.standin.silence(silence_s)
             await anyio.sleep(quiet_s)
-            for feed in FEEDS:
-                zone.change_feed(feed)
-            await anyio.sleep(ARRIVAL_LIMIT_S)
-            late += [(moment, node) for node in zone.stale_nodes()]
+            late += await late_nodes(zone, moment, *FEEDS)
         assert late == []
 
     run_with_all_feeds(main)
@@ -101,9 +103,7 @@
                 node.silent_kind = KINDS[feed]
             zone.standin.lose_waits(KINDS[feed])
             await anyio.sleep(QUIET_S)
-            zone.change_feed(feed)
-            await anyio.sleep(ARRIVAL_LIMIT_S)
-            late += [(moment, node) for node in zone.stale_nodes()]
+            late += await late_nodes(zone, moment, feed)
             for node in watchers:
                 node.silent_kind = ""
         assert late == []
