Names: the stored record of versions has a name of its own

Two classes were called RecordedVersions: the platform's storage of the record and one entry of it. No behaviour changes; formatter, linter, types, imports, the forms and five other test files passed.

--- a/src/yokesill/platform/feeds.py
+++ b/src/yokesill/platform/feeds.py
@@ -133,7 +133,7 @@
         return await self._store.delete(QUARANTINE_KIND, fingerprint)
 
 
-class RecordedVersions(VersionRecords):
+class StoredVersionRecord(VersionRecords):
     """The record of established versions."""
 
     def __init__(self, store: MetadataStore) -> None:
--- a/src/yokesill/platform/main.py
+++ b/src/yokesill/platform/main.py
@@ -41,7 +41,7 @@
         evacuations=feeds.evacuation_feed(store) if settings.evacuation_bound_s is not None else None,
         rollouts=rollout_feed(store, time.time) if settings.rollouts is not None else None,
         rollout_records=StoredRollouts(store, time.time) if settings.rollouts is not None else None,
-        version_records=feeds.RecordedVersions(store) if settings.rollouts is not None else None,
+        version_records=feeds.StoredVersionRecord(store) if settings.rollouts is not None else None,
         nodes=feeds.StoredNodes(store),
         names=HEADER_NAMES,
         ready_path=READY_PATH,
--- a/tests/forms/bindings.py
+++ b/tests/forms/bindings.py
@@ -309,7 +309,7 @@
 
 
 async def _read_versions(store: MetadataStore, stale: bool) -> Any:
-    stored = await feeds.RecordedVersions(store).read(stale)
+    stored = await feeds.StoredVersionRecord(store).read(stale)
     assert not isinstance(stored, Failure)
     recorded = version_record.decode_record(stored.value)
     revision = None if stored.position is None else stored.position.revision
@@ -319,7 +319,7 @@
 async def _write_versions(store: MetadataStore, revision: int | None, versions: list[str], since: int) -> Any:
     before = registry.StoredVersions(None if revision is None else Position(0, revision), None)
     record = {"s1": version_record.RecordedVersions(tuple(versions), Position(0, since))}
-    return await feeds.RecordedVersions(store).write(before, version_record.encode_record(record))
+    return await feeds.StoredVersionRecord(store).write(before, version_record.encode_record(record))
 
 
 FEEDS: dict[str, Callable[[MetadataStore], registry.Feed]] = {
